--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -9,81 +9,12 @@
 #include <vector>
 
 #include "heronmount/dispatcher.hpp"
+#include "settings/read.hpp"
 
 namespace heronmount::wire {
 namespace {
 
-using simdjson::dom::element;
-using simdjson::dom::object;
-
-[[noreturn]] void bad(const std::string& what) {
-    throw BadLine(what);
-}
-
-// Field readers. The plain ones demand the field; those with a fallback take null and absence for it.
-std::optional<element> find(const object& from, std::string_view key) {
-    element value;
-    if (from[key].get(value) != simdjson::SUCCESS || value.is_null()) return std::nullopt;
-    return value;
-}
-
-template <class T>
-T as(const element& value, std::string_view key, const char* type) {
-    T out;
-    if (value.get(out) != simdjson::SUCCESS) bad("field '" + std::string(key) + "' is not " + type);
-    return out;
-}
-
-template <class T>
-T need(const object& from, std::string_view key, const char* type) {
-    const auto value = find(from, key);
-    if (!value) bad("field '" + std::string(key) + "' is missing");
-    return as<T>(*value, key, type);
-}
-
-std::int64_t integer(const object& from, std::string_view key) {
-    return need<std::int64_t>(from, key, "a whole number");
-}
-std::int64_t integer(const object& from, std::string_view key, std::int64_t fallback) {
-    const auto value = find(from, key);
-    return value ? as<std::int64_t>(*value, key, "a whole number") : fallback;
-}
-double number(const object& from, std::string_view key, double fallback) {
-    const auto value = find(from, key);
-    return value ? as<double>(*value, key, "a number") : fallback;
-}
-bool flag(const object& from, std::string_view key, bool fallback) {
-    const auto value = find(from, key);
-    return value ? as<bool>(*value, key, "true or false") : fallback;
-}
-std::string_view text(const object& from, std::string_view key) {
-    return need<std::string_view>(from, key, "a string");
-}
-std::string_view text(const object& from, std::string_view key, std::string_view fallback) {
-    const auto value = find(from, key);
-    return value ? as<std::string_view>(*value, key, "a string") : fallback;
-}
-object table(const object& from, std::string_view key) {
-    return need<object>(from, key, "an object");
-}
-simdjson::dom::array list(const object& from, std::string_view key) {
-    return need<simdjson::dom::array>(from, key, "a list");
-}
-std::size_t listSize(const object& from, std::string_view key) {
-    const auto value = find(from, key);
-    return value ? as<simdjson::dom::array>(*value, key, "a list").size() : 0;
-}
-object asObject(const element& value, std::string_view key) {
-    return as<object>(value, key, "an object");
-}
-
-template <class T>
-T choice(std::string_view word, std::string_view key,
-         std::initializer_list<std::pair<const char*, T>> words) {
-    for (const auto& [name, value] : words)
-        if (word == name) return value;
-    bad("field '" + std::string(key) + "' has the unknown value '" + std::string(word) + "'");
-}
+using namespace amberswitch::settings;
 
 std::uint64_t requestId(const object& from) {
     const auto id = integer(from, "tid");
@@ -91,87 +22,6 @@
     return static_cast<std::uint64_t>(id);
 }
 
-std::uint64_t fingerprint(std::string_view name) {  // FNV-1a: the same number for a worker at every instance
-    std::uint64_t hash = 1469598103934665603ULL;
-    for (const unsigned char c : name) hash = (hash ^ c) * 1099511628211ULL;
-    return hash;
-}
-
-Settings readSettings(const object& info) {
-    Settings s;
-    const object family = table(info, "familyInfo"), rules = table(info, "rules"),
-                 allowed = table(info, "allowed");
-    std::vector<double> stretch, kind, priority;
-    const auto column = [&family](const char* key, std::vector<double>& into) {
-        if (const auto values = find(family, key))
-            for (const element value : as<simdjson::dom::array>(*values, key, "a list"))
-                into.push_back(as<double>(value, key, "a list of numbers"));
-    };
-    column("classStretch", stretch);
-    column("classKind", kind);
-    column("classPriority", priority);
-    for (const element entry : list(info, "classes")) {
-        const object from = asObject(entry, "classes");
-        const std::size_t i = s.classes.size();
-        ClassSettings c;
-        c.goal = Nanos(integer(from, "goalTime"));
-        c.giveUp = Nanos(integer(from, "giveUp"));
-        c.window = Nanos(integer(from, "window", 0));
-        c.effect = choice<Effect>(text(from, "effect"), "effect",
-                                  {{"read_like", Effect::safe},
-                                   {"idempotency_key", Effect::keyed},
-                                   {"non_idempotent", Effect::unsafe}});
-        c.group = choice<Group>(text(from, "group", "all"), "group",
-                                {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}});
-        c.worth = number(from, "credit", 1);
-        c.lateWorth = number(from, "lateWorth", 0);
-        c.stretch = number(from, "aimStretch", i < stretch.size() ? stretch[i] : 0);
-        c.kind = i < kind.size() ? static_cast<int>(kind[i]) : -1;
-        c.priority = i < priority.size() ? static_cast<int>(priority[i]) : 0;
-        c.stream = flag(from, "stream", false);
-        s.classes.push_back(c);
-    }
-    if (const auto tenants = find(info, "customers"))
-        for (const element entry : as<simdjson::dom::array>(*tenants, "customers", "a list")) {
-            const object from = asObject(entry, "customers");
-            s.tenants.push_back({number(from, "portion", 0), number(from, "quotaPerS", 0)});
-        }
-    s.fleetSize = static_cast<std::uint32_t>(integer(info, "fleetSize"));
-    s.me = static_cast<std::uint32_t>(integer(info, "me"));
-    s.zone = static_cast<int>(integer(info, "zone", 0));
-    s.zones = static_cast<int>(listSize(info, "zones"));
-    s.kinds = static_cast<int>(listSize(info, "machineTypes"));
-    s.askRoster = choice<bool>(text(info, "discovery"), "discovery", {{"push", false}, {"ask", true}});
-    s.mayCancel = flag(allowed, "cancelling", false);
-    s.mayDuplicate = flag(allowed, "mayDuplicate", false);
-    s.mayProbe = flag(allowed, "probing", false);
-    s.retryAdvice = flag(allowed, "retryAfter", false);
-    s.maxAttempts = static_cast<std::uint32_t>(integer(allowed, "maxAttempts"));
-    s.maxRetryAfter = Nanos(integer(allowed, "maxRetryAfter", 0));
-    s.tellsStart = flag(family, "tellsStart", false);
-    s.progress = Nanos(integer(family, "progress", 0));
-    s.queueOrder = choice<QueueOrder>(
-        text(family, "queueOrder", "fifo"), "queueOrder",
-        {{"fifo", QueueOrder::fifo}, {"backfill", QueueOrder::backfill}, {"priority", QueueOrder::priority}});
-    s.weights = choice<Weights>(text(info, "weights", "silent"), "weights",
-                                {{"silent", Weights::none},
-                                 {"nominal", Weights::nominal},
-                                 {"rough", Weights::rough},
-                                 {"live", Weights::live}});
-    s.worthByWork =
-        choice<bool>(text(info, "worthBy", "request"), "worthBy", {{"request", false}, {"work", true}});
-    s.overShareWorth = number(info, "overShareWorth", 1);
-    if (const auto prices = find(info, "prices"))
-        s.handshakePrice = number(asObject(*prices, "prices"), "handshake", 0);
-    s.tick = Nanos(integer(info, "tick", 0));
-    s.askWithin = Nanos(integer(rules, "askWithin", 0));
-    s.cold = Nanos(integer(rules, "cold", 0));
-    s.coldFrom = number(rules, "coldFrom", 1);
-    s.fallMultiple = number(rules, "fallMultiple", 1);
-    s.overloadFor = Nanos(integer(rules, "overloadFor", 0));
-    return s;
-}
-
 LoadReport readLoad(const object& from) {
     LoadReport load;
     const auto report = find(from, "serverStats");
--- a/adapter/wire.hpp
+++ b/adapter/wire.hpp
@@ -3,15 +3,14 @@
 #pragma once
 
 #include <memory>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 
+#include "settings/settings.hpp"
+
 namespace heronmount::wire {
 
-struct BadLine : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
+using BadLine = amberswitch::settings::BadField;
 
 class Codec {
 public:
