Serve the platform's protocol: core, HTTP, pool, watch and one program on sockets

Seen: there was only the module and its adapter. The first build failed because asio/awaitable.hpp of Boost 1.74 uses std::exchange without including <utility>; net/loop.hpp includes it first.

--- /dev/null
+++ b/src/core/core.cpp
@@ -0,0 +1,251 @@
+#include "core/core.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace amberswitch {
+
+using namespace heronmount;
+
+Core::Core(const settings::Site& site, std::uint64_t seed, Deadlines& deadlines)
+    : site_(site), dispatcher_(site.module, seed), deadlines_(deadlines) {}
+
+Core::Transaction* Core::find(TransactionId id) {
+    const auto at = transactions_.find(id);
+    return at == transactions_.end() ? nullptr : &at->second;
+}
+
+bool Core::openPass(TransactionId id, std::uint32_t pass) const {
+    const auto at = transactions_.find(id);
+    return at != transactions_.end() && pass < at->second.passes.size() && at->second.passes[pass].open;
+}
+
+// Guards against the module being entered again from what its own actions set off: an event that comes while
+// another is being taken waits in line.
+void Core::tell(Time now, Event event) {
+    inbox_.push_back(std::move(event));
+    if (turning_) return;
+    turning_ = true;
+    while (!inbox_.empty()) {
+        const Event next = std::move(inbox_.front());
+        inbox_.pop_front();
+        std::vector<Action> actions = std::exchange(actions_, {});
+        actions.clear();
+        dispatcher_.on(now, next, actions);
+        for (const Action& action : actions) carryOut(now, action);
+        actions_ = std::move(actions);
+    }
+    turning_ = false;
+}
+
+template <class Answer>
+void Core::answer(Transaction& t, Answer&& say) {
+    if (t.answered) return;
+    t.answered = true;
+    --open_;
+    const std::shared_ptr<ClientEnd> client = std::exchange(t.client, nullptr);
+    if (client) say(*client);
+}
+
+TransactionId Core::arrive(Time now, Arrival arrival) {
+    const TransactionId id = ++last_;
+    Transaction& t = transactions_[id];
+    t.id = id;
+    t.job = std::move(arrival.job);
+    t.client = std::move(arrival.client);
+    t.klass = arrival.request.klass;
+    t.deadline = now + arrival.request.timeLeft;
+    ++open_, ++counters_.taken;
+    arrival.request.id = id;
+    // Guards against a transaction the module would still hold when the client gives up.
+    deadlines_.once(t.deadline, [this, id](Time at) { due(at, id); });
+    tell(now, arrival.request);
+    forget(id);
+    return id;
+}
+
+void Core::due(Time now, TransactionId id) {
+    Transaction* const t = find(id);
+    if (!t) return;
+    const std::size_t passes = t->passes.size();
+    for (std::uint32_t number = 0; number < passes; ++number)
+        if (t->passes[number].open) endPass(now, *t, number, End::timedOut, {}, {});
+    if (!t->answered) {
+        answer(*t, [&](ClientEnd& client) { ++counters_.failed, client.failed(now); });
+        tell(now, ClientLeft{id});
+    }
+    forget(id);
+}
+
+void Core::clientLeft(Time now, TransactionId id) {
+    Transaction* const t = find(id);
+    if (!t || t->answered) return;
+    t->answered = true;
+    t->client = nullptr;
+    --open_, ++counters_.left;
+    tell(now, ClientLeft{id});
+    forget(id);
+}
+
+void Core::forget(TransactionId id) {
+    const Transaction* const t = find(id);
+    if (t && t->answered && t->out == 0 && !turning_) transactions_.erase(id);
+}
+
+// What the rules forbid, whatever asked for it.
+bool Core::legal(Time now, const Transaction& t, const Server& to) const {
+    const ClassSettings& klass = site_.module.classes[t.klass];
+    if (t.answered || !to.on || !to.side || now >= t.deadline) return false;
+    if (t.passes.size() >= site_.module.maxAttempts) return false;
+    if (t.out > 0 && !site_.module.mayDuplicate) return false;
+    if (klass.kind >= 0 && klass.kind != to.entry.kind) return false;
+    if ((!t.mayHaveRun && t.out == 0) || klass.effect == Effect::safe) return true;
+    if (klass.effect == Effect::unsafe || now > t.anchoredAt + klass.window) return false;
+    return klass.group == Group::all || (klass.group == Group::zone && to.entry.zone == t.zone) ||
+           (klass.group == Group::cell && to.entry.cell == t.cell);
+}
+
+void Core::send(Time now, const Send& order) {
+    Transaction* const t = find(order.id);
+    if (!t || order.worker >= farm_.size()) return;
+    Server& to = farm_[order.worker];
+    const bool allowed = legal(now, *t, to);
+    const Time until = order.stopAt.count() > 0 ? std::min(order.stopAt, t->deadline) : t->deadline;
+    const auto number = static_cast<std::uint32_t>(t->passes.size());
+    if (allowed && !t->mayHaveRun && t->out == 0)
+        t->zone = to.entry.zone, t->cell = to.entry.cell, t->anchoredAt = now;
+    t->passes.push_back({order.worker, now, true, to.side, until});
+    ++t->out;
+    if (!allowed) {
+        ++counters_.withheld;
+        return endPass(now, *t, number, End::unsent, {}, {});
+    }
+    ++counters_.passes;
+    const TransactionId id = t->id;
+    if (until < t->deadline)
+        deadlines_.once(until, [this, id, number](Time at) { passEnded(at, id, number, End::timedOut); });
+    to.side->start(now, ProxyPass{id, number, order.worker, until, &t->job, t->klass});
+}
+
+void Core::carryOut(Time now, const Action& action) {
+    if (const auto* a = std::get_if<Send>(&action)) return send(now, *a);
+    if (const auto* a = std::get_if<Cancel>(&action)) {
+        Transaction* const t = find(a->id);
+        if (t && a->attempt < t->passes.size() && t->passes[a->attempt].open)
+            ++counters_.cancels, endPass(now, *t, a->attempt, End::withdrawn, {}, {});
+    } else if (const auto* refusal = std::get_if<Refuse>(&action)) {
+        Transaction* const t = find(refusal->id);
+        if (!t || t->answered) return;
+        const ClassSettings& klass = site_.module.classes[t->klass];
+        const bool harmless = (!t->mayHaveRun && t->out == 0) || klass.effect == Effect::safe ||
+                              (klass.effect == Effect::keyed && klass.group == Group::all);
+        if (harmless) {
+            answer(*t, [&](ClientEnd& client) {
+                ++counters_.unavailable, client.unavailable(now, refusal->retryIn);
+            });
+        } else {  // an unavailable answer would invite a repeat that the class forbids
+            ++counters_.softened;
+            answer(*t, [&](ClientEnd& client) { ++counters_.failed, client.failed(now); });
+        }
+    } else if (const auto* failure = std::get_if<Fail>(&action)) {
+        if (Transaction* const t = find(failure->id))
+            answer(*t, [&](ClientEnd& client) { ++counters_.failed, client.failed(now); });
+    } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
+        const std::uint64_t tag = timer->tag;
+        deadlines_.once(now + timer->delay, [this, tag](Time at) { tell(at, TimerFired{tag}); });
+    } else if (std::holds_alternative<Subscribe>(action)) {
+        if (watched_) watched_->watch(now);
+    } else if (const auto* probe = std::get_if<Probe>(&action)) {
+        if (probe->worker < farm_.size() && farm_[probe->worker].side)
+            farm_[probe->worker].side->probe(now, probe->worker);
+    } else if (const auto* close = std::get_if<CloseIdle>(&action)) {
+        if (close->worker < farm_.size() && farm_[close->worker].side)
+            farm_[close->worker].side->closeIdle(now, close->worker);
+    }
+}
+
+void Core::passStarted(Time now, TransactionId id, std::uint32_t pass) {
+    if (openPass(id, pass)) tell(now, AttemptNote{id, pass, true, 0});
+}
+
+void Core::passProgress(Time now, TransactionId id, std::uint32_t pass, double share) {
+    if (!openPass(id, pass)) return;
+    if (Transaction* const t = find(id); t->client) t->client->progress(now, share);
+    tell(now, AttemptNote{id, pass, false, share});
+}
+
+void Core::passPartial(Time now, TransactionId id, std::uint32_t pass, std::string_view bytes, bool warning) {
+    if (!openPass(id, pass)) return;
+    if (Transaction* const t = find(id); t->client) t->client->partial(now, bytes, warning);
+}
+
+void Core::passEnded(Time now, TransactionId id, std::uint32_t pass, End how, std::string result,
+                     const LoadReport& load) {
+    Transaction* const t = find(id);
+    if (!t || pass >= t->passes.size() || !t->passes[pass].open) return;
+    endPass(now, *t, pass, how, std::move(result), load);
+    forget(id);
+}
+
+void Core::endPass(Time now, Transaction& t, std::uint32_t number, End how, std::string result,
+                   const LoadReport& load) {
+    PassState& pass = t.passes[number];
+    pass.open = false;
+    --t.out;
+    ++counters_.ends[static_cast<std::size_t>(how)];
+    if (!provesNeverRan(how)) t.mayHaveRun = true;
+    if (how == End::withdrawn || how == End::timedOut)
+        pass.side->abandon(now, ProxyPass{t.id, number, pass.server, pass.until, &t.job, t.klass});
+    if (how == End::served) {
+        if (t.answered) ++counters_.lateResults;
+        answer(t, [&](ClientEnd& client) { ++counters_.served, client.served(now, std::move(result)); });
+    }
+    tell(now, AttemptEnded{t.id, number, outcomeOf(how), now - pass.sent, t.answered, load});
+}
+
+void Core::probeAnswered(Time now, Worker server, bool ok, const LoadReport& load) {
+    tell(now, ProbeAnswered{server, ok, load});
+}
+
+Worker Core::handleOf(std::string_view name) {
+    const auto [at, fresh] = handles_.try_emplace(std::string(name), static_cast<Worker>(farm_.size()));
+    if (fresh) {
+        farm_.emplace_back();
+        farm_.back().name = at->first;
+    }
+    return at->second;
+}
+
+void Core::farm(Time now, ApplicationServers& servers, RosterMode mode, const std::vector<FarmEntry>& entries) {
+    ++counters_.farmUpdates;
+    RosterUpdate update;
+    update.mode = mode;
+    if (mode != RosterMode::changes)
+        for (Server& server : farm_)
+            if (server.side == &servers) server.listed = server.on = false;
+    for (const FarmEntry& told : entries) {
+        const Worker handle = handleOf(told.name);
+        Server& server = farm_[handle];
+        server.side = &servers;
+        server.entry = told.entry;
+        server.entry.worker = handle;
+        server.entry.id = settings::fingerprint(told.name);
+        server.listed = told.entry.standing != Standing::off;
+        server.on = told.entry.standing == Standing::on;
+        update.entries.push_back(server.entry);
+    }
+    // The module takes a whole list as all there is: what other sources told goes in again.
+    if (mode != RosterMode::changes)
+        for (const Server& server : farm_)
+            if (server.side && server.side != &servers && server.listed) update.entries.push_back(server.entry);
+    tell(now, std::move(update));
+}
+
+void Core::farmLost(Time now) {
+    ++counters_.farmLost;
+    RosterUpdate update;
+    update.mode = RosterMode::lost;
+    tell(now, std::move(update));
+}
+
+}  // namespace amberswitch
--- /dev/null
+++ b/src/core/core.hpp
@@ -0,0 +1,99 @@
+// The life of transactions between a front and the application servers. It feeds the module, carries out
+// what the module asks for, and checks what the rules forbid. It knows no wire and no clock.
+#pragma once
+
+#include <deque>
+#include <unordered_map>
+
+#include "core/transaction.hpp"
+#include "settings/settings.hpp"
+
+namespace amberswitch {
+
+class Core {
+public:
+    Core(const settings::Site& site, std::uint64_t seed, Deadlines& deadlines);
+
+    // The source that is asked when the module wants the list watched; it may be absent.
+    void setFarmSource(FarmSource* source) { watched_ = source; }
+
+    // From a front. The final answer may come before this returns.
+    TransactionId arrive(Time now, Arrival arrival);
+    void clientLeft(Time now, TransactionId id);
+
+    // From the application servers' side. A pass that has ended or never was is ignored.
+    void passStarted(Time now, TransactionId id, std::uint32_t pass);
+    void passProgress(Time now, TransactionId id, std::uint32_t pass, double share);
+    void passPartial(Time now, TransactionId id, std::uint32_t pass, std::string_view bytes, bool warning);
+    void passEnded(Time now, TransactionId id, std::uint32_t pass, End how, std::string result = {},
+                   const LoadReport& load = {});
+    void probeAnswered(Time now, Worker server, bool ok, const LoadReport& load);
+
+    // From a farm source. `servers` speak for the entries of this update. A whole list replaces what the
+    // same `servers` had told before, and nothing else.
+    void farm(Time now, ApplicationServers& servers, heronmount::RosterMode mode,
+              const std::vector<FarmEntry>& entries);
+    void farmLost(Time now);
+
+    Worker handleOf(std::string_view name);  // dense, counted up as names are first heard
+    bool accepts(Worker server) const { return server < farm_.size() && farm_[server].on; }
+    bool openPass(TransactionId id, std::uint32_t pass) const;
+    std::size_t open() const { return open_; }  // transactions still owed an answer
+    const Counters& counters() const { return counters_; }
+    const settings::Site& site() const { return site_; }
+
+private:
+    struct PassState {
+        Worker server = 0;
+        Time sent{0};
+        bool open = false;
+        ApplicationServers* side = nullptr;
+        Time until{0};
+    };
+    struct Transaction {
+        TransactionId id = 0;
+        Job job;
+        std::shared_ptr<ClientEnd> client;
+        std::uint32_t klass = 0;
+        Time deadline{0};
+        std::vector<PassState> passes;
+        bool answered = false, mayHaveRun = false;
+        int zone = 0, cell = 0;
+        Time anchoredAt{0};
+        std::uint32_t out = 0;
+    };
+    struct Server {
+        std::string name;
+        ApplicationServers* side = nullptr;
+        bool listed = false, on = false;
+        heronmount::RosterEntry entry;
+    };
+
+    void tell(Time now, heronmount::Event event);
+    void carryOut(Time now, const heronmount::Action& action);
+    void send(Time now, const heronmount::Send& send);
+    void endPass(Time now, Transaction& t, std::uint32_t number, End how, std::string result,
+                 const LoadReport& load);
+    bool legal(Time now, const Transaction& t, const Server& to) const;
+    void due(Time now, TransactionId id);
+    void forget(TransactionId id);
+    Transaction* find(TransactionId id);
+    template <class Answer>
+    void answer(Transaction& t, Answer&& say);
+
+    settings::Site site_;
+    heronmount::Dispatcher dispatcher_;
+    Deadlines& deadlines_;
+    FarmSource* watched_ = nullptr;
+    std::unordered_map<std::string, Worker> handles_;
+    std::vector<Server> farm_;
+    std::unordered_map<TransactionId, Transaction> transactions_;
+    std::deque<heronmount::Event> inbox_;
+    std::vector<heronmount::Action> actions_;
+    bool turning_ = false;
+    TransactionId last_ = 0;
+    std::size_t open_ = 0;
+    Counters counters_;
+};
+
+}  // namespace amberswitch
--- /dev/null
+++ b/src/core/transaction.hpp
@@ -0,0 +1,85 @@
+// What the core keeps of a transaction and its proxy passes, and the narrow ways it is connected by. Nothing
+// here names a wire.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/deadlines.hpp"
+#include "core/end.hpp"
+
+namespace amberswitch {
+
+using heronmount::LoadReport;
+using heronmount::Worker;
+using TransactionId = std::uint64_t;  // numbered by the core: what clients call theirs is opaque
+
+// What is handed on to an application server. A front fills in what its protocol has.
+struct Job {
+    std::string className;
+    std::string method, target;  // as an HTTP client gave them; other fronts leave a usable default
+    std::string traceId;         // what the client called it; never made up on the platform
+    std::string contentType;
+    std::string key;  // the client's key against repeats, empty if none
+    std::string body;
+};
+
+// The client's side of one transaction. Exactly one of served, unavailable and failed is called, once.
+class ClientEnd {
+public:
+    virtual ~ClientEnd() = default;
+    virtual void served(Time now, std::string result) = 0;
+    virtual void unavailable(Time now, Nanos retryIn) = 0;
+    virtual void failed(Time now) = 0;
+    virtual void progress(Time, double) {}
+    virtual void partial(Time, std::string_view, bool /*warning*/) {}
+};
+
+struct Arrival {
+    heronmount::RequestArrived request;  // its id is filled in by the core
+    Job job;
+    std::shared_ptr<ClientEnd> client;
+};
+
+struct ProxyPass {
+    TransactionId transaction = 0;
+    std::uint32_t number = 0;
+    Worker server = 0;
+    Time until{0};  // when it is given up
+    const Job* job = nullptr;
+    std::uint32_t klass = 0;
+};
+
+// A set of application servers that speak one protocol.
+class ApplicationServers {
+public:
+    virtual ~ApplicationServers() = default;
+    virtual void start(Time now, const ProxyPass& pass) = 0;
+    virtual void abandon(Time now, const ProxyPass& pass) = 0;  // it has ended for the core already
+    virtual void closeIdle(Time now, Worker server) = 0;
+    virtual void probe(Time now, Worker server) = 0;
+};
+
+// Whoever tells the farm's list.
+class FarmSource {
+public:
+    virtual ~FarmSource() = default;
+    virtual void watch(Time now) = 0;
+};
+
+struct FarmEntry {
+    std::string name;
+    heronmount::RosterEntry entry;  // worker and id are filled in by the core
+};
+
+struct Counters {
+    std::uint64_t taken = 0, served = 0, unavailable = 0, failed = 0, left = 0;
+    std::uint64_t passes = 0, cancels = 0, withheld = 0, softened = 0, lateResults = 0;
+    std::uint64_t farmUpdates = 0, farmLost = 0;
+    std::uint64_t ends[32] = {};
+};
+
+}  // namespace amberswitch
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,139 @@
+// One real dispatcher: reads what it is told, wires the parts together and runs the loop.
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "net/loop.hpp"
+#include "platform/front.hpp"
+#include "platform/watch.hpp"
+#include "settings/read.hpp"
+
+using namespace amberswitch;
+using settings::BadField;
+
+namespace {
+
+struct Config {
+    std::string name, listen, discovery;
+    std::uint64_t seed = 0;
+    std::size_t sockets = 1024;
+    settings::Site site;
+};
+
+struct Wiring : wire::Connector {
+    explicit Wiring(net::Loop& l) : loop(l) {}
+    net::Loop& loop;
+    std::function<bool(Time)> makeRoom;
+
+    void connect(Time now, std::shared_ptr<wire::Machine> machine, const std::string& address) override {
+        const auto to = net::endpointOf(address);
+        if (!to || (makeRoom && !makeRoom(now))) {
+            loop.deadlines().once(now, [machine](Time at) { machine->ended(at, End::connectRefused); });
+            return;
+        }
+        net::Link::connect(loop, std::move(machine), *to);
+    }
+};
+
+std::uint64_t readSeed(const settings::object& from) {
+    const auto value = settings::find(from, "seed");
+    if (!value) throw BadField("field 'seed' is missing");
+    std::uint64_t number = 0;
+    if (value->get(number) == simdjson::SUCCESS) return number;
+    const auto text = settings::as<std::string_view>(*value, "seed", "a number or hex digits");
+    char* end = nullptr;
+    const std::string digits(text);
+    number = std::strtoull(digits.c_str(), &end, 16);
+    if (digits.empty() || *end) throw BadField("field 'seed' is not a number or hex digits");
+    return number;
+}
+
+Config readConfig(const settings::object& from) {
+    Config config;
+    config.name = settings::text(from, "name");
+    config.listen = settings::text(from, "listen");
+    config.discovery = settings::text(from, "discovery");
+    config.seed = readSeed(from);
+    if (const auto limits = settings::find(from, "limits"))
+        config.sockets = static_cast<std::size_t>(
+            settings::integer(settings::asObject(*limits, "limits"), "sockets", 1024));
+    if (!net::endpointOf(config.listen)) throw BadField("field 'listen' is not an address and a port");
+    if (!net::endpointOf(config.discovery)) throw BadField("field 'discovery' is not an address and a port");
+    if (config.sockets < 64) throw BadField("field 'limits.sockets' is under 64");
+    config.site = settings::readSite(settings::table(from, "settings"));
+    return config;
+}
+
+int run(const Config& config, const settings::object& json) {
+    net::Loop loop;
+    Wiring wiring(loop);
+    Core core(config.site, config.seed, loop.deadlines());
+    platform::Servers servers(core, loop.deadlines(), wiring);
+    platform::Watch watch(core, servers, loop.deadlines(), wiring, config.discovery);
+    platform::Front front(core, servers, loop.deadlines());
+    core.setFarmSource(&watch);
+
+    // Descriptors: some are the process's own, some are kept for passes so that a crowd of clients can't
+    // stop the jobs that were taken.
+    constexpr std::size_t kOwn = 24;
+    const std::size_t most = config.sockets - kOwn, forClients = most - most / 8;
+    const auto roomBelow = [&](Time now, std::size_t limit) {
+        while (net::Link::open() >= limit)
+            if (!servers.relieve(now) && !front.relieve(now)) return false;
+        return true;
+    };
+    wiring.makeRoom = [&](Time now) { return roomBelow(now, most); };
+
+    if (const auto known = settings::find(json, "known"))
+        watch.known(loop.now(), settings::asObject(*known, "known"));
+
+    net::Listener listener(loop, *net::endpointOf(config.listen), [&](Time now) { return front.accept(now); });
+    listener.setGate([&](Time now) { return roomBelow(now, forClients); });
+
+    Deadlines::Ticket leaving;
+    std::function<void(Time)> leave = [&](Time now) {
+        if (core.open() == 0 && front.quiet()) return loop.stop();
+        leaving.arm(loop.deadlines(), now + std::chrono::milliseconds(20), leave);
+    };
+    bool drained = false;
+    const auto drain = [&](Time now) {
+        if (std::exchange(drained, true)) return;
+        front.drain(now);
+        leaving.arm(loop.deadlines(), now + std::chrono::milliseconds(750), leave);
+    };
+    loop.onSignal(SIGTERM, drain);
+    loop.onSignal(SIGINT, drain);
+    std::fprintf(stderr, "amberswitch %s: listening on %s\n", config.name.c_str(), config.listen.c_str());
+    loop.run();
+    listener.close();
+    return 0;
+}
+
+}  // namespace
+
+int main() {
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        const char* const path = std::getenv("ROUTER_CONFIG");
+        if (!path) throw BadField("ROUTER_CONFIG is not set");
+        std::ifstream file(path);
+        std::stringstream text;
+        text << file.rdbuf();
+        if (!file) throw BadField(std::string("ROUTER_CONFIG: can't read ") + path);
+        simdjson::dom::parser parser;
+        settings::element root;
+        if (const auto error = parser.parse(text.str()).get(root); error != simdjson::SUCCESS)
+            throw BadField(std::string("ROUTER_CONFIG is not valid JSON: ") + simdjson::error_message(error));
+        const auto json = settings::asObject(root, "config");
+        return run(readConfig(json), json);
+    } catch (const BadField& bad) {
+        std::fprintf(stderr, "amberswitch: %s\n", bad.what());
+        return 2;
+    } catch (const std::exception& failure) {
+        std::fprintf(stderr, "amberswitch: %s\n", failure.what());
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,247 @@
+#include "net/loop.hpp"
+
+#include <charconv>
+
+#include <boost/asio/yield.hpp>  // last: it defines words
+
+namespace amberswitch::net {
+
+// --- clock and loop ---
+Clock::Clock()
+    : wall_(std::chrono::duration_cast<Nanos>(std::chrono::system_clock::now().time_since_epoch())),
+      steady_(std::chrono::duration_cast<Nanos>(std::chrono::steady_clock::now().time_since_epoch())) {}
+
+Time Clock::now() const {
+    const auto steady =
+        std::chrono::duration_cast<Nanos>(std::chrono::steady_clock::now().time_since_epoch());
+    return wall_ + (steady - steady_);
+}
+
+Loop::Loop() : strand_(asio::make_strand(io_)), timer_(io_) {}
+
+void Loop::onSignal(int number, std::function<void(Time)> action) {
+    signals_.push_back(std::make_unique<asio::signal_set>(io_, number));
+    signals_.back()->async_wait(
+        asio::bind_executor(strand_, [this, number, action = std::move(action)](error_code error, int) {
+            if (error) return;
+            action(now());
+            onSignal(number, action);
+        }));
+}
+
+void Loop::rearm() {
+    const auto head = deadlines_.head();
+    if (head == armed_) return;
+    armed_ = head;
+    if (!head) {
+        timer_.cancel();
+        return;
+    }
+    timer_.expires_after(std::max(Nanos(0), *head - now()));
+    timer_.async_wait(asio::bind_executor(strand_, [this](error_code error) {  // its turn sweeps
+        if (!error) armed_.reset();
+    }));
+}
+
+void Loop::run() {
+    constexpr int kMostInATurn = 64;
+    const auto work = asio::make_work_guard(io_);
+    while (!stopped_) {
+        deadlines_.sweep(now());
+        rearm();
+        if (stopped_) break;
+        io_.run_one();
+        for (int i = 0; i < kMostInATurn && io_.poll_one() > 0; ++i) {
+        }
+    }
+}
+
+// --- link ---
+std::size_t Link::open_ = 0;
+
+Link::Link(Loop& loop, std::shared_ptr<wire::Machine> machine, tcp::socket socket)
+    : loop_(loop), machine_(std::move(machine)), socket_(std::move(socket)) {
+    ++open_;
+}
+
+Link::~Link() {
+    if (!closed_) --open_;
+}
+
+void Link::accepted(Loop& loop, std::shared_ptr<wire::Machine> machine, tcp::socket socket) {
+    const auto link = std::make_shared<Link>(loop, std::move(machine), std::move(socket));
+    link->machine_->attach(link.get());
+    link->start();
+}
+
+void Link::connect(Loop& loop, std::shared_ptr<wire::Machine> machine, const tcp::endpoint& to) {
+    const auto link = std::make_shared<Link>(loop, std::move(machine), tcp::socket(loop.strand()));
+    link->machine_->attach(link.get());
+    link->socket_.async_connect(to, asio::bind_executor(loop.strand(), [link](error_code error) {
+        if (link->closed_) return;
+        if (error) {
+            link->machine_->attach(nullptr);
+            link->close();
+            link->machine_->ended(link->loop_.now(), End::connectRefused);
+            return;
+        }
+        link->start();
+        link->machine_->opened(link->loop_.now());
+    }));
+}
+
+void Link::start() {
+    error_code ignored;
+    socket_.non_blocking(true, ignored);
+    socket_.set_option(tcp::no_delay(true), ignored);
+    self_ = shared_from_this();  // parked coroutines hold nothing
+    writerParked_ = true;        // the writer begins when it is woken
+    read();
+}
+
+void Link::wake() {
+    if (readerParked_ && !machine_->in().space().empty()) read();
+    if (writerParked_) write();
+}
+
+void Link::close() {
+    if (std::exchange(closed_, true)) return;
+    --open_;
+    lingerTicket_.disarm();
+    error_code ignored;
+    socket_.close(ignored);
+    // The machine may be in the middle of a call: it goes with the link, and that only in a later turn.
+    if (self_) asio::post(loop_.strand(), [last = std::move(self_)] {});
+}
+
+void Link::drop() {
+    close();
+}
+
+void Link::end(const error_code& error) {
+    if (closed_) return;
+    machine_->attach(nullptr);
+    close();
+    machine_->ended(loop_.now(), error == asio::error::eof ? End::peerClosed : End::peerReset);
+}
+
+void Link::read(error_code error, std::size_t n) {
+    if (closed_ || lingering_) return;
+    const auto self = shared_from_this();
+    reenter(reader_) {
+        for (;;) {
+            while (machine_->in().space().empty()) yield readerParked_ = true;
+            readerParked_ = false;
+            yield {
+                const auto room = machine_->in().space();
+                socket_.async_read_some(
+                    asio::buffer(room.data(), room.size()),
+                    asio::bind_executor(loop_.strand(), [self](error_code e, std::size_t got) { self->read(e, got); }));
+            }
+            if (error) return end(error);
+            machine_->in().filled(n);
+            machine_->received(loop_.now());
+            if (closed_ || lingering_) return;
+        }
+    }
+}
+
+void Link::write(error_code error, std::size_t n) {
+    if (closed_ || lingering_) return;
+    const auto self = shared_from_this();
+    reenter(writer_) {
+        for (;;) {
+            while (machine_->out().empty()) {
+                if (machine_->finished()) {
+                    socket_.shutdown(tcp::socket::shutdown_send, error);
+                    lingering_ = true;
+                    lingerTicket_.arm(loop_.deadlines(), loop_.now() + std::chrono::seconds(1),
+                                      [this](Time) { end(asio::error::eof); });
+                    socket_.cancel(error);
+                    linger();
+                    return;
+                }
+                yield writerParked_ = true;
+            }
+            writerParked_ = false;
+            yield {
+                const auto bytes = machine_->out().pending();
+                socket_.async_write_some(
+                    asio::buffer(bytes.data(), bytes.size()),
+                    asio::bind_executor(loop_.strand(), [self](error_code e, std::size_t put) { self->write(e, put); }));
+            }
+            if (error) return end(error);
+            machine_->out().sent(n);
+            machine_->sent(loop_.now());
+            if (closed_) return;
+        }
+    }
+}
+
+// Guards against a reset that overtakes the last answer: what the other side still sends is read and thrown
+// away until it closes, for a second at most.
+void Link::linger(error_code error, std::size_t) {
+    if (closed_) return;
+    if (error && error != asio::error::operation_aborted) return end(error);
+    const auto self = shared_from_this();
+    socket_.async_read_some(
+        asio::buffer(scrap_),
+        asio::bind_executor(loop_.strand(), [self](error_code e, std::size_t got) { self->linger(e, got); }));
+}
+
+// --- listener ---
+Listener::Listener(Loop& loop, const tcp::endpoint& at, Make make)
+    : loop_(loop), acceptor_(loop.strand()), make_(std::move(make)), next_(loop.strand()) {
+    acceptor_.open(at.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(at);
+    acceptor_.listen(1024);
+    accept();
+}
+
+void Listener::accept(error_code error) {
+    reenter(routine_) {
+        for (;;) {
+            // Guards against running out of descriptors: connections wait in the backlog until one is free.
+            while (gate_ && !gate_(loop_.now()))
+                yield again_.arm(loop_.deadlines(), loop_.now() + std::chrono::milliseconds(10),
+                                 [this](Time) { accept(); });
+            yield acceptor_.async_accept(
+                next_, asio::bind_executor(loop_.strand(), [this](error_code e) { accept(e); }));
+            if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
+            if (error) {
+                // Guards against a spin on an error that stays, such as a full descriptor table.
+                yield again_.arm(loop_.deadlines(), loop_.now() + std::chrono::milliseconds(10),
+                                     [this](Time) { accept(); });
+                continue;
+            }
+            {
+                tcp::socket socket = std::move(next_);
+                next_ = tcp::socket(loop_.strand());
+                if (auto machine = make_(loop_.now())) Link::accepted(loop_, std::move(machine), std::move(socket));
+            }
+        }
+    }
+}
+
+void Listener::close() {
+    again_.disarm();
+    error_code ignored;
+    acceptor_.close(ignored);
+}
+
+std::optional<tcp::endpoint> endpointOf(std::string_view address) {
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string_view::npos) return std::nullopt;
+    std::string_view host = address.substr(0, colon);
+    const std::string_view digits = address.substr(colon + 1);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
+    std::uint16_t port = 0;
+    const auto [end, bad] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    error_code error;
+    const auto ip = asio::ip::make_address(std::string(host), error);
+    if (error || bad != std::errc() || end != digits.data() + digits.size()) return std::nullopt;
+    return tcp::endpoint(ip, port);
+}
+
+}  // namespace amberswitch::net
--- /dev/null
+++ b/src/net/loop.hpp
@@ -0,0 +1,117 @@
+// The only place with sockets. One thread, one strand; each turn handles what is ready, then sweeps the
+// deadlines, and one timer is armed for the first of them.
+#pragma once
+
+#include <utility>  // Boost 1.74's asio uses it without including it
+
+#include <boost/asio.hpp>
+#include <boost/asio/coroutine.hpp>
+#include <boost/asio/strand.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "wire/machine.hpp"
+
+namespace amberswitch::net {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+using Strand = asio::strand<asio::io_context::executor_type>;
+
+// The module's clock: Unix time when the process began, and the steady clock from there on.
+class Clock {
+public:
+    Clock();
+    Time now() const;
+
+private:
+    Time wall_, steady_;
+};
+
+class Loop {
+public:
+    Loop();
+    Time now() const { return clock_.now(); }
+    Deadlines& deadlines() { return deadlines_; }
+    asio::io_context& io() { return io_; }
+    const Strand& strand() const { return strand_; }
+    void onSignal(int number, std::function<void(Time)> action);
+    void run();  // until stop
+    void stop() { stopped_ = true; }
+
+private:
+    void rearm();
+
+    Clock clock_;
+    asio::io_context io_{1};
+    Strand strand_;
+    asio::steady_timer timer_;
+    std::optional<Time> armed_;
+    std::vector<std::unique_ptr<asio::signal_set>> signals_;
+    Deadlines deadlines_;
+    bool stopped_ = false;
+};
+
+// The driver of one connection: two stackless coroutines on the strand, one that reads and one that writes.
+class Link : public wire::Driver, public std::enable_shared_from_this<Link> {
+public:
+    Link(Loop& loop, std::shared_ptr<wire::Machine> machine, tcp::socket socket);
+    ~Link() override;
+
+    // An accepted connection, and one to be made.
+    static void accepted(Loop& loop, std::shared_ptr<wire::Machine> machine, tcp::socket socket);
+    static void connect(Loop& loop, std::shared_ptr<wire::Machine> machine, const tcp::endpoint& to);
+
+    void wake() override;
+    void drop() override;
+
+    static std::size_t open() { return open_; }
+
+private:
+    void start();
+    void read(error_code error = {}, std::size_t n = 0);
+    void write(error_code error = {}, std::size_t n = 0);
+    void end(const error_code& error);
+    void linger(error_code error = {}, std::size_t n = 0);
+    void close();
+
+    Loop& loop_;
+    std::shared_ptr<wire::Machine> machine_;
+    tcp::socket socket_;
+    asio::coroutine reader_, writer_;
+    bool readerParked_ = false, writerParked_ = false, lingering_ = false, closed_ = false;
+    std::shared_ptr<Link> self_;
+    Deadlines::Ticket lingerTicket_;
+    char scrap_[512];
+    static std::size_t open_;
+};
+
+// Accepts connections and hands each to `make`, which says which machine serves it.
+class Listener {
+public:
+    using Make = std::function<std::shared_ptr<wire::Machine>(Time)>;
+    Listener(Loop& loop, const tcp::endpoint& at, Make make);
+    // Asked before each accept: whether a descriptor is free, or could be freed.
+    void setGate(std::function<bool(Time)> gate) { gate_ = std::move(gate); }
+    void close();
+    tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+private:
+    void accept(error_code error = {});
+
+    Loop& loop_;
+    tcp::acceptor acceptor_;
+    Make make_;
+    std::function<bool(Time)> gate_;
+    tcp::socket next_;
+    asio::coroutine routine_;
+    Deadlines::Ticket again_;
+};
+
+std::optional<tcp::endpoint> endpointOf(std::string_view address);  // "host:port", numbers only
+
+}  // namespace amberswitch::net
--- /dev/null
+++ b/src/platform/names.cpp
@@ -0,0 +1,125 @@
+#include "platform/names.hpp"
+
+#include <algorithm>
+
+namespace amberswitch::platform {
+
+using namespace settings;
+using heronmount::Standing;
+
+namespace {
+
+std::optional<std::size_t> placeOf(const std::vector<std::string>& names, std::string_view name) {
+    const auto at = std::find(names.begin(), names.end(), name);
+    if (at == names.end()) return std::nullopt;
+    return static_cast<std::size_t>(at - names.begin());
+}
+
+void put(LoadReport& load, std::string_view name, double value) {
+    if (name == "x0") load.freeSlots = value;
+    else if (name == "x1") load.freeMemory = value;
+    else if (name == "queue" || name == "q") load.queued = value;
+    else if (name == "inflight" || name == "rif") load.held = value;
+    else if (name == "util" || name == "busy") load.busy = value;
+}
+
+}  // namespace
+
+std::optional<Arrival> readJob(const Site& site, const http::Message& message, BadJob& bad) {
+    const auto fault = [&bad](int status, const char* why) {
+        bad = {status, why};
+        return std::nullopt;
+    };
+    const std::string_view path = message.path();
+    const std::string_view first = path.substr(std::min<std::size_t>(1, path.size()));
+    const std::string* const header = message.header("x-qos");
+    const std::string_view name = header ? std::string_view(*header) : first.substr(0, first.find('/'));
+    const auto klass = placeOf(site.classes, name);
+    if (!klass) return fault(404, "no such class of job");
+    const std::string* const trace = message.header("x-trace-id");
+    if (!trace || trace->empty()) return fault(400, "X-Trace-Id is missing");
+    const auto& settings = site.module.classes[*klass];
+
+    Arrival arrival;
+    auto& request = arrival.request;
+    request.klass = static_cast<std::uint32_t>(*klass);
+    request.timeLeft = settings.giveUp;
+    if (const std::string* const left = message.header("x-expires-in-ms")) {
+        const auto ms = http::decimalNumber(*left);
+        if (!ms || !(*ms > 0) || *ms > 1e9) return fault(400, "X-Expires-In-Ms is no time to wait");
+        request.timeLeft = Nanos(static_cast<std::int64_t>(*ms * 1e6));
+    }
+    request.timeLeft = withoutWay(request.timeLeft);
+    if (const std::string* const tenant = message.header("x-customer"))
+        if (const auto place = placeOf(site.tenants, *tenant)) request.tenant = static_cast<int>(*place);
+    if (const std::string* const hint = message.header("x-size-hint"))
+        if (const auto ms = http::decimalNumber(*hint); ms && *ms > 0 && *ms < 1e9)
+            request.hint = Nanos(static_cast<std::int64_t>(*ms * 1e6));
+    if (const std::string* const cookie = message.header("cookie"))
+        for (const auto& [key, value] : http::pairs(*cookie, ';'))
+            if (key == "sid") request.hasKey = true, request.key = fingerprint(value) >> 11;
+    request.clientRepeat = message.header("x-second-try") != nullptr;
+    if (const std::string* const props = message.header("x-props"))
+        for (const auto& [key, value] : http::pairs(*props, ',')) {
+            const auto figure = http::decimalNumber(value);
+            if (!figure || *figure < 0) continue;
+            if (key == "x1" || key == "slots") request.slots = *figure;
+            if (key == "x2" || key == "memory") request.memory = *figure;
+        }
+
+    Job& job = arrival.job;
+    job.className = site.classes[*klass];
+    job.method = message.method, job.target = message.target, job.traceId = *trace;
+    if (const std::string* const key = message.header("idempotency-key")) job.key = *key;
+    if (const std::string* const type = message.header("content-type")) job.contentType = *type;
+    return arrival;
+}
+
+FarmList readFarm(const Site& site, const object& from) {
+    FarmList out;
+    out.version = integer(from, "index");
+    out.whole = flag(from, "snapshot", false);
+    for (const element value : list(from, "endpoints")) {
+        const object entry = asObject(value, "endpoints");
+        FarmEntry told;
+        told.name = text(entry, "name");
+        auto& e = told.entry;
+        const auto place = [](const std::vector<std::string>& names, std::string_view name) {
+            return static_cast<int>(placeOf(names, name).value_or(names.size()));
+        };
+        e.standing = choice<Standing>(text(entry, "status"), "status",
+                                      {{"Ready", Standing::on},
+                                       {"Terminating", Standing::draining},
+                                       {"Gone", Standing::off}});
+        e.zone = place(site.zones, text(entry, "zone", ""));
+        e.kind = place(site.kinds, text(entry, "type", ""));
+        e.cell = static_cast<int>(integer(entry, "group", 0));
+        e.units = number(entry, "weight", 1);
+        e.since = Time(integer(entry, "since_ms", 0) * 1'000'000);  // the module's clock counts Unix time
+        out.entries.push_back(std::move(told));
+        out.addresses.emplace_back(text(entry, "address", ""));
+    }
+    return out;
+}
+
+LoadReport readLoad(const object& from) {
+    LoadReport load;
+    for (const auto [name, value] : from) {
+        double figure = 0;
+        if (value.get(figure) == simdjson::SUCCESS) put(load, name, figure);
+    }
+    return load;
+}
+
+LoadReport readLoad(const http::Message& message) {
+    LoadReport load;
+    const std::string* const header = message.header("endpoint-load-metrics");
+    if (!header) return load;
+    std::string_view text = *header;
+    if (text.substr(0, 4) == "TEXT") text.remove_prefix(4);
+    for (const auto& [name, value] : http::pairs(text, ','))
+        if (const auto figure = http::decimalNumber(value)) put(load, name, *figure);
+    return load;
+}
+
+}  // namespace amberswitch::platform
