--- a/include/heronmount/dispatcher.hpp
+++ b/include/heronmount/dispatcher.hpp
@@ -65,6 +65,7 @@
     int zone = 0, kind = 0, cell = 0;
     Standing standing = Standing::on;
     double units = 1;
+    std::uint64_t classes = 0;  // a bit for each class that it takes, where it says so itself; 0: by its kind
     Time since{0};  // latest start, 0 if long ago
 };
 enum class RosterMode { changes, whole, stale, lost };
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -47,6 +47,10 @@
     if (client) say(*client);
 }
 
+void Core::fail(Time now, Transaction& t) {
+    answer(t, [&](ClientEnd& client) { ++counters_.failed, client.failed(now, t.lastFailure); });
+}
+
 TransactionId Core::arrive(Time now, Arrival arrival) {
     const TransactionId id = ++last_;
     Transaction& t = transactions_[id];
@@ -54,6 +58,7 @@
     t.job = std::move(arrival.job);
     t.client = std::move(arrival.client);
     t.klass = arrival.request.klass;
+    t.priority = arrival.priority;
     t.deadline = now + arrival.request.timeLeft;
     ++open_, ++counters_.taken;
     arrival.request.id = id;
@@ -71,7 +76,7 @@
     for (std::uint32_t number = 0; number < passes; ++number)
         if (t->passes[number].open) endPass(now, *t, number, End::timedOut, {}, {});
     if (!t->answered) {
-        answer(*t, [&](ClientEnd& client) { ++counters_.failed, client.failed(now); });
+        fail(now, *t);
         tell(now, ClientLeft{id});
     }
     forget(id);
@@ -98,7 +103,8 @@
     if (t.answered || !to.on || !to.side || now >= t.deadline) return false;
     if (t.passes.size() >= site_.module.maxAttempts) return false;
     if (t.out > 0 && !site_.module.mayDuplicate) return false;
-    if (klass.kind >= 0 && klass.kind != to.entry.kind) return false;
+    if (to.entry.classes ? !(to.entry.classes >> t.klass & 1) : klass.kind >= 0 && klass.kind != to.entry.kind)
+        return false;
     if ((!t.mayHaveRun && t.out == 0) || klass.effect == Effect::safe) return true;
     if (klass.effect == Effect::unsafe || now > t.anchoredAt + klass.window) return false;
     return klass.group == Group::all || (klass.group == Group::zone && to.entry.zone == t.zone) ||
@@ -124,7 +130,7 @@
     const TransactionId id = t->id;
     if (until < t->deadline)
         deadlines_.once(until, [this, id, number](Time at) { passEnded(at, id, number, End::timedOut); });
-    to.side->start(now, ProxyPass{id, number, order.worker, until, &t->job, t->klass});
+    to.side->start(now, ProxyPass{id, number, order.worker, until, &t->job, t->klass, t->priority});
 }
 
 void Core::carryOut(Time now, const Action& action) {
@@ -145,11 +151,10 @@
             });
         } else {  // an unavailable answer would invite a repeat that the class forbids
             ++counters_.softened;
-            answer(*t, [&](ClientEnd& client) { ++counters_.failed, client.failed(now); });
+            fail(now, *t);
         }
     } else if (const auto* failure = std::get_if<Fail>(&action)) {
-        if (Transaction* const t = find(failure->id))
-            answer(*t, [&](ClientEnd& client) { ++counters_.failed, client.failed(now); });
+        if (Transaction* const t = find(failure->id)) fail(now, *t);
     } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
         const std::uint64_t tag = timer->tag;
         deadlines_.once(now + timer->delay, [this, tag](Time at) { tell(at, TimerFired{tag}); });
@@ -165,7 +170,10 @@
 }
 
 void Core::passStarted(Time now, TransactionId id, std::uint32_t pass) {
-    if (openPass(id, pass)) tell(now, AttemptNote{id, pass, true, 0});
+    if (!openPass(id, pass)) return;
+    if (Transaction* const t = find(id); t->client) t->client->started(now);
+    ++counters_.started;
+    tell(now, AttemptNote{id, pass, true, 0});
 }
 
 void Core::passProgress(Time now, TransactionId id, std::uint32_t pass, double share) {
@@ -174,9 +182,9 @@
     tell(now, AttemptNote{id, pass, false, share});
 }
 
-void Core::passPartial(Time now, TransactionId id, std::uint32_t pass, std::string_view bytes, bool warning) {
+void Core::passPartial(Time now, TransactionId id, std::uint32_t pass, Partial kind, std::string_view bytes) {
     if (!openPass(id, pass)) return;
-    if (Transaction* const t = find(id); t->client) t->client->partial(now, bytes, warning);
+    if (Transaction* const t = find(id); t->client) t->client->partial(now, kind, bytes);
 }
 
 void Core::passEnded(Time now, TransactionId id, std::uint32_t pass, End how, std::string result,
@@ -195,7 +203,8 @@
     ++counters_.ends[static_cast<std::size_t>(how)];
     if (!provesNeverRan(how)) t.mayHaveRun = true;
     if (how == End::withdrawn || how == End::timedOut)
-        pass.side->abandon(now, ProxyPass{t.id, number, pass.server, pass.until, &t.job, t.klass});
+        pass.side->abandon(now, ProxyPass{t.id, number, pass.server, pass.until, &t.job, t.klass, t.priority});
+    if (how == End::failed) t.lastFailure = std::move(result);
     if (how == End::served) {
         if (t.answered) ++counters_.lateResults;
         answer(t, [&](ClientEnd& client) { ++counters_.served, client.served(now, std::move(result)); });
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -24,7 +24,7 @@
     // From the application servers' side. A pass that has ended or never was is ignored.
     void passStarted(Time now, TransactionId id, std::uint32_t pass);
     void passProgress(Time now, TransactionId id, std::uint32_t pass, double share);
-    void passPartial(Time now, TransactionId id, std::uint32_t pass, std::string_view bytes, bool warning);
+    void passPartial(Time now, TransactionId id, std::uint32_t pass, Partial kind, std::string_view bytes);
     void passEnded(Time now, TransactionId id, std::uint32_t pass, End how, std::string result = {},
                    const LoadReport& load = {});
     void probeAnswered(Time now, Worker server, bool ok, const LoadReport& load);
@@ -55,12 +55,14 @@
         Job job;
         std::shared_ptr<ClientEnd> client;
         std::uint32_t klass = 0;
+        int priority = 1;
         Time deadline{0};
         std::vector<PassState> passes;
         bool answered = false, mayHaveRun = false;
         int zone = 0, cell = 0;
         Time anchoredAt{0};
         std::uint32_t out = 0;
+        std::string lastFailure;
     };
     struct Server {
         std::string name;
@@ -78,6 +80,7 @@
     void due(Time now, TransactionId id);
     void forget(TransactionId id);
     Transaction* find(TransactionId id);
+    void fail(Time now, Transaction& t);
     template <class Answer>
     void answer(Transaction& t, Answer&& say);
 
--- a/src/core/transaction.hpp
+++ b/src/core/transaction.hpp
@@ -27,21 +27,25 @@
     std::string body;
 };
 
+enum class Partial { data, warning };  // what a job may send before its result, where the protocol has it
+
 // The client's side of one transaction. Exactly one of served, unavailable and failed is called, once.
 class ClientEnd {
 public:
     virtual ~ClientEnd() = default;
     virtual void served(Time now, std::string result) = 0;
     virtual void unavailable(Time now, Nanos retryIn) = 0;
-    virtual void failed(Time now) = 0;
+    virtual void failed(Time now, std::string_view why) = 0;  // `why` is what the last failed pass said
+    virtual void started(Time) {}
     virtual void progress(Time, double) {}
-    virtual void partial(Time, std::string_view, bool /*warning*/) {}
+    virtual void partial(Time, Partial, std::string_view) {}
 };
 
 struct Arrival {
     heronmount::RequestArrived request;  // its id is filled in by the core
     Job job;
     std::shared_ptr<ClientEnd> client;
+    int priority = 1;  // 0 before 1 before 2, among jobs that wait for one application server, where it can be
 };
 
 struct ProxyPass {
@@ -51,6 +55,7 @@
     Time until{0};  // when it is given up
     const Job* job = nullptr;
     std::uint32_t klass = 0;
+    int priority = 1;
 };
 
 // A set of application servers that speak one protocol.
@@ -77,7 +82,7 @@
 
 struct Counters {
     std::uint64_t taken = 0, served = 0, unavailable = 0, failed = 0, left = 0;
-    std::uint64_t passes = 0, cancels = 0, withheld = 0, softened = 0, lateResults = 0;
+    std::uint64_t passes = 0, started = 0, cancels = 0, withheld = 0, softened = 0, lateResults = 0;
     std::uint64_t farmUpdates = 0, farmLost = 0;
     std::uint64_t ends[32] = {};
 };
--- /dev/null
+++ b/src/gearman/config.hpp
@@ -0,0 +1,28 @@
+// The Gearman front's file under deploy/: where it listens, and what the protocol itself does not carry.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/deadlines.hpp"
+#include "settings/read.hpp"
+
+namespace amberswitch::gearman {
+
+struct Config {
+    std::string listen;  // empty: the front is off
+    std::string name = "amberswitch";
+    struct Function {
+        Nanos deadline{0}, backgroundDeadline{0};
+        double slots = 1;
+    };
+    std::vector<Function> functions;             // one for each class, by its place
+    std::map<std::string, int> tenants;          // by what a client calls itself
+    int tenant = -1;                             // of clients that call themselves nothing known
+    std::size_t workerSlots = 1, workerQueue = 8;  // jobs that a worker runs at once; that may wait for it
+};
+
+Config readConfig(const settings::object& from, const settings::Site& site);  // throws settings::BadField
+
+}  // namespace amberswitch::gearman
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 #include <sstream>
 
+#include "gearman/front.hpp"
 #include "net/loop.hpp"
 #include "platform/front.hpp"
 #include "platform/watch.hpp"
@@ -21,6 +22,7 @@
     std::uint64_t seed = 0;
     std::size_t sockets = 1024;
     settings::Site site;
+    gearman::Config gearman;
 };
 
 struct Wiring : wire::Connector {
@@ -31,7 +33,7 @@
     void connect(Time now, std::shared_ptr<wire::Machine> machine, const std::string& address) override {
         const auto to = net::endpointOf(address);
         if (!to || (makeRoom && !makeRoom(now))) {
-            loop.deadlines().once(now, [machine](Time at) { machine->ended(at, End::connectRefused); });
+            net::asio::post(loop.strand(), [machine, this] { machine->ended(loop.now(), End::connectRefused); });
             return;
         }
         net::Link::connect(loop, std::move(machine), *to);
@@ -51,6 +53,25 @@
     return number;
 }
 
+// The Gearman front's own file. Without one the front is off.
+gearman::Config readGearman(const settings::Site& site) {
+    const char* const given = std::getenv("AMBERSWITCH_GEARMAN");
+    const std::string path = given ? given : "deploy/gearman.json";
+    std::ifstream file(path);
+    if (!file && given) throw BadField("can't read " + path);
+    if (!file) return {};
+    std::stringstream text;
+    text << file.rdbuf();
+    simdjson::dom::parser parser;
+    settings::element root;
+    if (const auto error = parser.parse(text.str()).get(root); error != simdjson::SUCCESS)
+        throw BadField(path + " is not valid JSON: " + simdjson::error_message(error));
+    gearman::Config config = gearman::readConfig(settings::asObject(root, path), site);
+    if (!config.listen.empty() && !net::endpointOf(config.listen))
+        throw BadField(path + ": field 'listen' is not an address and a port");
+    return config;
+}
+
 Config readConfig(const settings::object& from) {
     Config config;
     config.name = settings::text(from, "name");
@@ -64,6 +85,7 @@
     if (!net::endpointOf(config.discovery)) throw BadField("field 'discovery' is not an address and a port");
     if (config.sockets < 64) throw BadField("field 'limits.sockets' is under 64");
     config.site = settings::readSite(settings::table(from, "settings"));
+    config.gearman = readGearman(config.site);
     return config;
 }
 
@@ -93,19 +115,29 @@
     net::Listener listener(loop, *net::endpointOf(config.listen), [&](Time now) { return front.accept(now); });
     listener.setGate([&](Time now) { return roomBelow(now, forClients); });
 
+    gearman::Front gearman(core, loop.deadlines(), config.gearman);
+    std::optional<net::Listener> gearmanListener;
+    if (!config.gearman.listen.empty()) {
+        gearmanListener.emplace(loop, *net::endpointOf(config.gearman.listen),
+                                [&](Time now) { return gearman.accept(now); });
+        gearmanListener->setGate([&](Time now) { return roomBelow(now, forClients); });
+    }
+
     Deadlines::Ticket leaving;
     std::function<void(Time)> leave = [&](Time now) {
-        if (core.open() == 0 && front.quiet()) return loop.stop();
+        if (core.open() == 0 && front.quiet() && gearman.quiet()) return loop.stop();
         leaving.arm(loop.deadlines(), now + std::chrono::milliseconds(20), leave);
     };
     bool drained = false;
     const auto drain = [&](Time now) {
         if (std::exchange(drained, true)) return;
         front.drain(now);
+        gearman.drain(now);
         leaving.arm(loop.deadlines(), now + std::chrono::milliseconds(750), leave);
     };
     loop.onSignal(SIGTERM, drain);
     loop.onSignal(SIGINT, drain);
+    gearman.setShutdown(drain);
     std::fprintf(stderr, "amberswitch %s: listening on %s\n", config.name.c_str(), config.listen.c_str());
     loop.run();
     listener.close();
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -17,7 +17,9 @@
     return wall_ + (steady - steady_);
 }
 
-Loop::Loop() : strand_(asio::make_strand(io_)), timer_(io_) {}
+Loop::Loop() : Loop([clock = Clock()] { return clock.now(); }) {}
+Loop::Loop(std::function<Time()> clock)
+    : clock_(std::move(clock)), strand_(asio::make_strand(io_)), timer_(io_) {}
 
 void Loop::onSignal(int number, std::function<void(Time)> action) {
     signals_.push_back(std::make_unique<asio::signal_set>(io_, number));
@@ -43,16 +45,30 @@
     }));
 }
 
-void Loop::run() {
+void Loop::release(const std::shared_ptr<Link>& link) {
+    asio::post(strand_, [this, link] { links_.erase(link); });
+}
+
+void Loop::handleReady() {
     constexpr int kMostInATurn = 64;
+    for (int i = 0; i < kMostInATurn && io_.poll_one() > 0; ++i) {
+    }
+}
+
+void Loop::poll() {
+    io_.restart();
+    handleReady();
+    deadlines_.sweep(now());
+}
+
+void Loop::run() {
     const auto work = asio::make_work_guard(io_);
     while (!stopped_) {
         deadlines_.sweep(now());
         rearm();
         if (stopped_) break;
         io_.run_one();
-        for (int i = 0; i < kMostInATurn && io_.poll_one() > 0; ++i) {
-        }
+        handleReady();
     }
 }
 
@@ -94,8 +110,9 @@
     error_code ignored;
     socket_.non_blocking(true, ignored);
     socket_.set_option(tcp::no_delay(true), ignored);
-    self_ = shared_from_this();  // parked coroutines hold nothing
-    writerParked_ = true;        // the writer begins when it is woken
+    socket_.set_option(asio::socket_base::keep_alive(true), ignored);
+    loop_.keep(shared_from_this());
+    writerParked_ = true;  // the writer begins when it is woken
     read();
 }
 
@@ -111,7 +128,7 @@
     error_code ignored;
     socket_.close(ignored);
     // The machine may be in the middle of a call: it goes with the link, and that only in a later turn.
-    if (self_) asio::post(loop_.strand(), [last = std::move(self_)] {});
+    loop_.release(shared_from_this());
 }
 
 void Link::drop() {
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "wire/machine.hpp"
@@ -32,28 +33,38 @@
     Time wall_, steady_;
 };
 
+class Link;
+
 class Loop {
 public:
     Loop();
-    Time now() const { return clock_.now(); }
+    explicit Loop(std::function<Time()> clock);  // another clock than the system's: turns are then polled
+    Time now() const { return clock_(); }
     Deadlines& deadlines() { return deadlines_; }
     asio::io_context& io() { return io_; }
     const Strand& strand() const { return strand_; }
     void onSignal(int number, std::function<void(Time)> action);
-    void run();  // until stop
+    void run();   // until stop
+    void poll();  // one turn that waits for nothing
     void stop() { stopped_ = true; }
 
+    // A link lives here from its start to the turn after its close: its coroutines hold nothing while parked.
+    void keep(const std::shared_ptr<Link>& link) { links_.insert(link); }
+    void release(const std::shared_ptr<Link>& link);
+
 private:
     void rearm();
+    void handleReady();
 
-    Clock clock_;
+    Deadlines deadlines_;  // first, so that it outlives all who hold tickets
+    std::function<Time()> clock_;
     asio::io_context io_{1};
     Strand strand_;
     asio::steady_timer timer_;
     std::optional<Time> armed_;
     std::vector<std::unique_ptr<asio::signal_set>> signals_;
-    Deadlines deadlines_;
     bool stopped_ = false;
+    std::unordered_set<std::shared_ptr<Link>> links_;
 };
 
 // The driver of one connection: two stackless coroutines on the strand, one that reads and one that writes.
@@ -84,7 +95,6 @@
     tcp::socket socket_;
     asio::coroutine reader_, writer_;
     bool readerParked_ = false, writerParked_ = false, lingering_ = false, closed_ = false;
-    std::shared_ptr<Link> self_;
     Deadlines::Ticket lingerTicket_;
     char scrap_[512];
     static std::size_t open_;
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -13,7 +13,9 @@
     std::list<std::shared_ptr<Connection>>::iterator place;
 
     void served(Time now, std::string result) override { final(now, 200, result); }
-    void failed(Time now) override { final(now, 502, "the job failed\n"); }
+    void failed(Time now, std::string_view why) override {
+        final(now, 502, why.empty() ? "the job failed\n" : why);
+    }
     void unavailable(Time now, Nanos retryIn) override { turnAway(now, retryIn); }
 
 private:
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -10,8 +10,7 @@
 public:
     enum class Task { none, pass, erase, probe };
 
-    Connection(Servers& owner, Worker server) : owner_(owner), server_(server) { ++owner_.open_; }
-    ~Connection() override { --owner_.open_; }
+    Connection(Servers& owner, Worker server) : owner_(owner), server_(server) {}
 
     Worker server() const { return server_; }
     Time idleSince() const { return idleSince_; }
--- a/src/platform/servers.hpp
+++ b/src/platform/servers.hpp
@@ -26,7 +26,6 @@
     // The body of a call to /callback. False where it can't be read.
     bool callback(Time now, const std::string& body);
     bool relieve(Time now);  // closes the connection that was idle longest, if there is one
-    std::size_t open() const { return open_; }
     std::size_t idle() const;
 
     struct Counters {
@@ -60,7 +59,6 @@
     std::vector<Server> servers_;
     std::unordered_map<std::string, std::vector<Active>> active_;  // by what the client calls the request
     simdjson::dom::parser json_;
-    std::size_t open_ = 0;
     Counters counters_;
 };
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -248,7 +248,9 @@
     // The one judge of whether a send is legal, for first tries, further tries and copies alike.
     bool maySend(const Request& r, const WorkerState& w) const {
         if (r.done || r.streaming || !w.listed) return false;
-        if (r.klass->kind >= 0 && r.klass->kind != w.entry.kind) return false;
+        if (w.entry.classes ? !(w.entry.classes >> r.in.klass & 1)
+                            : r.klass->kind >= 0 && r.klass->kind != w.entry.kind)
+            return false;
         if (r.sends >= std::min<std::uint32_t>(s_.maxAttempts, kMostAttempts)) return false;
         if (r.out > 0 && !s_.mayDuplicate) return false;
         if (!tainted(r) || r.klass->effect == Effect::safe) return true;
