--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -103,7 +103,8 @@
     if (t.answered || !to.on || !to.side || now >= t.deadline) return false;
     if (t.passes.size() >= site_.module.maxAttempts) return false;
     if (t.out > 0 && !site_.module.mayDuplicate) return false;
-    if (to.entry.classes ? !(to.entry.classes >> t.klass & 1) : klass.kind >= 0 && klass.kind != to.entry.kind)
+    if (to.entry.classes ? !(to.entry.classes >> t.klass & 1)
+                         : klass.kind >= 0 && klass.kind != to.entry.kind)
         return false;
     if ((!t.mayHaveRun && t.out == 0) || klass.effect == Effect::safe) return true;
     if (klass.effect == Effect::unsafe || now > t.anchoredAt + klass.window) return false;
@@ -203,7 +204,8 @@
     ++counters_.ends[static_cast<std::size_t>(how)];
     if (!provesNeverRan(how)) t.mayHaveRun = true;
     if (how == End::withdrawn || how == End::timedOut)
-        pass.side->abandon(now, ProxyPass{t.id, number, pass.server, pass.until, &t.job, t.klass, t.priority});
+        pass.side->abandon(now,
+                           ProxyPass{t.id, number, pass.server, pass.until, &t.job, t.klass, t.priority});
     if (how == End::failed) t.lastFailure = std::move(result);
     if (how == End::served) {
         if (t.answered) ++counters_.lateResults;
@@ -225,7 +227,8 @@
     return at->second;
 }
 
-void Core::farm(Time now, ApplicationServers& servers, RosterMode mode, const std::vector<FarmEntry>& entries) {
+void Core::farm(Time now, ApplicationServers& servers, RosterMode mode,
+                const std::vector<FarmEntry>& entries) {
     ++counters_.farmUpdates;
     RosterUpdate update;
     update.mode = mode;
@@ -246,7 +249,8 @@
     // The module takes a whole list as all there is: what other sources told goes in again.
     if (mode != RosterMode::changes)
         for (const Server& server : farm_)
-            if (server.side && server.side != &servers && server.listed) update.entries.push_back(server.entry);
+            if (server.side && server.side != &servers && server.listed)
+                update.entries.push_back(server.entry);
     tell(now, std::move(update));
 }
 
--- a/src/core/transaction.hpp
+++ b/src/core/transaction.hpp
@@ -45,7 +45,8 @@
     heronmount::RequestArrived request;  // its id is filled in by the core
     Job job;
     std::shared_ptr<ClientEnd> client;
-    int priority = 1;  // 0 before 1 before 2, among jobs that wait for one application server, where it can be
+    int priority =
+        1;  // 0 before 1 before 2, among jobs that wait for one application server, where it can be
 };
 
 struct ProxyPass {
@@ -84,7 +85,7 @@
     std::uint64_t taken = 0, served = 0, unavailable = 0, failed = 0, left = 0;
     std::uint64_t passes = 0, started = 0, cancels = 0, withheld = 0, softened = 0, lateResults = 0;
     std::uint64_t farmUpdates = 0, farmLost = 0;
-    std::uint64_t ends[32] = {};
+    std::uint64_t ends[kEnds] = {};
 };
 
 }  // namespace amberswitch
--- a/src/gearman/config.hpp
+++ b/src/gearman/config.hpp
@@ -17,9 +17,9 @@
         Nanos deadline{0}, backgroundDeadline{0};
         double slots = 1;
     };
-    std::vector<Function> functions;             // one for each class, by its place
-    std::map<std::string, int> tenants;          // by what a client calls itself
-    int tenant = -1;                             // of clients that call themselves nothing known
+    std::vector<Function> functions;               // one for each class, by its place
+    std::map<std::string, int> tenants;            // by what a client calls itself
+    int tenant = -1;                               // of clients that call themselves nothing known
     std::size_t workerSlots = 1, workerQueue = 8;  // jobs that a worker runs at once; that may wait for it
 };
 
--- a/src/gearman/front.cpp
+++ b/src/gearman/front.cpp
@@ -1,12 +1,12 @@
 #include "gearman/front.hpp"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cstdio>
 #include <deque>
 
-#include <unistd.h>
-
 namespace amberswitch::gearman {
 
 using heronmount::RosterMode;
@@ -18,7 +18,8 @@
 
 std::string advice(Nanos retryIn) {
     char text[64];
-    std::snprintf(text, sizeof text, "unavailable; Retry-After: %.3f", static_cast<double>(retryIn.count()) * 1e-9);
+    std::snprintf(text, sizeof text, "unavailable; Retry-After: %.3f",
+                  static_cast<double>(retryIn.count()) * 1e-9);
     return text;
 }
 
@@ -33,7 +34,8 @@
 // One job that clients submitted, and all who wait for it. Jobs of one function with one unique id are one.
 class Front::Submission : public ClientEnd, public std::enable_shared_from_this<Submission> {
 public:
-    Submission(Front& owner, Handle name, std::size_t kind) : handle(std::move(name)), klass(kind), owner_(owner) {}
+    Submission(Front& owner, Handle name, std::size_t kind)
+        : handle(std::move(name)), klass(kind), owner_(owner) {}
 
     const Handle handle;
     const std::size_t klass;
@@ -182,7 +184,9 @@
 }
 
 void Front::Submission::partial(Time, Partial kind, std::string_view bytes) {
-    tell([&](Connection& c) { c.say(kind == Partial::warning ? Type::workWarning : Type::workData, {handle, bytes}); });
+    tell([&](Connection& c) {
+        c.say(kind == Partial::warning ? Type::workWarning : Type::workData, {handle, bytes});
+    });
 }
 
 // Guards against work that nobody waits for: when the last client of a foreground job has left, the
@@ -215,7 +219,8 @@
     if (!decoder_.started())
         half_.disarm();
     else if (!half_.armed())
-        half_.arm(owner_.deadlines_, now + kHalf, [this](Time at) { giveUp(at, "half a packet and then nothing"); });
+        half_.arm(owner_.deadlines_, now + kHalf,
+                  [this](Time at) { giveUp(at, "half a packet and then nothing"); });
 }
 
 void Front::Connection::giveUp(Time now, std::string_view why) {
@@ -247,15 +252,22 @@
 void Front::Connection::packet(Time now, const Packet& p) {
     const auto& arg = p.arguments;
     switch (p.type) {
-        case Type::submitJob: return submit(now, p, false, normal);
-        case Type::submitJobHigh: return submit(now, p, false, high);
-        case Type::submitJobLow: return submit(now, p, false, low);
-        case Type::submitJobBg: return submit(now, p, true, normal);
-        case Type::submitJobHighBg: return submit(now, p, true, high);
-        case Type::submitJobLowBg: return submit(now, p, true, low);
+        case Type::submitJob:
+            return submit(now, p, false, normal);
+        case Type::submitJobHigh:
+            return submit(now, p, false, high);
+        case Type::submitJobLow:
+            return submit(now, p, false, low);
+        case Type::submitJobBg:
+            return submit(now, p, true, normal);
+        case Type::submitJobHighBg:
+            return submit(now, p, true, high);
+        case Type::submitJobLowBg:
+            return submit(now, p, true, low);
         case Type::getStatus: {
             const auto at = owner_.submissions_.find(arg[0]);
-            return status(Type::statusRes, arg[0], at == owner_.submissions_.end() ? nullptr : at->second.get());
+            return status(Type::statusRes, arg[0],
+                          at == owner_.submissions_.end() ? nullptr : at->second.get());
         }
         case Type::getStatusUnique: {
             const Submission* found = nullptr;
@@ -263,12 +275,15 @@
                 if (key.substr(key.find('\0') + 1) == arg[0]) found = submission.get();
             return status(Type::statusResUnique, arg[0], found);
         }
-        case Type::echoReq: return say(Type::echoRes, {arg[0]});
+        case Type::echoReq:
+            return say(Type::echoRes, {arg[0]});
         case Type::optionReq:
             if (arg[0] != "exceptions") return error("ERR_UNKNOWN_OPTION", "there is no such option");
             exceptions = true;
             return say(Type::optionRes, {arg[0]});
-        case Type::setClientId: id = arg[0].empty() ? "-" : arg[0]; return;
+        case Type::setClientId:
+            id = arg[0].empty() ? "-" : arg[0];
+            return;
         case Type::canDo:
         case Type::canDoTimeout: {
             const auto klass = owner_.classOf(arg[0]);
@@ -283,26 +298,35 @@
         case Type::cantDo:
             if (const auto klass = owner_.classOf(arg[0])) functions_.erase(*klass);
             return abilities(now);
-        case Type::resetAbilities: functions_.clear(); return abilities(now);
+        case Type::resetAbilities:
+            functions_.clear();
+            return abilities(now);
         case Type::preSleep:
             sleeping_ = true;
-            if (!offered_.empty() && assigned_.size() < owner_.config_.workerSlots) say(Type::noop, {}), sleeping_ = false;
+            if (!offered_.empty() && assigned_.size() < owner_.config_.workerSlots)
+                say(Type::noop, {}), sleeping_ = false;
             return;
-        case Type::grabJob: return grab(now, false);
-        case Type::grabJobUniq: return grab(now, true);
+        case Type::grabJob:
+            return grab(now, false);
+        case Type::grabJobUniq:
+            return grab(now, true);
         case Type::workStatus:
         case Type::workComplete:
         case Type::workFail:
         case Type::workException:
         case Type::workData:
-        case Type::workWarning: return report(now, p);
-        case Type::allYours: return;  // it has no other job server: nothing hangs on that here
+        case Type::workWarning:
+            return report(now, p);
+        case Type::allYours:
+            return;  // it has no other job server: nothing hangs on that here
         case Type::grabJobAll:
         case Type::submitJobSched:
         case Type::submitJobEpoch:
         case Type::submitReduceJob:
-        case Type::submitReduceJobBg: return error("ERR_UNSUPPORTED", "this server does not do that");
-        default: return giveUp(now, "a packet that only a server sends");
+        case Type::submitReduceJobBg:
+            return error("ERR_UNSUPPORTED", "this server does not do that");
+        default:
+            return giveUp(now, "a packet that only a server sends");
     }
 }
 
@@ -328,10 +352,9 @@
             return;
         }
     const std::size_t most = owner_.most_[*klass];
-    if (most > 0 && static_cast<std::size_t>(std::count_if(owner_.submissions_.begin(), owner_.submissions_.end(),
-                                                           [&](const auto& one) {
-                                                               return one.second->klass == *klass;
-                                                           })) >= most)
+    if (most > 0 && static_cast<std::size_t>(
+                        std::count_if(owner_.submissions_.begin(), owner_.submissions_.end(),
+                                      [&](const auto& one) { return one.second->klass == *klass; })) >= most)
         return error("ERR_UNAVAILABLE", advice(std::chrono::milliseconds(100)));
 
     const auto submission = std::make_shared<Submission>(
@@ -426,7 +449,8 @@
         return true;
     });
     for (const Offered& one : back)
-        owner_.core_.passEnded(now, one.pass.transaction, one.pass.number, gone ? End::brokeUnsent : End::handedBack);
+        owner_.core_.passEnded(now, one.pass.transaction, one.pass.number,
+                               gone ? End::brokeUnsent : End::handedBack);
     if (!gone) return;
     const auto running = std::exchange(assigned_, {});
     for (const auto& [handle, one] : running)
@@ -480,17 +504,21 @@
         return;
     }
     const Assigned job = at->second;
-    const bool ends = p.type == Type::workComplete || p.type == Type::workFail || p.type == Type::workException;
+    const bool ends =
+        p.type == Type::workComplete || p.type == Type::workFail || p.type == Type::workException;
     if (ends) assigned_.erase(at);
     if (job.abandoned) {
         ++owner_.counters_.stray;
         return;
     }
     Core& core = owner_.core_;
-    if (p.type == Type::workComplete) core.passEnded(now, job.transaction, job.pass, End::served, p.arguments[1]);
+    if (p.type == Type::workComplete)
+        core.passEnded(now, job.transaction, job.pass, End::served, p.arguments[1]);
     if (p.type == Type::workFail) core.passEnded(now, job.transaction, job.pass, End::failed);
-    if (p.type == Type::workException) core.passEnded(now, job.transaction, job.pass, End::failed, p.arguments[1]);
-    if (p.type == Type::workData) core.passPartial(now, job.transaction, job.pass, Partial::data, p.arguments[1]);
+    if (p.type == Type::workException)
+        core.passEnded(now, job.transaction, job.pass, End::failed, p.arguments[1]);
+    if (p.type == Type::workData)
+        core.passPartial(now, job.transaction, job.pass, Partial::data, p.arguments[1]);
     if (p.type == Type::workWarning)
         core.passPartial(now, job.transaction, job.pass, Partial::warning, p.arguments[1]);
     if (p.type == Type::workStatus) {
@@ -523,7 +551,8 @@
     }
     if (first == "cancel" && second == "job" && words.size() == 3) {
         const auto at = owner_.submissions_.find(words[2]);
-        if (at == owner_.submissions_.end() || at->second->running) return reply("ERR UNKNOWN_JOB no+such+job+waits\n");
+        if (at == owner_.submissions_.end() || at->second->running)
+            return reply("ERR UNKNOWN_JOB no+such+job+waits\n");
         const auto job = at->second;
         const TransactionId transaction = job->transaction;
         job->failed(now, "cancelled");
@@ -538,7 +567,8 @@
     }
     if ((first == "create" || first == "drop") && second == "function" && words.size() == 3) {
         const bool known = owner_.classOf(words[2]).has_value();
-        if (first == "create") return reply(known ? "OK\n" : "ERR UNKNOWN_FUNCTION functions+are+the+classes+of+the+settings\n");
+        if (first == "create")
+            return reply(known ? "OK\n" : "ERR UNKNOWN_FUNCTION functions+are+the+classes+of+the+settings\n");
         return reply(known ? "ERR FUNCTION_IN_USE functions+are+the+classes+of+the+settings\n" : "OK\n");
     }
     if (first == "shutdown") {
@@ -604,8 +634,8 @@
         for (const auto& [handle, one] : submissions_)
             if (one->klass == klass) ++total, running += one->running;
         for (const auto& [server, worker] : workers_) able += worker->functions().contains(klass);
-        table += core_.site().classes[klass] + '\t' + std::to_string(total) + '\t' + std::to_string(running) + '\t' +
-                 std::to_string(able) + '\n';
+        table += core_.site().classes[klass] + '\t' + std::to_string(total) + '\t' + std::to_string(running) +
+                 '\t' + std::to_string(able) + '\n';
     }
     return table + ".\n";
 }
--- a/src/gearman/front.hpp
+++ b/src/gearman/front.hpp
@@ -33,7 +33,7 @@
     struct Counters {
         std::uint64_t connections = 0, packets = 0, submitted = 0, joined = 0, assigned = 0, stray = 0,
                       malformed = 0;
-        std::uint64_t ends[32] = {};
+        std::uint64_t ends[kEnds] = {};
     };
     const Counters& counters() const { return counters_; }
 
@@ -53,8 +53,8 @@
     Deadlines& deadlines_;
     Config config_;
     std::list<std::shared_ptr<Connection>> connections_;
-    std::unordered_map<Handle, std::shared_ptr<Submission>> submissions_;             // not answered yet
-    std::unordered_map<std::string, std::shared_ptr<Submission>> unique_;             // by class and unique id
+    std::unordered_map<Handle, std::shared_ptr<Submission>> submissions_;  // not answered yet
+    std::unordered_map<std::string, std::shared_ptr<Submission>> unique_;  // by class and unique id
     std::unordered_map<Worker, Connection*> workers_;
     std::set<std::size_t> freeSlots_;
     std::vector<std::size_t> most_;  // open jobs that a class may have; 0: any number
--- a/src/gearman/packet.cpp
+++ b/src/gearman/packet.cpp
@@ -13,7 +13,8 @@
 
 std::uint32_t get32(std::string_view bytes) {
     std::uint32_t value = 0;
-    for (int i = 0; i < 4; ++i) value = value << 8 | static_cast<unsigned char>(bytes[static_cast<std::size_t>(i)]);
+    for (int i = 0; i < 4; ++i)
+        value = value << 8 | static_cast<unsigned char>(bytes[static_cast<std::size_t>(i)]);
     return value;
 }
 
@@ -21,21 +22,55 @@
 
 std::optional<std::size_t> argumentsOf(Type type) {
     switch (type) {
-        case Type::resetAbilities: case Type::preSleep: case Type::noop: case Type::grabJob: case Type::noJob:
-        case Type::allYours: case Type::grabJobUniq: case Type::grabJobAll: return 0;
-        case Type::canDo: case Type::cantDo: case Type::jobCreated: case Type::workFail: case Type::getStatus:
-        case Type::echoReq: case Type::echoRes: case Type::setClientId: case Type::optionReq:
-        case Type::optionRes: case Type::getStatusUnique: return 1;
-        case Type::workComplete: case Type::error: case Type::canDoTimeout: case Type::workException:
-        case Type::workData: case Type::workWarning: return 2;
-        case Type::submitJob: case Type::jobAssign: case Type::workStatus: case Type::submitJobBg:
-        case Type::submitJobHigh: case Type::submitJobHighBg: case Type::submitJobLow:
-        case Type::submitJobLowBg: return 3;
-        case Type::jobAssignUniq: case Type::submitJobEpoch: case Type::submitReduceJob:
-        case Type::submitReduceJobBg: return 4;
-        case Type::statusRes: case Type::jobAssignAll: return 5;
-        case Type::statusResUnique: return 6;
-        case Type::submitJobSched: return 8;
+        case Type::resetAbilities:
+        case Type::preSleep:
+        case Type::noop:
+        case Type::grabJob:
+        case Type::noJob:
+        case Type::allYours:
+        case Type::grabJobUniq:
+        case Type::grabJobAll:
+            return 0;
+        case Type::canDo:
+        case Type::cantDo:
+        case Type::jobCreated:
+        case Type::workFail:
+        case Type::getStatus:
+        case Type::echoReq:
+        case Type::echoRes:
+        case Type::setClientId:
+        case Type::optionReq:
+        case Type::optionRes:
+        case Type::getStatusUnique:
+            return 1;
+        case Type::workComplete:
+        case Type::error:
+        case Type::canDoTimeout:
+        case Type::workException:
+        case Type::workData:
+        case Type::workWarning:
+            return 2;
+        case Type::submitJob:
+        case Type::jobAssign:
+        case Type::workStatus:
+        case Type::submitJobBg:
+        case Type::submitJobHigh:
+        case Type::submitJobHighBg:
+        case Type::submitJobLow:
+        case Type::submitJobLowBg:
+            return 3;
+        case Type::jobAssignUniq:
+        case Type::submitJobEpoch:
+        case Type::submitReduceJob:
+        case Type::submitReduceJobBg:
+            return 4;
+        case Type::statusRes:
+        case Type::jobAssignAll:
+            return 5;
+        case Type::statusResUnique:
+            return 6;
+        case Type::submitJobSched:
+            return 8;
     }
     return std::nullopt;
 }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -28,7 +28,8 @@
         if (parser_.bad()) return finish(now, End::malformed);
         if (!parser_.complete()) continue;
         Message message = parser_.take();
-        const bool whole = state_ == State::awaiting;  // an answer before the request's end ends the connection
+        const bool whole =
+            state_ == State::awaiting;  // an answer before the request's end ends the connection
         const bool reusable = message.keepAlive && whole && in().empty();
         asked_ = false;
         state_ = reusable ? State::idle : State::ended;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -23,7 +23,8 @@
 
 protected:
     virtual void answered(Time now, Message message, bool reusable) = 0;
-    virtual void over(Time now, End how) = 0;  // the connection is gone; how its exchange ended, if it had one
+    virtual void over(Time now,
+                      End how) = 0;  // the connection is gone; how its exchange ended, if it had one
 
 private:
     void finish(Time now, End how);
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -124,7 +124,8 @@
             const std::string_view digits = trim(text.substr(0, text.find(';')));
             std::size_t size = 0;
             const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), size, 16);
-            if (digits.empty() || error != std::errc() || end != digits.data() + digits.size()) return fail(400);
+            if (digits.empty() || error != std::errc() || end != digits.data() + digits.size())
+                return fail(400);
             if (size > kMostBody || message_.body.size() + size > kMostBody) return fail(413);
             left_ = size;
             state_ = size == 0 ? State::trailer : State::chunk;
@@ -138,7 +139,8 @@
         case State::trailer:
             if (text.empty()) state_ = State::complete;
             return true;
-        default: return fail(400);
+        default:
+            return fail(400);
     }
 }
 
@@ -198,8 +200,8 @@
                                              : connection && names(*connection, "keep-alive");
     if (chunked_ && length_) return fail(400);
     headSize_ = 0;
-    const bool bodiless = kind_ == Kind::answer && (message_.status < 200 || message_.status == 204 ||
-                                                    message_.status == 304);
+    const bool bodiless =
+        kind_ == Kind::answer && (message_.status < 200 || message_.status == 204 || message_.status == 304);
     if (kind_ == Kind::answer && message_.status < 200) {  // an interim answer: the real one follows
         *this = Parser(kind_);
         return true;
@@ -233,23 +235,40 @@
 
 std::string_view reasonOf(int status) {
     switch (status) {
-        case 200: return "OK";
-        case 204: return "No Content";
-        case 400: return "Bad Request";
-        case 404: return "Not Found";
-        case 405: return "Method Not Allowed";
-        case 408: return "Request Timeout";
-        case 409: return "Conflict";
-        case 413: return "Content Too Large";
-        case 414: return "URI Too Long";
-        case 429: return "Too Many Requests";
-        case 431: return "Request Header Fields Too Large";
-        case 501: return "Not Implemented";
-        case 502: return "Bad Gateway";
-        case 503: return "Service Unavailable";
-        case 504: return "Gateway Timeout";
-        case 505: return "HTTP Version Not Supported";
-        default: return "Status";
+        case 200:
+            return "OK";
+        case 204:
+            return "No Content";
+        case 400:
+            return "Bad Request";
+        case 404:
+            return "Not Found";
+        case 405:
+            return "Method Not Allowed";
+        case 408:
+            return "Request Timeout";
+        case 409:
+            return "Conflict";
+        case 413:
+            return "Content Too Large";
+        case 414:
+            return "URI Too Long";
+        case 429:
+            return "Too Many Requests";
+        case 431:
+            return "Request Header Fields Too Large";
+        case 501:
+            return "Not Implemented";
+        case 502:
+            return "Bad Gateway";
+        case 503:
+            return "Service Unavailable";
+        case 504:
+            return "Gateway Timeout";
+        case 505:
+            return "HTTP Version Not Supported";
+        default:
+            return "Status";
     }
 }
 
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -14,9 +14,9 @@
 constexpr std::size_t kMostBody = 64 * 1024;
 
 struct Message {
-    std::string method, target;  // of a request
-    int status = 0;              // of an answer
-    int minor = 1;               // HTTP/1.minor
+    std::string method, target;                                // of a request
+    int status = 0;                                            // of an answer
+    int minor = 1;                                             // HTTP/1.minor
     std::vector<std::pair<std::string, std::string>> headers;  // names in lower case
     std::string body;
     bool keepAlive = true;
@@ -39,8 +39,10 @@
     bool complete() const { return state_ == State::complete; }
     bool bad() const { return state_ == State::bad; }
     bool started() const { return state_ != State::head || !line_.empty() || headSize_ > 0; }
-    bool wantsContinue() const { return continue_; }  // true once the head asks for it and the body has not come
-    int fault() const { return fault_; }              // the status that a bad request deserves
+    bool wantsContinue() const {
+        return continue_;
+    }                                     // true once the head asks for it and the body has not come
+    int fault() const { return fault_; }  // the status that a bad request deserves
     const Message& message() const { return message_; }
     Message take();  // the complete message; the parser starts over
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -50,7 +50,8 @@
     if (pumping_) return;
     pumping_ = true;
     // Guards against pipelined requests whose answers nobody reads: no more is taken while much waits.
-    while ((state_ == State::idle || state_ == State::reading) && !in().empty() && out().size() <= kMostBody) {
+    while ((state_ == State::idle || state_ == State::reading) && !in().empty() &&
+           out().size() <= kMostBody) {
         const auto bytes = in().front();
         const bool asked = parser_.wantsContinue();
         in().taken(parser_.feed({bytes.data(), bytes.size()}));
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -14,7 +14,7 @@
 
     State state() const { return state_; }
     void reply(Time now, int status, std::string_view body, std::string_view extra = {});
-    void lastOne() { last_ = true; }          // the next answer says that the connection closes
+    void lastOne() { last_ = true; }                // the next answer says that the connection closes
     void closeIdle(Time now, End how = End::idle);  // only between messages; otherwise after the answer
 
     void received(Time now) override;
@@ -25,11 +25,11 @@
 protected:
     virtual void request(Time now, Message message) = 0;
     virtual void stateChanged(Time, State) {}
-    virtual void left(Time) {}              // the other side went while an answer was owed
-    virtual void gone(Time, End) {}         // the connection is over: the last call
+    virtual void left(Time) {}       // the other side went while an answer was owed
+    virtual void gone(Time, End) {}  // the connection is over: the last call
 
 private:
-    static constexpr Nanos kHalf = std::chrono::seconds(10);    // to complete a message, or to take an answer
+    static constexpr Nanos kHalf = std::chrono::seconds(10);  // to complete a message, or to take an answer
     static constexpr Nanos kIdle = std::chrono::seconds(75);
 
     void pump(Time now);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,6 +10,7 @@
 #include "net/loop.hpp"
 #include "platform/front.hpp"
 #include "platform/watch.hpp"
+#include "report.hpp"
 #include "settings/read.hpp"
 
 using namespace amberswitch;
@@ -33,7 +34,8 @@
     void connect(Time now, std::shared_ptr<wire::Machine> machine, const std::string& address) override {
         const auto to = net::endpointOf(address);
         if (!to || (makeRoom && !makeRoom(now))) {
-            net::asio::post(loop.strand(), [machine, this] { machine->ended(loop.now(), End::connectRefused); });
+            net::asio::post(loop.strand(),
+                            [machine, this] { machine->ended(loop.now(), End::connectRefused); });
             return;
         }
         net::Link::connect(loop, std::move(machine), *to);
@@ -112,7 +114,8 @@
     if (const auto known = settings::find(json, "known"))
         watch.known(loop.now(), settings::asObject(*known, "known"));
 
-    net::Listener listener(loop, *net::endpointOf(config.listen), [&](Time now) { return front.accept(now); });
+    net::Listener listener(loop, *net::endpointOf(config.listen),
+                           [&](Time now) { return front.accept(now); });
     listener.setGate([&](Time now) { return roomBelow(now, forClients); });
 
     gearman::Front gearman(core, loop.deadlines(), config.gearman);
@@ -123,6 +126,10 @@
         gearmanListener->setGate([&](Time now) { return roomBelow(now, forClients); });
     }
 
+    const auto counters = [&] { return report(core, servers, watch, front, gearman); };
+    front.setReport(counters);
+    loop.onSignal(SIGUSR1, [&](Time) { std::fputs(counters().c_str(), stderr); });
+
     Deadlines::Ticket leaving;
     std::function<void(Time)> leave = [&](Time now) {
         if (core.open() == 0 && front.quiet() && gearman.quiet()) return loop.stop();
@@ -141,6 +148,7 @@
     std::fprintf(stderr, "amberswitch %s: listening on %s\n", config.name.c_str(), config.listen.c_str());
     loop.run();
     listener.close();
+    std::fputs(counters().c_str(), stderr);
     return 0;
 }
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,8 +1,7 @@
 #include "net/loop.hpp"
 
-#include <charconv>
-
 #include <boost/asio/yield.hpp>  // last: it defines words
+#include <charconv>
 
 namespace amberswitch::net {
 
@@ -94,16 +93,16 @@
     const auto link = std::make_shared<Link>(loop, std::move(machine), tcp::socket(loop.strand()));
     link->machine_->attach(link.get());
     link->socket_.async_connect(to, asio::bind_executor(loop.strand(), [link](error_code error) {
-        if (link->closed_) return;
-        if (error) {
-            link->machine_->attach(nullptr);
-            link->close();
-            link->machine_->ended(link->loop_.now(), End::connectRefused);
-            return;
-        }
-        link->start();
-        link->machine_->opened(link->loop_.now());
-    }));
+                                    if (link->closed_) return;
+                                    if (error) {
+                                        link->machine_->attach(nullptr);
+                                        link->close();
+                                        link->machine_->ended(link->loop_.now(), End::connectRefused);
+                                        return;
+                                    }
+                                    link->start();
+                                    link->machine_->opened(link->loop_.now());
+                                }));
 }
 
 void Link::start() {
@@ -153,7 +152,8 @@
                 const auto room = machine_->in().space();
                 socket_.async_read_some(
                     asio::buffer(room.data(), room.size()),
-                    asio::bind_executor(loop_.strand(), [self](error_code e, std::size_t got) { self->read(e, got); }));
+                    asio::bind_executor(loop_.strand(),
+                                        [self](error_code e, std::size_t got) { self->read(e, got); }));
             }
             if (error) return end(error);
             machine_->in().filled(n);
@@ -185,7 +185,8 @@
                 const auto bytes = machine_->out().pending();
                 socket_.async_write_some(
                     asio::buffer(bytes.data(), bytes.size()),
-                    asio::bind_executor(loop_.strand(), [self](error_code e, std::size_t put) { self->write(e, put); }));
+                    asio::bind_executor(loop_.strand(),
+                                        [self](error_code e, std::size_t put) { self->write(e, put); }));
             }
             if (error) return end(error);
             machine_->out().sent(n);
@@ -229,13 +230,14 @@
             if (error) {
                 // Guards against a spin on an error that stays, such as a full descriptor table.
                 yield again_.arm(loop_.deadlines(), loop_.now() + std::chrono::milliseconds(10),
-                                     [this](Time) { accept(); });
+                                 [this](Time) { accept(); });
                 continue;
             }
             {
                 tcp::socket socket = std::move(next_);
                 next_ = tcp::socket(loop_.strand());
-                if (auto machine = make_(loop_.now())) Link::accepted(loop_, std::move(machine), std::move(socket));
+                if (auto machine = make_(loop_.now()))
+                    Link::accepted(loop_, std::move(machine), std::move(socket));
             }
         }
     }
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -2,8 +2,6 @@
 // deadlines, and one timer is armed for the first of them.
 #pragma once
 
-#include <utility>  // Boost 1.74's asio uses it without including it
-
 #include <boost/asio.hpp>
 #include <boost/asio/coroutine.hpp>
 #include <boost/asio/strand.hpp>
@@ -12,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <unordered_set>
+#include <utility>  // Boost 1.74's asio uses it without including it
 #include <vector>
 
 #include "wire/machine.hpp"
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -27,7 +27,8 @@
     void turnAway(Time now, Nanos retryIn) {
         char advice[48] = "";
         if (retryIn.count() > 0)
-            std::snprintf(advice, sizeof advice, "Retry-After: %.3f\r\n", static_cast<double>(retryIn.count()) * 1e-9);
+            std::snprintf(advice, sizeof advice, "Retry-After: %.3f\r\n",
+                          static_cast<double>(retryIn.count()) * 1e-9);
         final(now, 503, "unavailable, try again\n", advice);
     }
 
@@ -51,7 +52,8 @@
             ++owner_.counters_.malformed;
             return reply(now, bad.status, bad.why + "\n");
         }
-        if (owner_.turnAway_ && now >= *owner_.turnAway_) return turnAway(now, std::chrono::milliseconds(100));
+        if (owner_.turnAway_ && now >= *owner_.turnAway_)
+            return turnAway(now, std::chrono::milliseconds(100));
         arrival->job.body = std::move(message.body);
         arrival->client = shared_from_this();
         open_ = true;
@@ -60,7 +62,8 @@
     }
 
     void stateChanged(Time, State to) override {
-        if (to == State::idle) owner_.connections_.splice(owner_.connections_.end(), owner_.connections_, place);
+        if (to == State::idle)
+            owner_.connections_.splice(owner_.connections_.end(), owner_.connections_, place);
     }
     void left(Time now) override {
         if (open_ && transaction_) owner_.core_.clientLeft(now, transaction_);
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -24,7 +24,7 @@
 
     struct Counters {
         std::uint64_t connections = 0, requests = 0, malformed = 0;
-        std::uint64_t ends[32] = {};
+        std::uint64_t ends[kEnds] = {};
     };
     const Counters& counters() const { return counters_; }
 
--- a/src/platform/names.cpp
+++ b/src/platform/names.cpp
@@ -16,11 +16,16 @@
 }
 
 void put(LoadReport& load, std::string_view name, double value) {
-    if (name == "x0") load.freeSlots = value;
-    else if (name == "x1") load.freeMemory = value;
-    else if (name == "queue" || name == "q") load.queued = value;
-    else if (name == "inflight" || name == "rif") load.held = value;
-    else if (name == "util" || name == "busy") load.busy = value;
+    if (name == "x0")
+        load.freeSlots = value;
+    else if (name == "x1")
+        load.freeMemory = value;
+    else if (name == "queue" || name == "q")
+        load.queued = value;
+    else if (name == "inflight" || name == "rif")
+        load.held = value;
+    else if (name == "util" || name == "busy")
+        load.busy = value;
 }
 
 }  // namespace
@@ -87,10 +92,9 @@
         const auto place = [](const std::vector<std::string>& names, std::string_view name) {
             return static_cast<int>(placeOf(names, name).value_or(names.size()));
         };
-        e.standing = choice<Standing>(text(entry, "status"), "status",
-                                      {{"Ready", Standing::on},
-                                       {"Terminating", Standing::draining},
-                                       {"Gone", Standing::off}});
+        e.standing = choice<Standing>(
+            text(entry, "status"), "status",
+            {{"Ready", Standing::on}, {"Terminating", Standing::draining}, {"Gone", Standing::off}});
         e.zone = place(site.zones, text(entry, "zone", ""));
         e.kind = place(site.kinds, text(entry, "type", ""));
         e.cell = static_cast<int>(integer(entry, "group", 0));
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -60,10 +60,12 @@
         const Task task = std::exchange(task_, Task::none);
         if (reusable) {  // first back to the pool: what follows may want a connection
             idleSince_ = now;
-            watchdog_.arm(owner_.deadlines_, now + owner_.idleFor_, [this](Time at) { close(at, End::idle); });
+            watchdog_.arm(owner_.deadlines_, now + owner_.idleFor_,
+                          [this](Time at) { close(at, End::idle); });
             owner_.servers_[server_].idle.push_back(self);
         }
-        if (task == Task::probe) owner_.core_.probeAnswered(now, server_, message.status == 200, readLoad(message));
+        if (task == Task::probe)
+            owner_.core_.probeAnswered(now, server_, message.status == 200, readLoad(message));
         if (task != Task::pass) return;
         if (message.status == 202) {
             if (Active* const active = owner_.find(traceId_, transaction_, number_))
@@ -139,7 +141,8 @@
     request += (job.target.empty() ? '/' + job.className : job.target) + " HTTP/1.1\r\nHost: ";
     request += servers_[pass.server].address + "\r\nX-Trace-Id: " + job.traceId + "\r\n";
     request += "X-Qos: " + job.className + "\r\n";
-    request += "X-Expires-In-Ms: " + std::to_string(std::max<std::int64_t>(1, (pass.until - now).count() / 1'000'000));
+    request += "X-Expires-In-Ms: " +
+               std::to_string(std::max<std::int64_t>(1, (pass.until - now).count() / 1'000'000));
     request += "\r\n";
     if (!job.key.empty()) request += "Idempotency-Key: " + job.key + "\r\n";
     if (!job.contentType.empty()) request += "Content-Type: " + job.contentType + "\r\n";
@@ -162,8 +165,8 @@
     }
     ++counters_.deletes;
     const auto connection = connectionTo(pass.server);
-    connection->erase(now, "DELETE /jobs/" + pass.job->traceId + " HTTP/1.1\r\nHost: " +
-                               servers_[pass.server].address + "\r\n\r\n");
+    connection->erase(now, "DELETE /jobs/" + pass.job->traceId +
+                               " HTTP/1.1\r\nHost: " + servers_[pass.server].address + "\r\n\r\n");
     if (connection->state() == http::Client::State::connecting)
         connector_.connect(now, connection, servers_[pass.server].address);
 }
--- a/src/platform/watch.cpp
+++ b/src/platform/watch.cpp
@@ -21,7 +21,8 @@
     Watch& owner_;
 };
 
-Watch::Watch(Core& core, Servers& servers, Deadlines& deadlines, wire::Connector& connector, std::string address)
+Watch::Watch(Core& core, Servers& servers, Deadlines& deadlines, wire::Connector& connector,
+             std::string address)
     : core_(core),
       servers_(servers),
       deadlines_(deadlines),
--- a/src/platform/watch.hpp
+++ b/src/platform/watch.hpp
@@ -7,7 +7,8 @@
 
 class Watch : public FarmSource {
 public:
-    Watch(Core& core, Servers& servers, Deadlines& deadlines, wire::Connector& connector, std::string address);
+    Watch(Core& core, Servers& servers, Deadlines& deadlines, wire::Connector& connector,
+          std::string address);
     ~Watch() override;
 
     void known(Time now, const settings::object& list);  // as it was when this process was started
--- /dev/null
+++ b/src/report.hpp
@@ -0,0 +1,15 @@
+// The counters of every part, as text: one name and value a line.
+#pragma once
+
+#include <string>
+
+#include "gearman/front.hpp"
+#include "platform/front.hpp"
+#include "platform/watch.hpp"
+
+namespace amberswitch {
+
+std::string report(const Core& core, const platform::Servers& servers, const platform::Watch& watch,
+                   const platform::Front& front, const gearman::Front& gearman);
+
+}  // namespace amberswitch
--- /dev/null
+++ b/tests/core_test.cpp
@@ -0,0 +1,359 @@
+// The core and the platform's parts without sockets: stand-ins note what they are asked to do.
+#include "core/core.hpp"
+
+#include <gtest/gtest.h>
+
+#include "gearman/front.hpp"
+#include "platform/front.hpp"
+#include "platform/watch.hpp"
+
+namespace amberswitch {
+namespace {
+
+using heronmount::Effect;
+using heronmount::RosterMode;
+using heronmount::Standing;
+using namespace std::chrono_literals;
+
+settings::Site site() {
+    settings::Site s;
+    s.classes = {"car-match", "job-assign"};
+    s.tenants = {"maritsa-taxi"};
+    s.zones = {"sofia-1", "plovdiv-1"};
+    s.kinds = {"std-4", "slow-4"};
+    s.module.classes.resize(2);
+    s.module.classes[0].goal = 400ms, s.module.classes[0].giveUp = 8s;
+    s.module.classes[1].goal = 400ms, s.module.classes[1].giveUp = 5s, s.module.classes[1].window = 7500ms;
+    s.module.classes[1].effect = Effect::keyed, s.module.classes[1].group = heronmount::Group::cell;
+    s.module.tenants.resize(1);
+    s.module.zones = 2, s.module.kinds = 2;
+    s.module.maxAttempts = 3, s.module.mayCancel = true, s.module.tellsStart = true;
+    s.module.retryAdvice = true, s.module.maxRetryAfter = 2s, s.module.tick = 4ms, s.module.askRoster = true;
+    s.idleClose = 5s, s.connectTimeout = 250ms;
+    return s;
+}
+
+struct Client : ClientEnd {
+    void served(Time, std::string result) override { ++answers, last = "served " + result; }
+    void unavailable(Time, Nanos retryIn) override { ++answers, last = "unavailable", advice = retryIn; }
+    void failed(Time, std::string_view why) override { ++answers, last = "failed " + std::string(why); }
+    int answers = 0;
+    std::string last;
+    Nanos advice{0};
+};
+
+struct Fleet : ApplicationServers {
+    void start(Time, const ProxyPass& pass) override { started.push_back(pass); }
+    void abandon(Time, const ProxyPass& pass) override { abandoned.push_back(pass); }
+    void closeIdle(Time, Worker) override {}
+    void probe(Time, Worker) override {}
+    std::vector<ProxyPass> started, abandoned;
+};
+
+FarmEntry entry(const std::string& name, Standing standing = Standing::on) {
+    FarmEntry e;
+    e.name = name;
+    e.entry.standing = standing;
+    e.entry.cell = static_cast<int>(settings::fingerprint(name) % 1000);
+    return e;
+}
+
+struct CoreTest : testing::Test {
+    std::shared_ptr<Client> ask(std::uint32_t klass, Nanos left = 5s) {
+        auto client = std::make_shared<Client>();
+        Arrival arrival;
+        arrival.request.klass = klass, arrival.request.timeLeft = left;
+        arrival.client = client;
+        id = core.arrive(now, std::move(arrival));
+        return client;
+    }
+    void pass(Nanos time) {
+        for (Nanos done{0}; done < time; done += 10ms) now += 10ms, deadlines.sweep(now);
+    }
+    Time now{100s};
+    Deadlines deadlines;
+    Core core{site(), 5, deadlines};
+    Fleet fleet;
+    TransactionId id = 0;
+};
+
+TEST_F(CoreTest, AnswersOnceHoweverOftenAPassEnds) {
+    core.farm(now, fleet, RosterMode::whole, {entry("a")});
+    const auto client = ask(0);
+    ASSERT_EQ(fleet.started.size(), 1u);
+    core.passEnded(now, id, 0, End::served, "r");
+    core.passEnded(now, id, 0, End::served, "again");
+    core.passEnded(now, id, 0, End::lost);
+    core.passStarted(now, id, 7);
+    pass(9s);
+    EXPECT_EQ(client->answers, 1);
+    EXPECT_EQ(client->last, "served r");
+    EXPECT_EQ(core.open(), 0u);
+}
+
+TEST_F(CoreTest, AnswersBeforeTheClientGivesUp) {
+    core.farm(now, fleet, RosterMode::whole, {entry("a")});
+    const auto client = ask(1, 3s);
+    pass(3s);
+    EXPECT_EQ(client->answers, 1);
+    EXPECT_EQ(client->last, "failed ");  // it may have run: no unavailable answer
+    ASSERT_EQ(fleet.abandoned.size(), 1u);
+}
+
+// A refusal is given at once and says when to come again; it is never held back.
+TEST_F(CoreTest, AnUnavailableAnswerComesWithAdvice) {
+    const auto client = ask(0, 1s);
+    pass(1s);
+    EXPECT_EQ(client->last, "unavailable");
+    EXPECT_GT(client->advice, 0ms);
+}
+
+TEST_F(CoreTest, GivesTheReasonOfTheLastFailure) {
+    core.farm(now, fleet, RosterMode::whole, {entry("a")});
+    const auto client = ask(1);
+    core.passEnded(now, id, 0, End::failed, "no driver");
+    for (std::size_t n = 1; n < fleet.started.size(); ++n)
+        core.passEnded(now, id, fleet.started[n].number, End::failed, "no driver");
+    EXPECT_EQ(client->last, "failed no driver");
+}
+
+TEST_F(CoreTest, SendsNothingToAServerThatDrainsOrIsGone) {
+    core.farm(now, fleet, RosterMode::whole, {entry("a"), entry("b")});
+    core.farm(now, fleet, RosterMode::changes, {entry("a", Standing::draining)});
+    for (int i = 0; i < 10; ++i) ask(0), core.passEnded(now, id, 0, End::served, "");
+    for (const ProxyPass& one : fleet.started) EXPECT_EQ(one.server, core.handleOf("b"));
+    EXPECT_FALSE(core.accepts(core.handleOf("a")));
+}
+
+// Guards against one source's whole list wiping out what another source told.
+TEST_F(CoreTest, AWholeListReplacesItsOwnSourceOnly) {
+    Fleet other;
+    core.farm(now, fleet, RosterMode::whole, {entry("a")});
+    core.farm(now, other, RosterMode::changes, {entry("w")});
+    core.farm(now, fleet, RosterMode::whole, {entry("b")});
+    EXPECT_FALSE(core.accepts(core.handleOf("a")));
+    EXPECT_TRUE(core.accepts(core.handleOf("b")));
+    EXPECT_TRUE(core.accepts(core.handleOf("w")));
+    for (int i = 0; i < 10; ++i) ask(0);
+    EXPECT_FALSE(other.started.empty());
+}
+
+TEST_F(CoreTest, AServerThatNamesItsClassesGetsNoOther) {
+    auto only = entry("w");
+    only.entry.classes = 1;  // car-match
+    core.farm(now, fleet, RosterMode::whole, {only});
+    ask(1);
+    EXPECT_TRUE(fleet.started.empty());
+    ask(0);
+    EXPECT_EQ(fleet.started.size(), 1u);
+}
+
+TEST_F(CoreTest, ALeavingClientCallsItsPassesOff) {
+    core.farm(now, fleet, RosterMode::whole, {entry("a")});
+    const auto client = ask(1);
+    core.clientLeft(now, id);
+    core.clientLeft(now, id);
+    EXPECT_EQ(fleet.abandoned.size(), 1u);
+    core.passEnded(now, id, 0, End::served, "late");
+    EXPECT_EQ(client->answers, 0);
+    EXPECT_EQ(core.counters().left, 1u);
+}
+
+// --- the platform's pool, with the test in the place of the network ---
+struct Network : wire::Connector {
+    void connect(Time, std::shared_ptr<wire::Machine> machine, const std::string& address) override {
+        made.push_back(std::move(machine)), addresses.push_back(address);
+    }
+    std::string take(std::size_t i, Time now) {
+        std::string out;
+        while (!made[i]->out().empty()) {
+            const auto bytes = made[i]->out().pending();
+            out.append(bytes.data(), bytes.size());
+            made[i]->out().sent(bytes.size());
+            made[i]->sent(now);
+        }
+        return out;
+    }
+    void give(std::size_t i, Time now, std::string_view bytes) {
+        made[i]->in().put(bytes), made[i]->received(now);
+    }
+    std::vector<std::shared_ptr<wire::Machine>> made;
+    std::vector<std::string> addresses;
+};
+
+struct PoolTest : CoreTest {
+    PoolTest() {
+        for (const char* name : {"a", "b"})
+            pool.learn(now, core.handleOf(name), name, std::string(name) + ":1");
+        core.farm(now, pool, RosterMode::whole, {entry("a"), entry("b")});
+    }
+    std::shared_ptr<Client> job(std::uint32_t klass, const std::string& trace) {
+        auto client = std::make_shared<Client>();
+        Arrival arrival;
+        arrival.request.klass = klass, arrival.request.timeLeft = 5s;
+        arrival.job.className = core.site().classes[klass];
+        arrival.job.method = "POST", arrival.job.target = "/x?q=1", arrival.job.traceId = trace,
+        arrival.job.body = "b";
+        arrival.job.key = klass == 1 ? "key" : "";
+        arrival.client = client;
+        id = core.arrive(now, std::move(arrival));
+        return client;
+    }
+    std::string call(const std::string& state, const std::string& from, const std::string& trace = "t") {
+        return R"({"id":")" + trace + R"(","from":")" + from + R"(","state":")" + state +
+               R"(","result":"r\"1"})";
+    }
+    std::string holder(std::size_t connection) { return network.addresses[connection].substr(0, 1); }
+    Network network;
+    platform::Servers pool{core, deadlines, network};
+};
+
+TEST_F(PoolTest, PassesTheRequestOnUnchanged) {
+    job(1, "t");
+    ASSERT_EQ(network.made.size(), 1u);
+    network.made[0]->opened(now);
+    const std::string sent = network.take(0, now);
+    EXPECT_EQ(sent.find("POST /x?q=1 HTTP/1.1\r\n"), 0u);
+    for (const char* part : {"X-Trace-Id: t\r\n", "Idempotency-Key: key\r\n", "Content-Length: 1\r\n\r\nb"})
+        EXPECT_NE(sent.find(part), std::string::npos) << part;
+}
+
+// Guards against callbacks that come before the 202, repeat, or come from another server.
+TEST_F(PoolTest, TakesACallbackOnceAndFromTheRightServerOnly) {
+    const auto client = job(0, "t");
+    network.made[0]->opened(now);
+    network.take(0, now);
+    const std::string other = holder(0) == "a" ? "b" : "a";
+    EXPECT_TRUE(pool.callback(now, call("done", other)));
+    EXPECT_EQ(client->answers, 0);
+    EXPECT_TRUE(pool.callback(now, call("started", holder(0))));
+    EXPECT_TRUE(pool.callback(now, call("done", holder(0))));
+    EXPECT_EQ(client->last, "served r\"1");
+    EXPECT_TRUE(pool.callback(now, call("done", holder(0))));
+    EXPECT_TRUE(pool.callback(now, call("lost", holder(0))));
+    network.give(0, now, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(client->answers, 1);
+    EXPECT_EQ(pool.idle(), 1u);
+    EXPECT_FALSE(pool.callback(now, "{"));
+    EXPECT_FALSE(pool.callback(now, R"({"id":"t"})"));
+}
+
+TEST_F(PoolTest, AbandonsByClosingBeforeThe202AndByDeleteAfterIt) {
+    job(0, "t");
+    network.made[0]->opened(now);
+    network.take(0, now);
+    core.clientLeft(now, id);
+    EXPECT_EQ(network.made.size(), 1u);
+    EXPECT_EQ(pool.counters().deletes, 0u);
+    job(0, "u");
+    ASSERT_EQ(network.made.size(), 2u);  // the closed one is not used again
+    network.made[1]->opened(now);
+    network.take(1, now);
+    network.give(1, now, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    core.clientLeft(now, id);
+    EXPECT_EQ(network.take(1, now).find("DELETE /jobs/u HTTP/1.1\r\n"), 0u);
+}
+
+// Guards against a server's own 503 reaching the client, and against taking it for a job that never ran.
+TEST_F(PoolTest, ReadsWhatAnAnswerProves) {
+    for (const auto& [head, how] : {std::pair{"503 Busy\r\nX-Never-Ran: 1", End::handedBack},
+                                    {"504 Late\r\nX-Never-Ran: 1", End::handedBack},
+                                    {"503 Busy", End::failed},
+                                    {"500 No\r\nX-Never-Ran: 1", End::failed}}) {
+        const auto before = core.counters().ends[static_cast<std::size_t>(how)];
+        job(1, std::string("t") + head[0] + head[2] + std::to_string(before));
+        const std::size_t at = network.made.size() - 1;
+        network.made[at]->opened(now);
+        network.take(at, now);
+        network.give(at, now,
+                     "HTTP/1.1 " + std::string(head) + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        EXPECT_EQ(core.counters().ends[static_cast<std::size_t>(how)], before + 1) << head;
+    }
+}
+
+// Guards against writing to a connection that the server is about to close: that would end as a reset.
+TEST_F(PoolTest, DropsIdleConnectionsWellBeforeTheServerDoes) {
+    job(0, "t");
+    network.made[0]->opened(now);
+    network.take(0, now);
+    network.give(0, now, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(pool.idle(), 1u);
+    pass(3010ms);
+    EXPECT_EQ(pool.idle(), 0u);
+}
+
+TEST_F(PoolTest, AConnectionThatDoesNotComeUpProvesNothingRan) {
+    job(1, "t");
+    pass(260ms);
+    EXPECT_EQ(core.counters().ends[static_cast<std::size_t>(End::connectTimedOut)], 1u);
+    EXPECT_EQ(network.made.size(), 2u);  // a keyed job goes elsewhere: it never ran
+}
+
+TEST_F(PoolTest, TheWatchGoesOnAtOnceAndTellsWhenItIsLost) {
+    platform::Watch watch(core, pool, deadlines, network, "d:1");
+    watch.watch(now);
+    const std::size_t at = network.made.size() - 1;
+    network.made[at]->opened(now);
+    EXPECT_EQ(network.take(at, now).find("GET /api/targets?index=0&wait="), 0u);
+    const std::string list =
+        R"({"index":7,"snapshot":false,"endpoints":[{"name":"a","address":"a:1","zone":"sofia-1","type":"std-4",)"
+        R"("group":3,"status":"Terminating","weight":1.0,"since_ms":0}]})";
+    network.give(at, now,
+                 "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list);
+    EXPECT_FALSE(core.accepts(core.handleOf("a")));
+    EXPECT_EQ(network.take(at, now).find("GET /api/targets?index=7&wait="), 0u);
+    network.made[at]->ended(now, End::peerReset);
+    EXPECT_EQ(core.counters().farmLost, 1u);
+    EXPECT_FALSE(watch.running());
+    EXPECT_TRUE(core.accepts(core.handleOf("b")));  // the old list holds
+}
+
+// --- the platform's front: what a request may look like ---
+struct FrontTest : PoolTest {
+    std::string say(const std::string& request) {
+        const auto machine = front.accept(now);
+        machine->in().put(request);
+        machine->received(now);
+        network.made.push_back(machine);
+        return network.take(network.made.size() - 1, now);
+    }
+    platform::Front front{core, pool, deadlines};
+};
+
+TEST_F(FrontTest, AnswersWhatItCanNotTakeClearly) {
+    const auto status = [this](const std::string& request) { return say(request).substr(9, 3); };
+    EXPECT_EQ(status("GET /-/ready HTTP/1.1\r\n\r\n"), "200");
+    EXPECT_EQ(status("GET /car-match HTTP/1.1\r\n\r\n"), "405");
+    EXPECT_EQ(status("POST /render HTTP/1.1\r\nX-Trace-Id: 1\r\n\r\n"), "404");
+    EXPECT_EQ(status("POST /car-match HTTP/1.1\r\n\r\n"), "400");
+    EXPECT_EQ(status("POST /car-match HTTP/1.1\r\nX-Trace-Id: 1\r\nX-Expires-In-Ms: soon\r\n\r\n"), "400");
+    EXPECT_EQ(status("POST /callback HTTP/1.1\r\nContent-Length: 1\r\n\r\n{"), "400");
+    EXPECT_EQ(status("POST /callback HTTP/1.1\r\nContent-Length: " +
+                     std::to_string(call("done", "z").size()) + "\r\n\r\n" + call("done", "z")),
+              "204");
+}
+
+TEST_F(FrontTest, TurnsNewJobsAwayOnceTheHandOverIsOver) {
+    front.drain(now);
+    const std::string request = "POST /car-match HTTP/1.1\r\nX-Trace-Id: 1\r\n\r\n";
+    EXPECT_EQ(say(request), "");  // still taken: clients come for a while
+    EXPECT_EQ(core.open(), 1u);
+    now += 800ms;
+    const std::string answer = say(request);
+    EXPECT_EQ(answer.substr(9, 3), "503");
+    EXPECT_NE(answer.find("Retry-After: 0.1"), std::string::npos);
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+}
+
+TEST_F(FrontTest, ClosesTheLongestIdleConnectionWhenShort) {
+    const auto busy = front.accept(now);
+    busy->in().put("POST /car-match HTTP/1.1\r\nX-Trace-Id: 1\r\n\r\n");
+    busy->received(now);
+    front.accept(now);
+    EXPECT_TRUE(front.relieve(now));
+    EXPECT_FALSE(front.relieve(now));  // the one that is owed an answer stays
+    EXPECT_EQ(front.open(), 1u);
+}
+
+}  // namespace
+}  // namespace amberswitch
--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -23,7 +23,8 @@
     s.module.classes.resize(2);
     s.module.classes[0].goal = 400ms, s.module.classes[0].giveUp = 8s;
     s.module.classes[1].goal = 400ms, s.module.classes[1].giveUp = 5s, s.module.classes[1].window = 7500ms;
-    s.module.classes[1].effect = heronmount::Effect::keyed, s.module.classes[1].group = heronmount::Group::cell;
+    s.module.classes[1].effect = heronmount::Effect::keyed,
+    s.module.classes[1].group = heronmount::Group::cell;
     s.module.maxAttempts = 3, s.module.mayCancel = true, s.module.tellsStart = true;
     s.module.retryAdvice = true, s.module.maxRetryAfter = 2s, s.module.tick = 4ms;
     s.idleClose = 5s, s.connectTimeout = 250ms;
@@ -46,7 +47,8 @@
 class World {
 public:
     virtual ~World() = default;
-    virtual std::size_t submit(const std::string& className, const std::string& key, const std::string& body) = 0;
+    virtual std::size_t submit(const std::string& className, const std::string& key,
+                               const std::string& body) = 0;
     virtual void leave(std::size_t client) = 0;
     virtual std::size_t addServer() = 0;
     virtual void drain(std::size_t server) = 0;
@@ -103,7 +105,8 @@
 // --- the platform's HTTP ---
 class HttpWorld : public World, public wire::Connector {
 public:
-    std::size_t submit(const std::string& className, const std::string& key, const std::string& body) override {
+    std::size_t submit(const std::string& className, const std::string& key,
+                       const std::string& body) override {
         seen.emplace_back();
         clients_.push_back(std::make_shared<Client>(*this, seen.size() - 1));
         clients_.back()->ask("POST /" + className + " HTTP/1.1\r\nHost: x\r\nX-Trace-Id: t" +
@@ -117,14 +120,16 @@
     std::size_t addServer() override {
         servers_.push_back(std::make_unique<Server>(*this, servers_.size()));
         held.emplace_back();
-        pool_.learn(now, core.handleOf(servers_.back()->name), servers_.back()->name, port(servers_.back()->listener));
+        pool_.learn(now, core.handleOf(servers_.back()->name), servers_.back()->name,
+                    port(servers_.back()->listener));
         list(servers_.size() - 1, Standing::on);
         return servers_.size() - 1;
     }
     void drain(std::size_t server) override { list(server, Standing::draining); }
     void vanish(std::size_t server) override {
         list(server, Standing::off);
-        for (const std::string& id : std::exchange(servers_[server]->running, {})) call(server, id, "lost", "");
+        for (const std::string& id : std::exchange(servers_[server]->running, {}))
+            call(server, id, "lost", "");
         EXPECT_TRUE(until([&] { return calls_ == 0; }));
     }
     void connect(Time, std::shared_ptr<wire::Machine> machine, const std::string& address) override {
@@ -165,7 +170,8 @@
         std::vector<std::string> running;
     };
     struct Taker : http::Server {
-        Taker(HttpWorld& w, std::size_t s, Time at) : http::Server(w.loop.deadlines(), at), world(w), server(s) {}
+        Taker(HttpWorld& w, std::size_t s, Time at)
+            : http::Server(w.loop.deadlines(), at), world(w), server(s) {}
         void request(Time at, http::Message message) override {
             auto& running = world.servers_[server]->running;
             if (message.method == "DELETE") {
@@ -190,7 +196,8 @@
         std::size_t server;
     };
 
-    void call(std::size_t server, const std::string& id, const std::string& state, const std::string& result) {
+    void call(std::size_t server, const std::string& id, const std::string& state,
+              const std::string& result) {
         const std::string body = R"({"id":")" + id + R"(","from":")" + servers_[server]->name +
                                  R"(","state":")" + state + R"(","result":")" + result + "\"}";
         const auto caller = std::make_shared<Caller>(*this);
@@ -217,7 +224,8 @@
 // --- Gearman ---
 class GearmanWorld : public World {
 public:
-    std::size_t submit(const std::string& className, const std::string& key, const std::string& body) override {
+    std::size_t submit(const std::string& className, const std::string& key,
+                       const std::string& body) override {
         seen.emplace_back();
         clients_.push_back(std::make_shared<Client>(*this, seen.size() - 1));
         clients_.back()->say(gearman::Type::submitJob, {className, key, body});
@@ -309,7 +317,8 @@
 
     gearman::Config config() const {
         gearman::Config c;
-        for (const auto& klass : core.site().module.classes) c.functions.push_back({klass.giveUp, klass.giveUp, 1});
+        for (const auto& klass : core.site().module.classes)
+            c.functions.push_back({klass.giveUp, klass.giveUp, 1});
         return c;
     }
     gearman::Front front_{core, loop.deadlines(), config()};
@@ -319,7 +328,8 @@
 };
 
 // --- scenarios ---
-using Counts = std::vector<std::uint64_t>;  // served, unavailable, failed, left, passes, withheld, late results
+using Counts =
+    std::vector<std::uint64_t>;  // served, unavailable, failed, left, passes, withheld, late results
 
 Counts countsOf(const World& world) {
     const auto& c = world.core.counters();
@@ -333,12 +343,15 @@
     return counts;
 }
 
-bool answered(const World& world, std::size_t client) { return world.seen[client].fate != Fate::pending; }
+bool answered(const World& world, std::size_t client) {
+    return world.seen[client].fate != Fate::pending;
+}
 
 void plainWork(World& w) {
     for (int i = 0; i < 2; ++i) w.addServer();
     for (int i = 0; i < 6; ++i) {
-        const auto client = w.submit(i % 2 ? "job-assign" : "car-match", i % 2 ? "k" + std::to_string(i) : "", "b");
+        const auto client =
+            w.submit(i % 2 ? "job-assign" : "car-match", i % 2 ? "k" + std::to_string(i) : "", "b");
         const Held job = w.take(w.holder());
         EXPECT_EQ(job.className, i % 2 ? "job-assign" : "car-match");
         job.complete("r" + std::to_string(i));
--- /dev/null
+++ b/tests/gearman_test.cpp
@@ -0,0 +1,340 @@
+// Gearman's packets and the front's behaviour towards odd peers, without a socket.
+#include <gtest/gtest.h>
+
+#include "gearman/front.hpp"
+
+namespace amberswitch::gearman {
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST(Decoder, TakesPacketsCutAnywhere) {
+    const std::string one = encode(true, Type::submitJob, {"car-match", "u", std::string_view("a\0b", 3)}),
+                      two = one + "status\r\n";
+    for (std::size_t cut = 0; cut <= one.size(); ++cut) {
+        Decoder decoder(true);
+        EXPECT_EQ(decoder.feed(std::string_view(two).substr(0, cut)), cut);
+        EXPECT_EQ(decoder.feed(std::string_view(two).substr(cut)), one.size() - cut);
+        ASSERT_TRUE(decoder.packetReady());
+        const Packet packet = decoder.takePacket();
+        EXPECT_EQ(packet.arguments, (std::vector<std::string>{"car-match", "u", std::string("a\0b", 3)}));
+        EXPECT_EQ(decoder.feed("status\r\n"), 8u);
+        ASSERT_TRUE(decoder.lineReady());
+        EXPECT_EQ(decoder.takeLine(), "status");
+    }
+}
+
+TEST(Decoder, RefusesWhatIsNoPacket) {
+    const auto fault = [](const std::string& bytes) {
+        Decoder decoder(true);
+        decoder.feed(bytes);
+        return decoder.bad() ? std::string(decoder.fault()) : "taken";
+    };
+    EXPECT_EQ(fault(encode(false, Type::grabJob, {})), "bad magic");
+    EXPECT_EQ(fault(encode(true, static_cast<Type>(5), {})), "unknown packet type");
+    EXPECT_EQ(fault(std::string("\0REQ\0\0\0\7\xff\xff\xff\xff", 12)), "the packet is too long");
+    EXPECT_EQ(fault(encode(true, Type::submitJob, {"car-match"})),
+              "the packet's length does not fit its type");
+    EXPECT_EQ(fault(encode(true, Type::grabJob, {"more"})), "the packet's length does not fit its type");
+    EXPECT_EQ(fault(std::string(600, 'x')), "the command is too long");
+}
+
+settings::Site site() {
+    settings::Site s;
+    s.classes = {"car-match", "job-assign"};
+    s.tenants = {"maritsa-taxi", "trakia-coop"};
+    s.module.classes.resize(2);
+    for (auto& klass : s.module.classes) klass.goal = 400ms, klass.giveUp = 5s;
+    s.module.tenants.resize(2);
+    s.module.maxAttempts = 3, s.module.mayCancel = true, s.module.tellsStart = true,
+    s.module.retryAdvice = true;
+    s.module.maxRetryAfter = 2s, s.module.tick = 4ms;
+    return s;
+}
+
+Config config() {
+    simdjson::dom::parser parser;
+    const settings::object json =
+        parser.parse(std::string(R"({"listen":"127.0.0.1:0","tenants":{"m":"maritsa-taxi"},
+        "functions":{"car-match":{"deadline_ms":2000}},"worker_queue":1})"));
+    return readConfig(json, site());
+}
+
+struct GearmanFrontTest : testing::Test {
+    struct Peer {
+        std::shared_ptr<wire::Machine> machine;
+        Decoder decoder{false};
+    };
+    Peer join() { return {front.accept(now), Decoder(false)}; }
+    void say(Peer& peer, std::string bytes) {
+        while (!bytes.empty()) {
+            bytes.erase(0, peer.machine->in().put(bytes));
+            peer.machine->received(now);
+        }
+    }
+    void say(Peer& peer, Type type, std::initializer_list<std::string_view> arguments = {}) {
+        say(peer, encode(true, type, arguments));
+    }
+    std::string raw(Peer& peer) {
+        std::string out;
+        while (!peer.machine->out().empty()) {
+            const auto bytes = peer.machine->out().pending();
+            out.append(bytes.data(), bytes.size());
+            peer.machine->out().sent(bytes.size());
+        }
+        return out;
+    }
+    std::vector<Packet> heard(Peer& peer) {
+        std::vector<Packet> out;
+        std::string bytes = raw(peer);
+        while (!bytes.empty()) {
+            bytes.erase(0, peer.decoder.feed(bytes));
+            if (!peer.decoder.packetReady()) break;
+            out.push_back(peer.decoder.takePacket());
+        }
+        return out;
+    }
+    Packet last(Peer& peer) {
+        const auto all = heard(peer);
+        return all.empty() ? Packet{} : all.back();
+    }
+    Peer worker(std::initializer_list<const char*> functions) {
+        Peer peer = join();
+        for (const char* name : functions) say(peer, Type::canDo, {name});
+        say(peer, Type::preSleep);
+        return peer;
+    }
+    void pass(Nanos time) {
+        for (Nanos done{0}; done < time; done += 10ms) now += 10ms, deadlines.sweep(now);
+    }
+    Time now{100s};
+    Deadlines deadlines;
+    Core core{site(), 3, deadlines};
+    Front front{core, deadlines, config()};
+};
+
+TEST_F(GearmanFrontTest, WakesAWorkerAndCarriesItsReportsToTheClient) {
+    Peer able = worker({"car-match"}), client = join();
+    say(client, Type::optionReq, {"exceptions"});
+    EXPECT_EQ(last(client).type, Type::optionRes);
+    say(client, Type::submitJob, {"car-match", "u", "data"});
+    const Packet created = last(client);
+    ASSERT_EQ(created.type, Type::jobCreated);
+    EXPECT_EQ(last(able).type, Type::noop);
+    say(able, Type::grabJobUniq);
+    const Packet assigned = last(able);
+    ASSERT_EQ(assigned.type, Type::jobAssignUniq);
+    EXPECT_EQ(assigned.arguments[2] + assigned.arguments[3], "udata");
+    say(able, Type::grabJob);
+    EXPECT_EQ(last(able).type, Type::noJob);
+    const std::string& job = assigned.arguments[0];
+    say(able, Type::workData, {job, "part"});
+    say(able, Type::workStatus, {job, "1", "4"});
+    say(client, Type::getStatus, {created.arguments[0]});
+    const auto news = heard(client);
+    ASSERT_EQ(news.size(), 3u);
+    EXPECT_EQ(news[0].arguments[1], "part");
+    EXPECT_EQ(news[1].arguments[1] + "/" + news[1].arguments[2], "25/100");
+    EXPECT_EQ(news[2].arguments, (std::vector<std::string>{created.arguments[0], "1", "1", "25", "100"}));
+    say(able, Type::workComplete, {job, "result"});
+    say(able, Type::workComplete, {job, "twice"});
+    const auto end = heard(client);
+    ASSERT_EQ(end.size(), 1u);
+    EXPECT_EQ(end[0].arguments, (std::vector<std::string>{created.arguments[0], "result"}));
+}
+
+TEST_F(GearmanFrontTest, AJobWithTheSameUniqueIdIsOneJob) {
+    Peer able = worker({"car-match"}), first = join(), second = join();
+    say(first, Type::submitJob, {"car-match", "u", "data"});
+    say(second, Type::submitJob, {"car-match", "u", "data"});
+    EXPECT_EQ(last(first).arguments, last(second).arguments);
+    EXPECT_EQ(core.counters().taken, 1u);
+    say(able, Type::grabJob);
+    first.machine->ended(now, End::peerClosed);  // one of two leaves: the job goes on
+    EXPECT_EQ(core.counters().left, 0u);
+    say(able, Type::workComplete, {last(able).arguments[0], "r"});
+    EXPECT_EQ(last(second).type, Type::workComplete);
+}
+
+TEST_F(GearmanFrontTest, ABackgroundJobOutlivesItsClientAndAForegroundOneDoesNot) {
+    Peer able = worker({"car-match", "job-assign"}), client = join();
+    say(client, Type::submitJobBg, {"job-assign", "", "bg"});
+    say(client, Type::submitJob, {"car-match", "", "fg"});
+    client.machine->ended(now, End::peerClosed);
+    EXPECT_EQ(core.counters().left, 1u);
+    say(able, Type::grabJob);
+    say(able, Type::workComplete, {last(able).arguments[0], "r"});
+    EXPECT_EQ(core.counters().served, 1u);
+}
+
+TEST_F(GearmanFrontTest, AnExceptionReachesClientsThatAskForItAndFailsTheJob) {
+    Peer able = worker({"job-assign"}), client = join();
+    say(client, Type::optionReq, {"exceptions"});
+    say(client, Type::submitJob, {"job-assign", "", "x"});
+    for (int tries = 0; tries < 3; ++tries) {  // job-assign is safe on this test's site: it is tried again
+        say(able, Type::grabJob);
+        const Packet job = last(able);
+        if (job.type != Type::jobAssign) break;
+        say(able, Type::workException, {job.arguments[0], "no driver"});
+    }
+    pass(5s);
+    EXPECT_EQ(core.counters().unavailable + core.counters().failed, 1u);
+}
+
+// Guards against a worker getting what it no longer, or never, said it can do.
+TEST_F(GearmanFrontTest, WithdrawnFunctionsGoBackUnstarted) {
+    Peer one = worker({"car-match"}), client = join();
+    say(client, Type::submitJob, {"car-match", "", "x"});
+    say(one, Type::cantDo, {"car-match"});
+    EXPECT_EQ(core.counters().ends[static_cast<std::size_t>(End::handedBack)], 1u);
+    Peer two = worker({"job-assign"}), three = worker({"car-match"});
+    pass(100ms);
+    EXPECT_TRUE(heard(two).empty());
+    EXPECT_EQ(last(three).type, Type::noop);
+}
+
+TEST_F(GearmanFrontTest, AWorkersOwnTimeLimitEndsTheJob) {
+    Peer able = join(), client = join();
+    say(able, Type::canDoTimeout, {"job-assign", "1"});
+    say(client, Type::submitJob, {"job-assign", "", "x"});
+    say(able, Type::grabJob);
+    pass(1050ms);
+    EXPECT_EQ(core.counters().ends[static_cast<std::size_t>(End::timedOut)], 1u);
+}
+
+TEST_F(GearmanFrontTest, RefusalsCarryAdvice) {
+    Peer client = join();
+    say(client, Type::submitJob, {"car-match", "", "x"});
+    EXPECT_EQ(last(client).type, Type::jobCreated);
+    pass(2s);
+    const auto end = heard(client);
+    ASSERT_EQ(end.size(), 2u);
+    EXPECT_EQ(end[0].type, Type::workWarning);
+    EXPECT_EQ(end[0].arguments[1], "unavailable; Retry-After: 0.100");
+    EXPECT_EQ(end[1].type, Type::workFail);
+    say(client, "maxqueue car-match 1\n");
+    EXPECT_EQ(raw(client), "OK\n");
+    say(client, Type::submitJob, {"car-match", "", "x"});
+    say(client, Type::submitJob, {"car-match", "", "y"});
+    EXPECT_EQ(last(client).arguments[0], "ERR_UNAVAILABLE");
+    say(client, Type::submitJob, {"render", "", "x"});
+    EXPECT_EQ(last(client).arguments[0], "ERR_UNKNOWN_FUNCTION");
+}
+
+TEST_F(GearmanFrontTest, MalformedBytesGetAnErrorAndAClose) {
+    for (const std::string& bytes :
+         {std::string("\0BAD\0\0\0\1\0\0\0\0", 12), encode(true, static_cast<Type>(99), {}),
+          encode(true, Type::jobCreated, {"h"}), std::string("\0REQ\0\0\0\7\x7f\0\0\0", 12)}) {
+        Peer peer = join();
+        say(peer, bytes);
+        EXPECT_EQ(last(peer).type, Type::error);
+        EXPECT_TRUE(peer.machine->finished());
+    }
+    Peer half = join();
+    say(half, std::string("\0REQ", 4));
+    pass(11s);
+    EXPECT_TRUE(half.machine->finished());
+}
+
+TEST_F(GearmanFrontTest, TheAdministrativeCommandsTellWhatIsThere) {
+    Peer able = worker({"car-match"}), client = join(), admin = join();
+    say(able, Type::setClientId, {"taxi-1"});
+    say(client, Type::submitJob, {"car-match", "u", "x"});
+    const auto tells = [&](const std::string& command) {
+        say(admin, command + "\n");
+        return raw(admin);
+    };
+    EXPECT_EQ(tells("status"), "car-match\t1\t0\t1\njob-assign\t0\t0\t0\n.\n");
+    EXPECT_EQ(tells("prioritystatus"), "car-match\t0\t1\t0\t1\njob-assign\t0\t0\t0\t0\n.\n");
+    EXPECT_NE(tells("workers").find("- taxi-1 : car-match\n"), std::string::npos);
+    EXPECT_EQ(tells("show unique jobs"), "u\n.\n");
+    EXPECT_EQ(tells("version").substr(0, 15), "OK amberswitch ");
+    EXPECT_EQ(tells("dance").substr(0, 4), "ERR ");
+    EXPECT_EQ(tells("cancel job H:amberswitch:1"), "OK\n");
+    EXPECT_EQ(tells("status"), "car-match\t0\t0\t1\njob-assign\t0\t0\t0\n.\n");
+    bool down = false;
+    front.setShutdown([&](Time) { down = true; });
+    EXPECT_EQ(tells("shutdown"), "OK\n");
+    EXPECT_TRUE(down);
+}
+
+// A worker's model, in random steps: it never holds more than it may, gets only what it offers, and every job
+// ends exactly once.
+TEST_F(GearmanFrontTest, WorkersKeepToTheirModelInRandomSteps) {
+    std::uint64_t state = 42;
+    const auto roll = [&state](std::uint64_t sides) {
+        state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+        return (state >> 33) % sides;
+    };
+    struct Model {
+        Peer peer;
+        std::set<std::string> functions;
+        std::string job;
+    };
+    std::vector<Model> workers(3);
+    for (Model& w : workers) w.peer = join();
+    Peer client = join();
+    std::uint64_t submitted = 0;
+    const char* const names[] = {"car-match", "job-assign"};
+    for (int step = 0; step < 4000; ++step) {
+        Model& w = workers[roll(workers.size())];
+        const std::string name = names[roll(2)];
+        const auto action = roll(20);
+        if (action < 5) {
+            say(client, roll(4) == 0 ? Type::submitJobHigh : Type::submitJob, {name, "", "x"}), ++submitted;
+        } else if (action < 7) {
+            say(w.peer, Type::canDo, {name}), w.functions.insert(name);
+        } else if (action == 7) {
+            say(w.peer, Type::cantDo, {name}), w.functions.erase(name);
+        } else if (action < 13) {
+            heard(w.peer);
+            say(w.peer, Type::grabJob);
+            const Packet given = last(w.peer);
+            if (!w.job.empty()) {
+                EXPECT_EQ(given.type, Type::noJob) << "one job at a time";
+            } else if (given.type == Type::jobAssign) {
+                EXPECT_TRUE(w.functions.contains(given.arguments[1]));
+                w.job = given.arguments[0];
+            }
+        } else if (action < 17 && !w.job.empty()) {
+            say(w.peer, roll(5) == 0 ? Type::workException : Type::workComplete, {w.job, "r"}), w.job.clear();
+        } else if (action == 17) {
+            say(w.peer, Type::preSleep);
+        } else if (action == 18 && roll(10) == 0) {
+            w.peer.machine->ended(now, End::peerReset);
+            w = Model{join(), {}, {}};
+        } else {
+            pass(10ms * static_cast<int>(roll(20)));
+        }
+        raw(client);
+        const auto& c = core.counters();
+        ASSERT_EQ(c.served + c.unavailable + c.failed + c.left + core.open(), c.taken);
+        ASSERT_EQ(c.taken, submitted);
+    }
+    pass(9s);
+    EXPECT_EQ(core.open(), 0u);
+    EXPECT_GT(core.counters().served, 100u);
+    EXPECT_EQ(core.counters().withheld, 0u);
+}
+
+TEST(Config, NamesTheFieldThatIsWrong) {
+    const auto fault = [](const std::string& text) -> std::string {
+        simdjson::dom::parser parser;
+        try {
+            readConfig(settings::object(parser.parse(text)), site());
+        } catch (const settings::BadField& bad) {
+            return bad.what();
+        }
+        return "taken";
+    };
+    EXPECT_EQ(fault("{}"), "taken");
+    EXPECT_EQ(fault(R"({"listen":7})"), "field 'listen' is not a string");
+    EXPECT_EQ(fault(R"({"functions":{"render":{}}})"), "field 'functions' names the unknown class 'render'");
+    EXPECT_EQ(fault(R"({"functions":{"car-match":{"deadline_ms":0}}})"),
+              "field 'deadline_ms' is out of range");
+    EXPECT_EQ(fault(R"({"tenants":{"x":"nobody"}})"), "field 'tenants' names the unknown tenant 'nobody'");
+    EXPECT_EQ(fault(R"({"worker_slots":0})"), "field 'worker_slots' is out of range");
+}
+
+}  // namespace
+}  // namespace amberswitch::gearman
