--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,7 +1,9 @@
 #include "net/loop.hpp"
 
-#include <boost/asio/yield.hpp>  // last: it defines words
 #include <charconv>
+// clang-format off
+#include <boost/asio/yield.hpp>  // last: it defines words
+// clang-format on
 
 namespace amberswitch::net {
 
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -2,7 +2,10 @@
 // deadlines, and one timer is armed for the first of them.
 #pragma once
 
+// clang-format off
+#include <utility>  // Boost 1.74's asio uses it without including it
 #include <boost/asio.hpp>
+// clang-format on
 #include <boost/asio/coroutine.hpp>
 #include <boost/asio/strand.hpp>
 #include <functional>
@@ -10,7 +13,6 @@
 #include <optional>
 #include <string>
 #include <unordered_set>
-#include <utility>  // Boost 1.74's asio uses it without including it
 #include <vector>
 
 #include "wire/machine.hpp"
