--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -160,7 +160,7 @@
         const std::uint64_t tag = timer->tag;
         deadlines_.once(now + timer->delay, [this, tag](Time at) { tell(at, TimerFired{tag}); });
     } else if (std::holds_alternative<Subscribe>(action)) {
-        if (watched_) watched_->watch(now);
+        for (FarmSource* const source : sources_) source->watch(now);
     } else if (const auto* probe = std::get_if<Probe>(&action)) {
         if (probe->worker < farm_.size() && farm_[probe->worker].side)
             farm_[probe->worker].side->probe(now, probe->worker);
@@ -227,18 +227,19 @@
     return at->second;
 }
 
-void Core::farm(Time now, ApplicationServers& servers, RosterMode mode,
+void Core::farm(Time now, const FarmSource& source, ApplicationServers& servers, RosterMode mode,
                 const std::vector<FarmEntry>& entries) {
     ++counters_.farmUpdates;
     RosterUpdate update;
     update.mode = mode;
     if (mode != RosterMode::changes)
         for (Server& server : farm_)
-            if (server.side == &servers) server.listed = server.on = false;
+            if (server.source == &source) server.listed = server.on = false;
     for (const FarmEntry& told : entries) {
         const Worker handle = handleOf(told.name);
         Server& server = farm_[handle];
         server.side = &servers;
+        server.source = &source;
         server.entry = told.entry;
         server.entry.worker = handle;
         server.entry.id = settings::fingerprint(told.name);
@@ -249,8 +250,7 @@
     // The module takes a whole list as all there is: what other sources told goes in again.
     if (mode != RosterMode::changes)
         for (const Server& server : farm_)
-            if (server.side && server.side != &servers && server.listed)
-                update.entries.push_back(server.entry);
+            if (server.source != &source && server.listed) update.entries.push_back(server.entry);
     tell(now, std::move(update));
 }
 
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -14,8 +14,8 @@
 public:
     Core(const settings::Site& site, std::uint64_t seed, Deadlines& deadlines);
 
-    // The source that is asked when the module wants the list watched; it may be absent.
-    void setFarmSource(FarmSource* source) { watched_ = source; }
+    // A source that is to watch its list when the module wants that.
+    void addFarmSource(FarmSource& source) { sources_.push_back(&source); }
 
     // From a front. The final answer may come before this returns.
     TransactionId arrive(Time now, Arrival arrival);
@@ -30,8 +30,8 @@
     void probeAnswered(Time now, Worker server, bool ok, const LoadReport& load);
 
     // From a farm source. `servers` speak for the entries of this update. A whole list replaces what the
-    // same `servers` had told before, and nothing else.
-    void farm(Time now, ApplicationServers& servers, heronmount::RosterMode mode,
+    // same source had told before, and nothing else.
+    void farm(Time now, const FarmSource& source, ApplicationServers& servers, heronmount::RosterMode mode,
               const std::vector<FarmEntry>& entries);
     void farmLost(Time now);
 
@@ -67,6 +67,7 @@
     struct Server {
         std::string name;
         ApplicationServers* side = nullptr;
+        const FarmSource* source = nullptr;
         bool listed = false, on = false;
         heronmount::RosterEntry entry;
     };
@@ -87,7 +88,7 @@
     settings::Site site_;
     heronmount::Dispatcher dispatcher_;
     Deadlines& deadlines_;
-    FarmSource* watched_ = nullptr;
+    std::vector<FarmSource*> sources_;
     std::unordered_map<std::string, Worker> handles_;
     std::vector<Server> farm_;
     std::unordered_map<TransactionId, Transaction> transactions_;
--- a/src/core/transaction.hpp
+++ b/src/core/transaction.hpp
@@ -73,7 +73,7 @@
 class FarmSource {
 public:
     virtual ~FarmSource() = default;
-    virtual void watch(Time now) = 0;
+    virtual void watch(Time) {}  // where it must be asked; one that watches already goes on
 };
 
 struct FarmEntry {
--- a/src/gearman/front.cpp
+++ b/src/gearman/front.cpp
@@ -420,7 +420,7 @@
     told.entry.since = since_;
     told.entry.standing = functions_.empty() ? Standing::draining : Standing::on;
     for (const std::size_t klass : functions_) told.entry.classes |= std::uint64_t{1} << klass;
-    owner_.core_.farm(now, owner_, RosterMode::changes, {told});
+    owner_.core_.farm(now, owner_, owner_, RosterMode::changes, {told});
     takeBack(now, false);
 }
 
@@ -439,7 +439,7 @@
         functions_.clear();
         owner_.workers_.erase(server_);
         slot_.reset();
-        owner_.core_.farm(now, owner_, RosterMode::changes, {told});
+        owner_.core_.farm(now, owner_, owner_, RosterMode::changes, {told});
         owner_.freeSlots_.insert(slot);
     }
     std::vector<Offered> back;
--- a/src/gearman/front.hpp
+++ b/src/gearman/front.hpp
@@ -15,7 +15,7 @@
 
 namespace amberswitch::gearman {
 
-class Front : public ApplicationServers {
+class Front : public ApplicationServers, public FarmSource {
 public:
     Front(Core& core, Deadlines& deadlines, Config config);
     ~Front() override;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -10,6 +10,8 @@
 public:
     enum class State { connecting, idle, writing, awaiting, ended };
 
+    explicit Client(std::size_t mostBody = kMostBody) : parser_(Parser::Kind::answer, mostBody) {}
+
     State state() const { return state_; }
     bool written() const { return state_ == State::awaiting; }
     void ask(std::string_view request);  // while connecting it waits; else the connection must be idle
@@ -29,7 +31,7 @@
 private:
     void finish(Time now, End how);
 
-    Parser parser_{Parser::Kind::answer};
+    Parser parser_;
     State state_ = State::connecting;
     bool asked_ = false;
 };
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -93,7 +93,7 @@
         if (state_ == State::untilClose) {
             message_.body.append(rest);
             at += rest.size();
-            if (message_.body.size() > kMostBody) fail(413);
+            if (message_.body.size() > mostBody_) fail(413);
             continue;
         }
         const std::size_t end = rest.find('\n');
@@ -126,7 +126,7 @@
             const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), size, 16);
             if (digits.empty() || error != std::errc() || end != digits.data() + digits.size())
                 return fail(400);
-            if (size > kMostBody || message_.body.size() + size > kMostBody) return fail(413);
+            if (size > mostBody_ || message_.body.size() + size > mostBody_) return fail(413);
             left_ = size;
             state_ = size == 0 ? State::trailer : State::chunk;
             return true;
@@ -203,7 +203,7 @@
     const bool bodiless =
         kind_ == Kind::answer && (message_.status < 200 || message_.status == 204 || message_.status == 304);
     if (kind_ == Kind::answer && message_.status < 200) {  // an interim answer: the real one follows
-        *this = Parser(kind_);
+        *this = Parser(kind_, mostBody_);
         return true;
     }
     if (bodiless || (length_ && *length_ == 0)) {
@@ -211,7 +211,7 @@
     } else if (chunked_) {
         state_ = State::chunkSize;
     } else if (length_) {
-        if (*length_ > kMostBody) return fail(413);
+        if (*length_ > mostBody_) return fail(413);
         left_ = *length_;
         state_ = State::body;
     } else if (kind_ == Kind::answer) {
@@ -229,7 +229,7 @@
 
 Message Parser::take() {
     Message out = std::move(message_);
-    *this = Parser(kind_);
+    *this = Parser(kind_, mostBody_);
     return out;
 }
 
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -30,7 +30,7 @@
     enum class Kind { request, answer };
     enum class State { head, body, chunkSize, chunk, chunkEnd, trailer, untilClose, complete, bad };
 
-    explicit Parser(Kind kind) : kind_(kind) {}
+    explicit Parser(Kind kind, std::size_t mostBody = kMostBody) : kind_(kind), mostBody_(mostBody) {}
 
     // Takes bytes until the message is complete; returns how many it took.
     std::size_t feed(std::string_view bytes);
@@ -57,6 +57,7 @@
     }
 
     Kind kind_;
+    std::size_t mostBody_;
     State state_ = State::head;
     Message message_;
     std::string line_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 
 #include "gearman/front.hpp"
 #include "net/loop.hpp"
+#include "platform/consul.hpp"
 #include "platform/front.hpp"
 #include "platform/watch.hpp"
 #include "report.hpp"
@@ -24,6 +25,7 @@
     std::size_t sockets = 1024;
     settings::Site site;
     gearman::Config gearman;
+    platform::ConsulConfig consul;
 };
 
 struct Wiring : wire::Connector {
@@ -55,23 +57,27 @@
     return number;
 }
 
-// The Gearman front's own file. Without one the front is off.
-gearman::Config readGearman(const settings::Site& site) {
-    const char* const given = std::getenv("AMBERSWITCH_GEARMAN");
-    const std::string path = given ? given : "deploy/gearman.json";
+// A file of the project's own under deploy/, or the one that the variable names. Without one, what it is
+// for is off.
+template <class Read>
+auto readOwn(const char* variable, const char* usual, Read&& read) {
+    const char* const given = std::getenv(variable);
+    const std::string path = given ? given : usual;
+    decltype(read(std::declval<settings::object>())) config;
     std::ifstream file(path);
     if (!file && given) throw BadField("can't read " + path);
-    if (!file) return {};
+    if (!file) return config;
     std::stringstream text;
     text << file.rdbuf();
     simdjson::dom::parser parser;
     settings::element root;
     if (const auto error = parser.parse(text.str()).get(root); error != simdjson::SUCCESS)
         throw BadField(path + " is not valid JSON: " + simdjson::error_message(error));
-    gearman::Config config = gearman::readConfig(settings::asObject(root, path), site);
-    if (!config.listen.empty() && !net::endpointOf(config.listen))
-        throw BadField(path + ": field 'listen' is not an address and a port");
-    return config;
+    try {
+        return read(settings::asObject(root, "the file"));
+    } catch (const BadField& bad) {
+        throw BadField(path + ": " + bad.what());
+    }
 }
 
 Config readConfig(const settings::object& from) {
@@ -87,7 +93,14 @@
     if (!net::endpointOf(config.discovery)) throw BadField("field 'discovery' is not an address and a port");
     if (config.sockets < 64) throw BadField("field 'limits.sockets' is under 64");
     config.site = settings::readSite(settings::table(from, "settings"));
-    config.gearman = readGearman(config.site);
+    config.gearman = readOwn("AMBERSWITCH_GEARMAN", "deploy/gearman.json", [&](const settings::object& own) {
+        return gearman::readConfig(own, config.site);
+    });
+    if (!config.gearman.listen.empty() && !net::endpointOf(config.gearman.listen))
+        throw BadField("gearman: field 'listen' is not an address and a port");
+    config.consul = readOwn("AMBERSWITCH_CONSUL", "deploy/consul.json", platform::readConsul);
+    if (!config.consul.address.empty() && !net::endpointOf(config.consul.address))
+        throw BadField("consul: field 'address' is not an address and a port");
     return config;
 }
 
@@ -98,7 +111,7 @@
     platform::Servers servers(core, loop.deadlines(), wiring);
     platform::Watch watch(core, servers, loop.deadlines(), wiring, config.discovery);
     platform::Front front(core, servers, loop.deadlines());
-    core.setFarmSource(&watch);
+    core.addFarmSource(watch);
 
     // Descriptors: some are the process's own, some are kept for passes so that a crowd of clients can't
     // stop the jobs that were taken.
@@ -114,6 +127,12 @@
     if (const auto known = settings::find(json, "known"))
         watch.known(loop.now(), settings::asObject(*known, "known"));
 
+    platform::Consul consul(core, servers, loop.deadlines(), wiring, config.consul);
+    if (!config.consul.address.empty()) {
+        core.addFarmSource(consul);
+        consul.watch(loop.now());
+    }
+
     net::Listener listener(loop, *net::endpointOf(config.listen),
                            [&](Time now) { return front.accept(now); });
     listener.setGate([&](Time now) { return roomBelow(now, forClients); });
@@ -145,7 +164,8 @@
     loop.onSignal(SIGTERM, drain);
     loop.onSignal(SIGINT, drain);
     gearman.setShutdown(drain);
-    std::fprintf(stderr, "amberswitch %s: listening on %s\n", config.name.c_str(), config.listen.c_str());
+    std::fprintf(stderr, "amberswitch %s: listening on %s:%d\n", config.name.c_str(),
+                 listener.address().address().to_string().c_str(), listener.address().port());
     loop.run();
     listener.close();
     std::fputs(counters().c_str(), stderr);
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -214,7 +214,11 @@
     : loop_(loop), acceptor_(loop.strand()), make_(std::move(make)), next_(loop.strand()) {
     acceptor_.open(at.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    acceptor_.bind(at);
+    error_code taken;
+    acceptor_.bind(at, taken);
+    if (taken)
+        throw std::runtime_error("can't listen on " + at.address().to_string() + ':' +
+                                 std::to_string(at.port()) + ": " + taken.message());
     acceptor_.listen(1024);
     accept();
 }
--- /dev/null
+++ b/src/platform/consul.hpp
@@ -0,0 +1,36 @@
+// Consul as a second farm source: the instances of one service, by its health API (or its catalogue, which
+// knows no health), with blocking queries. The instances speak the platform's protocol.
+#pragma once
+
+#include "platform/long_poll.hpp"
+#include "platform/servers.hpp"
+
+namespace amberswitch::platform {
+
+struct ConsulConfig {
+    std::string address;  // of the agent; empty: the source is off
+    std::string service, token, datacenter;
+    bool health = true;  // else the catalogue
+    Nanos wait = std::chrono::seconds(30);
+};
+ConsulConfig readConsul(const settings::object& from);  // throws settings::BadField
+
+class Consul : public LongPoll {
+public:
+    Consul(Core& core, Servers& servers, Deadlines& deadlines, wire::Connector& connector,
+           ConsulConfig config);
+
+private:
+    std::string target() const override;
+    std::string headers() const override;
+    bool take(Time now, const http::Message& message) override;
+    void forgotten() override { index_ = 0; }
+    bool entryOf(const settings::object& from, FarmEntry& entry, std::string& address) const;
+
+    Servers& servers_;
+    ConsulConfig config_;
+    simdjson::dom::parser json_;
+    std::uint64_t index_ = 0;
+};
+
+}  // namespace amberswitch::platform
--- /dev/null
+++ b/src/platform/long_poll.cpp
@@ -0,0 +1,66 @@
+#include "platform/long_poll.hpp"
+
+namespace amberswitch::platform {
+
+class LongPoll::Connection : public http::Client, public std::enable_shared_from_this<Connection> {
+public:
+    explicit Connection(LongPoll& owner) : http::Client(kMostList), owner_(owner) {}
+
+private:
+    void answered(Time now, http::Message message, bool) override { owner_.answered(now, message); }
+    void over(Time now, End) override {
+        const auto self = shared_from_this();
+        if (owner_.connection_ != self) return;
+        owner_.connection_ = nullptr;
+        if (owner_.running_ && owner_.due_.armed()) owner_.lost(now);
+    }
+
+    LongPoll& owner_;
+};
+
+LongPoll::LongPoll(Core& core, Deadlines& deadlines, wire::Connector& connector, std::string address,
+                   Nanos wait, Nanos gap)
+    : core_(core),
+      deadlines_(deadlines),
+      connector_(connector),
+      address_(std::move(address)),
+      wait_(wait),
+      gap_(gap) {}
+
+LongPoll::~LongPoll() = default;
+
+void LongPoll::watch(Time now) {
+    if (running_) return;
+    running_ = true;
+    ask(now);
+}
+
+void LongPoll::ask(Time now) {
+    ++calls_;
+    due_.arm(deadlines_, now + wait_ + kGrace, [this](Time at) { lost(at); });
+    const bool fresh = !connection_ || connection_->state() != http::Client::State::idle;
+    if (fresh) connection_ = std::make_shared<Connection>(*this);
+    const auto connection = connection_;
+    connection->ask("GET " + target() + " HTTP/1.1\r\nHost: " + address_ + "\r\n" + headers() + "\r\n");
+    if (fresh) connector_.connect(now, connection, address_);
+}
+
+void LongPoll::answered(Time now, const http::Message& message) {
+    due_.disarm();
+    if (message.status != 200 || !take(now, message)) return lost(now);
+    if (!running_) return;
+    // Where a gap would end the watch, the next call follows at once.
+    if (gap_.count() == 0) return ask(now);
+    due_.arm(deadlines_, now + gap_, [this](Time at) { ask(at); });
+}
+
+// The old list still holds; the module says when to ask again.
+void LongPoll::lost(Time now) {
+    due_.disarm();
+    running_ = false;
+    if (const auto connection = std::exchange(connection_, nullptr)) connection->close(now, End::timedOut);
+    forgotten();
+    core_.farmLost(now);
+}
+
+}  // namespace amberswitch::platform
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -42,7 +42,7 @@
     Nanos advice{0};
 };
 
-struct Fleet : ApplicationServers {
+struct Fleet : ApplicationServers, FarmSource {
     void start(Time, const ProxyPass& pass) override { started.push_back(pass); }
     void abandon(Time, const ProxyPass& pass) override { abandoned.push_back(pass); }
     void closeIdle(Time, Worker) override {}
@@ -78,7 +78,7 @@
 };
 
 TEST_F(CoreTest, AnswersOnceHoweverOftenAPassEnds) {
-    core.farm(now, fleet, RosterMode::whole, {entry("a")});
+    core.farm(now, fleet, fleet, RosterMode::whole, {entry("a")});
     const auto client = ask(0);
     ASSERT_EQ(fleet.started.size(), 1u);
     core.passEnded(now, id, 0, End::served, "r");
@@ -92,7 +92,7 @@
 }
 
 TEST_F(CoreTest, AnswersBeforeTheClientGivesUp) {
-    core.farm(now, fleet, RosterMode::whole, {entry("a")});
+    core.farm(now, fleet, fleet, RosterMode::whole, {entry("a")});
     const auto client = ask(1, 3s);
     pass(3s);
     EXPECT_EQ(client->answers, 1);
@@ -109,7 +109,7 @@
 }
 
 TEST_F(CoreTest, GivesTheReasonOfTheLastFailure) {
-    core.farm(now, fleet, RosterMode::whole, {entry("a")});
+    core.farm(now, fleet, fleet, RosterMode::whole, {entry("a")});
     const auto client = ask(1);
     core.passEnded(now, id, 0, End::failed, "no driver");
     for (std::size_t n = 1; n < fleet.started.size(); ++n)
@@ -118,8 +118,8 @@
 }
 
 TEST_F(CoreTest, SendsNothingToAServerThatDrainsOrIsGone) {
-    core.farm(now, fleet, RosterMode::whole, {entry("a"), entry("b")});
-    core.farm(now, fleet, RosterMode::changes, {entry("a", Standing::draining)});
+    core.farm(now, fleet, fleet, RosterMode::whole, {entry("a"), entry("b")});
+    core.farm(now, fleet, fleet, RosterMode::changes, {entry("a", Standing::draining)});
     for (int i = 0; i < 10; ++i) ask(0), core.passEnded(now, id, 0, End::served, "");
     for (const ProxyPass& one : fleet.started) EXPECT_EQ(one.server, core.handleOf("b"));
     EXPECT_FALSE(core.accepts(core.handleOf("a")));
@@ -128,9 +128,9 @@
 // Guards against one source's whole list wiping out what another source told.
 TEST_F(CoreTest, AWholeListReplacesItsOwnSourceOnly) {
     Fleet other;
-    core.farm(now, fleet, RosterMode::whole, {entry("a")});
-    core.farm(now, other, RosterMode::changes, {entry("w")});
-    core.farm(now, fleet, RosterMode::whole, {entry("b")});
+    core.farm(now, fleet, fleet, RosterMode::whole, {entry("a")});
+    core.farm(now, other, other, RosterMode::changes, {entry("w")});
+    core.farm(now, fleet, fleet, RosterMode::whole, {entry("b")});
     EXPECT_FALSE(core.accepts(core.handleOf("a")));
     EXPECT_TRUE(core.accepts(core.handleOf("b")));
     EXPECT_TRUE(core.accepts(core.handleOf("w")));
@@ -141,7 +141,7 @@
 TEST_F(CoreTest, AServerThatNamesItsClassesGetsNoOther) {
     auto only = entry("w");
     only.entry.classes = 1;  // car-match
-    core.farm(now, fleet, RosterMode::whole, {only});
+    core.farm(now, fleet, fleet, RosterMode::whole, {only});
     ask(1);
     EXPECT_TRUE(fleet.started.empty());
     ask(0);
@@ -149,7 +149,7 @@
 }
 
 TEST_F(CoreTest, ALeavingClientCallsItsPassesOff) {
-    core.farm(now, fleet, RosterMode::whole, {entry("a")});
+    core.farm(now, fleet, fleet, RosterMode::whole, {entry("a")});
     const auto client = ask(1);
     core.clientLeft(now, id);
     core.clientLeft(now, id);
@@ -185,7 +185,7 @@
     PoolTest() {
         for (const char* name : {"a", "b"})
             pool.learn(now, core.handleOf(name), name, std::string(name) + ":1");
-        core.farm(now, pool, RosterMode::whole, {entry("a"), entry("b")});
+        core.farm(now, fleet, pool, RosterMode::whole, {entry("a"), entry("b")});
     }
     std::shared_ptr<Client> job(std::uint32_t klass, const std::string& trace) {
         auto client = std::make_shared<Client>();
--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -210,10 +210,11 @@
         entry.name = servers_[server]->name;
         entry.entry.standing = standing;
         entry.entry.cell = static_cast<int>(server);
-        core.farm(now, pool_, RosterMode::changes, {entry});
+        core.farm(now, source_, pool_, RosterMode::changes, {entry});
     }
 
     int calls_ = 0;
+    FarmSource source_;
     platform::Servers pool_{core, loop.deadlines(), *this};
     platform::Front front_{core, pool_, loop.deadlines()};
     net::Listener listener_{loop, kAnyPort, [this](Time at) { return front_.accept(at); }};
