--- a/src/main.cpp
+++ b/src/main.cpp
@@ -150,8 +150,14 @@
     loop.onSignal(SIGUSR1, [&](Time) { std::fputs(counters().c_str(), stderr); });
 
     Deadlines::Ticket leaving;
+    bool closing = false;
     std::function<void(Time)> leave = [&](Time now) {
-        if (core.open() == 0 && front.quiet() && gearman.quiet()) return loop.stop();
+        if (core.open() == 0 && front.quiet() && gearman.quiet()) {
+            // No callback is waited for any more. Those who came last have one more round to be answered in.
+            if (std::exchange(closing, true)) return loop.stop();
+            listener.close();
+            if (gearmanListener) gearmanListener->close();
+        }
         leaving.arm(loop.deadlines(), now + std::chrono::milliseconds(20), leave);
     };
     bool drained = false;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -250,6 +250,7 @@
 }
 
 void Listener::close() {
+    if (!acceptor_.is_open()) return;
     again_.disarm();
     error_code ignored;
     acceptor_.close(ignored);
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -95,6 +95,12 @@
     if (std::exchange(draining_, true)) return;
     turnAway_ = now + kHandOver;
     for (const auto& connection : connections_) connection->lastOne();
+    handOver_.arm(deadlines_, *turnAway_, [this](Time at) {
+        // Guards against a request that meets the process's end unread: a client whose idle connection is
+        // closed in time sends it again elsewhere.
+        while (relieve(at)) {
+        }
+    });
 }
 
 bool Front::relieve(Time now) {
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -38,6 +38,7 @@
     std::list<std::shared_ptr<Connection>> connections_;  // idle ones in the order they became so
     std::function<std::string()> report_;
     std::optional<Time> turnAway_;
+    Deadlines::Ticket handOver_;
     bool draining_ = false;
     Counters counters_;
 };
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -345,6 +345,20 @@
     EXPECT_NE(answer.find("Connection: close"), std::string::npos);
 }
 
+// Guards against a request that would meet the process's end unread.
+TEST_F(FrontTest, ClosesIdleConnectionsWhenTheHandOverIsOver) {
+    const auto busy = front.accept(now);
+    busy->in().put("POST /car-match HTTP/1.1\r\nX-Trace-Id: 1\r\n\r\n");
+    busy->received(now);
+    front.accept(now);
+    front.drain(now);
+    pass(690ms);
+    EXPECT_EQ(front.open(), 2u);
+    pass(20ms);
+    EXPECT_EQ(front.open(), 1u);  // the one that is owed an answer stays
+    EXPECT_FALSE(front.quiet());
+}
+
 TEST_F(FrontTest, ClosesTheLongestIdleConnectionWhenShort) {
     const auto busy = front.accept(now);
     busy->in().put("POST /car-match HTTP/1.1\r\nX-Trace-Id: 1\r\n\r\n");
--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -451,6 +451,9 @@
     void (*play)(World&);
     Counts expected;
 };
+void PrintTo(const Scenario& scenario, std::ostream* out) {
+    *out << scenario.name;
+}
 class BothFronts : public testing::TestWithParam<Scenario> {};
 
 TEST_P(BothFronts, EndInTheSameCounts) {
