Bound what Gearman peers may hold, and ignore the rest of a front's file while it is off

Seen: the program's own test, run from the root, ended at the start with "'functions' names the unknown class 'job-assign'": deploy/gearman.json was read in full though its front was off, so a site with other classes could not have started (src/gearman/config.cpp, readConfig). It now stops at an empty listen; the test runs from the root. Seen by reading: clients could submit without end on one connection, 64 KiB each, and Gearman connections could use up the descriptors; most_jobs and half of the descriptors bound both.

--- a/src/gearman/config.cpp
+++ b/src/gearman/config.cpp
@@ -26,6 +26,9 @@
 Config readConfig(const object& from, const Site& site) {
     Config config;
     config.listen = text(from, "listen", "");
+    // Guards against a front that is off stopping the program: what its file says of classes and tenants may
+    // be meant for another site.
+    if (config.listen.empty()) return config;
     config.name = text(from, "name", config.name);
     for (const auto& klass : site.module.classes) config.functions.push_back({klass.giveUp, klass.giveUp, 1});
     if (const auto functions = find(from, "functions"))
@@ -53,6 +56,7 @@
     };
     config.workerSlots = count("worker_slots", config.workerSlots, 1);
     config.workerQueue = count("worker_queue", config.workerQueue, 0);
+    config.mostJobs = count("most_jobs", config.mostJobs, 1);
     return config;
 }
 
--- a/src/gearman/front.cpp
+++ b/src/gearman/front.cpp
@@ -351,6 +351,9 @@
             }
             return;
         }
+    // Guards against clients that submit without end on one connection: each job may hold 64 KiB.
+    if (owner_.submissions_.size() >= owner_.config_.mostJobs)
+        return error("ERR_UNAVAILABLE", advice(std::chrono::milliseconds(100)));
     const std::size_t most = owner_.most_[*klass];
     if (most > 0 && static_cast<std::size_t>(
                         std::count_if(owner_.submissions_.begin(), owner_.submissions_.end(),
--- a/src/gearman/front.hpp
+++ b/src/gearman/front.hpp
@@ -24,6 +24,7 @@
     void drain(Time now);  // the process is to end: no job is taken any more
     void setShutdown(std::function<void(Time)> shutdown) { shutdown_ = std::move(shutdown); }
     bool quiet() const;
+    std::size_t open() const { return connections_.size(); }
 
     void start(Time now, const ProxyPass& pass) override;
     void abandon(Time now, const ProxyPass& pass) override;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -139,10 +139,13 @@
 
     gearman::Front gearman(core, loop.deadlines(), config.gearman);
     std::optional<net::Listener> gearmanListener;
+    // Gearman's peers stay for long and can't be asked to come again: half of the descriptors is theirs at
+    // most.
     if (!config.gearman.listen.empty()) {
         gearmanListener.emplace(loop, *net::endpointOf(config.gearman.listen),
                                 [&](Time now) { return gearman.accept(now); });
-        gearmanListener->setGate([&](Time now) { return roomBelow(now, forClients); });
+        gearmanListener->setGate(
+            [&](Time now) { return gearman.open() < most / 2 && roomBelow(now, forClients); });
     }
 
     const auto counters = [&] { return report(core, servers, watch, front, gearman); };
