Reread the configuration on SIGHUP and move the watch to the new discovery

Checked: 129 is SIGHUP's default action; main.cpp armed SIGUSR1, SIGTERM and SIGINT only. The log of the process ends without counters, so nothing of its own ended it. A fault in the watch was ruled out: it had no lost call before the signal. At fault: main.cpp, which had no handler, and LongPoll, whose address was fixed at construction. Change: config/ holds the reading of the files (moved out of main.cpp) and Reload. A version of the old discovery is not carried to a new one.

--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,94 @@
+#include "config/config.hpp"
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+#include "net/loop.hpp"
+#include "settings/read.hpp"
+
+namespace amberswitch::config {
+
+using settings::BadField;
+
+namespace {
+
+// Throws BadField with `what` before the reason.
+settings::object parseFile(std::istream& file, simdjson::dom::parser& parser, const std::string& what) {
+    std::stringstream text;
+    text << file.rdbuf();
+    settings::element root;
+    if (const auto error = parser.parse(text.str()).get(root); error != simdjson::SUCCESS)
+        throw BadField(what + " is not valid JSON: " + simdjson::error_message(error));
+    return settings::asObject(root, "the file");
+}
+
+std::uint64_t readSeed(const settings::object& from) {
+    const auto value = settings::find(from, "seed");
+    if (!value) throw BadField("field 'seed' is missing");
+    std::uint64_t number = 0;
+    if (value->get(number) == simdjson::SUCCESS) return number;
+    const auto text = settings::as<std::string_view>(*value, "seed", "a number or hex digits");
+    char* end = nullptr;
+    const std::string digits(text);
+    number = std::strtoull(digits.c_str(), &end, 16);
+    if (digits.empty() || *end) throw BadField("field 'seed' is not a number or hex digits");
+    return number;
+}
+
+// A file of the project's own under deploy/, or the one that the variable names.
+template <class Read>
+auto readFile(const char* variable, const char* usual, Read&& read) {
+    const char* const given = std::getenv(variable);
+    const std::string path = given ? given : usual;
+    decltype(read(std::declval<settings::object>())) config;
+    std::ifstream file(path);
+    if (!file && given) throw BadField("can't read " + path);
+    if (!file) return config;
+    simdjson::dom::parser parser;
+    const settings::object root = parseFile(file, parser, path);
+    try {
+        return read(root);
+    } catch (const BadField& bad) {
+        throw BadField(path + ": " + bad.what());
+    }
+}
+
+void needAddress(const std::string& value, const char* field) {
+    if (!net::endpointOf(value))
+        throw BadField("field '" + std::string(field) + "' is not an address and a port");
+}
+
+}  // namespace
+
+Platform Reader::read() {
+    std::ifstream file(path_);
+    if (!file) throw BadField("ROUTER_CONFIG: can't read " + path_);
+    const settings::object from = parseFile(file, parser_, "ROUTER_CONFIG");
+    Platform config;
+    config.name = settings::text(from, "name");
+    config.listen = settings::text(from, "listen");
+    config.discovery = settings::text(from, "discovery");
+    config.seed = readSeed(from);
+    if (const auto limits = settings::find(from, "limits"))
+        config.sockets = static_cast<std::size_t>(
+            settings::integer(settings::asObject(*limits, "limits"), "sockets", 1024));
+    needAddress(config.listen, "listen");
+    needAddress(config.discovery, "discovery");
+    if (config.sockets < 64) throw BadField("field 'limits.sockets' is under 64");
+    config.site = settings::readSite(settings::table(from, "settings"));
+    if (const auto known = settings::find(from, "known")) config.known = settings::asObject(*known, "known");
+    return config;
+}
+
+Own readOwn(const settings::Site& site) {
+    Own config;
+    config.gearman = readFile("AMBERSWITCH_GEARMAN", "deploy/gearman.json",
+                              [&](const settings::object& own) { return gearman::readConfig(own, site); });
+    if (!config.gearman.listen.empty()) needAddress(config.gearman.listen, "gearman.listen");
+    config.consul = readFile("AMBERSWITCH_CONSUL", "deploy/consul.json", platform::readConsul);
+    if (!config.consul.address.empty()) needAddress(config.consul.address, "consul.address");
+    return config;
+}
+
+}  // namespace amberswitch::config
--- a/src/platform/long_poll.cpp
+++ b/src/platform/long_poll.cpp
@@ -35,9 +35,19 @@
     ask(now);
 }
 
+void LongPoll::move(Time now, std::string address) {
+    if (address == address_) return;
+    address_ = std::move(address);
+    hurryUntil_ = now + kHurry;
+    forgotten();
+    if (const auto old = std::exchange(connection_, nullptr)) old->close(now, End::withdrawn);
+    running_ = true;
+    ask(now);
+}
+
 void LongPoll::ask(Time now) {
     ++calls_;
-    due_.arm(deadlines_, now + wait_ + kGrace, [this](Time at) { lost(at); });
+    due_.arm(deadlines_, now + (waits() ? wait_ : Nanos(0)) + kGrace, [this](Time at) { lost(at); });
     const bool fresh = !connection_ || connection_->state() != http::Client::State::idle;
     if (fresh) connection_ = std::make_shared<Connection>(*this);
     const auto connection = connection_;
@@ -57,9 +67,10 @@
 // The old list still holds; the module says when to ask again.
 void LongPoll::lost(Time now) {
     due_.disarm();
-    running_ = false;
     if (const auto connection = std::exchange(connection_, nullptr)) connection->close(now, End::timedOut);
     forgotten();
+    if (now < hurryUntil_) return due_.arm(deadlines_, now + kHurryGap, [this](Time at) { ask(at); });
+    running_ = false;
     core_.farmLost(now);
 }
 
--- a/src/platform/watch.cpp
+++ b/src/platform/watch.cpp
@@ -18,8 +18,11 @@
     take(now, list, true);
 }
 
+// Guards against a discovery that counts anew, at a new address or after it was down: the version of the old
+// one might never be reached there.
 std::string Watch::target() const {
-    return "/api/targets?index=" + std::to_string(version_) +
+    if (!version_) return "/api/targets";
+    return "/api/targets?index=" + std::to_string(*version_) +
            "&wait=" + std::to_string(kWait / std::chrono::milliseconds(1));
 }
 
--- a/src/platform/watch.hpp
+++ b/src/platform/watch.hpp
@@ -15,12 +15,14 @@
 
 private:
     std::string target() const override;
+    bool waits() const override { return version_.has_value(); }
+    void forgotten() override { version_.reset(); }
     bool take(Time now, const http::Message& message) override;
     void take(Time now, const settings::object& list, bool stale);
 
     Servers& servers_;
     simdjson::dom::parser json_;
-    std::int64_t version_ = 0;
+    std::optional<std::int64_t> version_;  // none: the whole list comes first
 };
 
 }  // namespace amberswitch::platform
--- a/src/report.cpp
+++ b/src/report.cpp
@@ -3,7 +3,8 @@
 namespace amberswitch {
 
 std::string report(const Core& core, const platform::Servers& servers, const platform::Watch& watch,
-                   const platform::Front& front, const gearman::Front& gearman) {
+                   const platform::Front& front, const gearman::Front& gearman,
+                   const config::Reload& reload) {
     std::string out;
     const auto line = [&out](const std::string& name, std::uint64_t value) {
         out += name + ' ' + std::to_string(value) + '\n';
@@ -29,6 +30,8 @@
     line("farm.updates", c.farmUpdates);
     line("farm.lost", c.farmLost);
     line("farm.calls", watch.calls());
+    line("reloads.done", reload.counters().done);
+    line("reloads.refused", reload.counters().refused);
     const auto& s = servers.counters();
     line("servers.connections", s.connections);
     line("servers.reused", s.reused);
--- a/src/report.hpp
+++ b/src/report.hpp
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "config/reload.hpp"
 #include "gearman/front.hpp"
 #include "platform/front.hpp"
 #include "platform/watch.hpp"
@@ -10,6 +11,6 @@
 namespace amberswitch {
 
 std::string report(const Core& core, const platform::Servers& servers, const platform::Watch& watch,
-                   const platform::Front& front, const gearman::Front& gearman);
+                   const platform::Front& front, const gearman::Front& gearman, const config::Reload& reload);
 
 }  // namespace amberswitch
