Serve clients through the planned end, and answer what is open before the kill

Checked with a probe that logged each request: clients go on using open connections of a dispatcher that ends (n1 took 40% of the work for 2.8 s once it kept them), so closing them at 0.7 s threw them away. Ruled out: /-/ready is asked once a start, so its answer while ending changes nothing; exiting sooner brings the restart no sooner. Not ours: between 16.4 and 17.4 s no dispatcher is admitted and nothing reaches the one that still serves. At fault: Front::drain, which asked for the close with each answer and closed idle ones 0.7 s after SIGTERM. Change: the hand-over lasts until 0.9 s before the kill; 0.15 s before it Core::giveUpAll answers the rest, unavailable with Retry-After where a repeat is harmless, else failed.

--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -20,6 +20,7 @@
     // From a front. The final answer may come before this returns.
     TransactionId arrive(Time now, Arrival arrival);
     void clientLeft(Time now, TransactionId id);
+    void giveUpAll(Time now);  // this process ends: answers all that is open
 
     // From the application servers' side. A pass that has ended or never was is ignored.
     void passStarted(Time now, TransactionId id, std::uint32_t pass);
@@ -82,6 +83,7 @@
     void forget(TransactionId id);
     Transaction* find(TransactionId id);
     void fail(Time now, Transaction& t);
+    void refuse(Time now, Transaction& t, Nanos retryIn);
     template <class Answer>
     void answer(Transaction& t, Answer&& say);
 
--- /dev/null
+++ b/src/core/hand_over.hpp
@@ -0,0 +1,25 @@
+// The planned end, from SIGTERM on. Clients go on using the connections they have for as long as those stay
+// open, and another dispatcher need not be up yet: so they are served here nearly until the process may be
+// killed, which is no sooner than 0.7 s after the longest deadline (taken as 3 s where it is longer).
+#pragma once
+
+#include <algorithm>
+
+#include "settings/settings.hpp"
+
+namespace amberswitch {
+
+struct HandOver {
+    heronmount::Nanos turnAway;  // from then on no job is taken, and connections are closed between messages
+    heronmount::Nanos giveUp;    // what is still open then is answered as given up
+
+    static HandOver of(const settings::Site& site) {
+        using namespace std::chrono_literals;
+        heronmount::Nanos longest{0};
+        for (const auto& klass : site.module.classes) longest = std::max(longest, klass.giveUp);
+        const heronmount::Nanos kill = std::min<heronmount::Nanos>(longest, 3s) + 700ms;
+        return {std::max<heronmount::Nanos>(700ms, kill - 900ms), kill - 150ms};
+    }
+};
+
+}  // namespace amberswitch
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 
 #include "config/reload.hpp"
+#include "core/hand_over.hpp"
 #include "gearman/front.hpp"
 #include "net/loop.hpp"
 #include "platform/front.hpp"
@@ -85,7 +86,7 @@
     Deadlines::Ticket leaving;
     bool closing = false;
     std::function<void(Time)> leave = [&](Time now) {
-        if (core.open() == 0 && front.quiet() && gearman.quiet()) {
+        if (front.handedOver(now) && core.open() == 0 && front.quiet() && gearman.quiet()) {
             // No callback is waited for any more. Those who came last have one more round to be answered in.
             if (std::exchange(closing, true)) return loop.stop();
             listener.close();
@@ -99,6 +100,8 @@
         front.drain(now);
         gearman.drain(now);
         leaving.arm(loop.deadlines(), now + std::chrono::milliseconds(750), leave);
+        loop.deadlines().once(now + HandOver::of(config.site).giveUp, [&](Time at) { core.giveUpAll(at); });
+        std::fputs("amberswitch: ending; clients are served until the hand-over's end\n", stderr);
     };
     loop.onSignal(SIGHUP, [&](Time now) { reload(now); });
     loop.onSignal(SIGTERM, drain);
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -2,6 +2,8 @@
 
 #include <cstdio>
 
+#include "core/hand_over.hpp"
+
 namespace amberswitch::platform {
 
 class Front::Connection : public http::Server,
@@ -34,7 +36,8 @@
 
     void request(Time now, http::Message message) override {
         ++owner_.counters_.requests;
-        if (owner_.draining_) lastOne();
+        const bool late = owner_.turnAway_ && now >= *owner_.turnAway_;
+        if (late) lastOne();
         const std::string_view path = message.path();
         const bool get = message.method == "GET";
         if (path == "/callback") {
@@ -42,7 +45,10 @@
             const bool taken = owner_.servers_.callback(now, message.body);
             return taken ? reply(now, 204, "") : reply(now, 400, "this call can't be read\n");
         }
-        if (path == "/-/ready") return get ? reply(now, 200, "ready\n") : reply(now, 405, "");
+        if (path == "/-/ready") {
+            if (!get) return reply(now, 405, "");
+            return owner_.turnAway_ ? reply(now, 503, "ending\n") : reply(now, 200, "ready\n");
+        }
         if (path == "/-/counters")
             return get ? reply(now, 200, owner_.report_ ? owner_.report_() : "") : reply(now, 405, "");
         BadJob bad;
@@ -52,8 +58,7 @@
             ++owner_.counters_.malformed;
             return reply(now, bad.status, bad.why + "\n");
         }
-        if (owner_.turnAway_ && now >= *owner_.turnAway_)
-            return turnAway(now, std::chrono::milliseconds(100));
+        if (late) return turnAway(now, std::chrono::milliseconds(100));
         arrival->job.body = std::move(message.body);
         arrival->client = shared_from_this();
         open_ = true;
@@ -92,10 +97,10 @@
 }
 
 void Front::drain(Time now) {
-    if (std::exchange(draining_, true)) return;
-    turnAway_ = now + kHandOver;
-    for (const auto& connection : connections_) connection->lastOne();
+    if (turnAway_) return;
+    turnAway_ = now + HandOver::of(core_.site()).turnAway;
     handOver_.arm(deadlines_, *turnAway_, [this](Time at) {
+        for (const auto& connection : connections_) connection->lastOne();
         // Guards against a request that meets the process's end unread: a client whose idle connection is
         // closed in time sends it again elsewhere.
         while (relieve(at)) {
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -14,9 +14,10 @@
     ~Front();
 
     std::shared_ptr<wire::Machine> accept(Time now);
-    // The process is to end: answers ask for the connection's close, and from the end of the hand-over on
-    // new jobs are turned away.
+    // The process is to end. All goes on until the hand-over's turn-away; from then on new jobs are turned
+    // away, answers ask for the connection's close, and idle connections are closed.
     void drain(Time now);
+    bool handedOver(Time now) const { return turnAway_ && (now >= *turnAway_ || connections_.empty()); }
     bool relieve(Time now);  // closes the connection that was idle longest, if there is one
     bool quiet() const;      // nothing is owed or waits to be written
     std::size_t open() const { return connections_.size(); }
@@ -30,8 +31,6 @@
 
 private:
     class Connection;
-    static constexpr Nanos kHandOver = std::chrono::milliseconds(700);
-
     Core& core_;
     Servers& servers_;
     Deadlines& deadlines_;
@@ -39,7 +38,6 @@
     std::function<std::string()> report_;
     std::optional<Time> turnAway_;
     Deadlines::Ticket handOver_;
-    bool draining_ = false;
     Counters counters_;
 };
 
