Tell a stale kept connection from a server's fault, and keep connections less long

So servers drop idle connections long before the 5 s of the settings, and silently. Callbacks for the passes that broke were ruled out as a remedy: 20 strays. Each such reset also struck its server in the module, which left it alone for a second or more. Change: a pass on a connection that had rested for 0.1 s or more and broke ends as stale_unsent or stale_sent; the module learns and strikes nothing (Outcome::stale, may have run). The rest that is trusted falls to half of the one that broke.

--- a/include/heronmount/dispatcher.hpp
+++ b/include/heronmount/dispatcher.hpp
@@ -93,7 +93,8 @@
     bool started = false;  // else progress
     double done = 0;
 };
-enum class Outcome { ok, error, full, timeout, connectFailed, reset, cancelled, moot };
+// stale: a connection kept from earlier broke under it. It may have run, and that says nothing of the worker.
+enum class Outcome { ok, error, full, timeout, connectFailed, reset, cancelled, moot, stale };
 struct LoadReport {  // negative where not reported
     double held = -1, queued = -1, busy = -1, latencyMs = -1, rate = -1, failRate = -1, freeSlots = -1,
            freeMemory = -1;
--- a/src/core/end.hpp
+++ b/src/core/end.hpp
@@ -15,6 +15,8 @@
     connectTimedOut,  // none came up in time
     brokeUnsent,      // the connection broke before the last byte was written
     brokeSent,        // it broke after that and before the job was taken
+    staleUnsent,      // a connection kept from earlier broke before the last byte was written
+    staleSent,        // it broke after that and before the job was taken
     lost,             // the job was taken, then killed, or its server went away
     timedOut,         // nothing came until the pass was due
     withdrawn,        // this side called the pass off
@@ -30,24 +32,11 @@
 constexpr std::size_t kEnds = static_cast<std::size_t>(End::shutDown) + 1;
 
 inline const char* nameOf(End end) {
-    constexpr const char* kNames[kEnds] = {"served",
-                                           "failed",
-                                           "handed_back",
-                                           "connect_refused",
-                                           "connect_timed_out",
-                                           "broke_unsent",
-                                           "broke_sent",
-                                           "lost",
-                                           "timed_out",
-                                           "withdrawn",
-                                           "unsent",
-                                           "peer_closed",
-                                           "peer_reset",
-                                           "idle",
-                                           "silent",
-                                           "malformed",
-                                           "oversized",
-                                           "shut_down"};
+    constexpr const char* kNames[kEnds] = {
+        "served",       "failed",     "handed_back",  "connect_refused", "connect_timed_out",
+        "broke_unsent", "broke_sent", "stale_unsent", "stale_sent",      "lost",
+        "timed_out",    "withdrawn",  "unsent",       "peer_closed",     "peer_reset",
+        "idle",         "silent",     "malformed",    "oversized",       "shut_down"};
     return kNames[static_cast<std::size_t>(end)];
 }
 
@@ -71,7 +60,10 @@
         case End::withdrawn:
             return Outcome::cancelled;
         case End::unsent:
+        case End::staleUnsent:
             return Outcome::moot;
+        case End::staleSent:
+            return Outcome::stale;
         case End::brokeSent:
         case End::lost:
         case End::peerClosed:
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -9,11 +9,13 @@
 class Servers::Connection : public http::Client, public std::enable_shared_from_this<Connection> {
 public:
     enum class Task { none, pass, erase, probe };
+    static constexpr Nanos kRested = std::chrono::milliseconds(100);  // for less it was in use just now
 
     Connection(Servers& owner, Worker server) : owner_(owner), server_(server) {}
 
     Worker server() const { return server_; }
     Time idleSince() const { return idleSince_; }
+    void reuse(Time now) { rested_ = now - idleSince_; }
     bool carries(TransactionId id, std::uint32_t number) const {
         return task_ == Task::pass && transaction_ == id && number_ == number;
     }
@@ -84,6 +86,11 @@
         auto& idle = owner_.servers_[server_].idle;
         std::erase(idle, self);
         const Task task = std::exchange(task_, Task::none);
+        // Guards against taking a kept connection's silent end for a fault of the server.
+        if (rested_ >= kRested && task != Task::none && (how == End::brokeSent || how == End::brokeUnsent)) {
+            how = how == End::brokeSent ? End::staleSent : End::staleUnsent;
+            owner_.wentStale(now, rested_);
+        }
         if (task == Task::probe) owner_.core_.probeAnswered(now, server_, false, {});
         if (task == Task::pass) owner_.ended(now, traceId_, transaction_, number_, how);
     }
@@ -96,6 +103,7 @@
     std::uint32_t number_ = 0;
     std::string traceId_;
     Time idleSince_{0};
+    Nanos rested_{0};  // before the exchange that it carries
 };
 
 // An idle connection is dropped well before the server's own limit: a request that crosses its close would
@@ -118,13 +126,18 @@
     closeIdle(now, server);
 }
 
-std::shared_ptr<Servers::Connection> Servers::connectionTo(Worker server) {
+std::shared_ptr<Servers::Connection> Servers::connectionTo(Time now, Worker server) {
     auto& idle = servers_[server].idle;
     while (!idle.empty()) {
         auto last = std::move(idle.back());
         idle.pop_back();
         if (last->state() != http::Client::State::idle) continue;
+        if (now - last->idleSince() > idleFor_) {
+            last->close(now, End::idle);
+            continue;
+        }
         ++counters_.reused;
+        last->reuse(now);
         return last;
     }
     ++counters_.connections;
@@ -133,7 +146,7 @@
 
 void Servers::start(Time now, const ProxyPass& pass) {
     const Job& job = *pass.job;
-    const auto connection = connectionTo(pass.server);
+    const auto connection = connectionTo(now, pass.server);
     active_[job.traceId].push_back({pass.transaction, pass.number, pass.server, connection});
     std::string request;
     request.reserve(256 + job.body.size());
@@ -164,7 +177,7 @@
         return;
     }
     ++counters_.deletes;
-    const auto connection = connectionTo(pass.server);
+    const auto connection = connectionTo(now, pass.server);
     connection->erase(now, "DELETE /jobs/" + pass.job->traceId +
                                " HTTP/1.1\r\nHost: " + servers_[pass.server].address + "\r\n\r\n");
     if (connection->state() == http::Client::State::connecting)
@@ -172,7 +185,7 @@
 }
 
 void Servers::probe(Time now, Worker server) {
-    const auto connection = connectionTo(server);
+    const auto connection = connectionTo(now, server);
     connection->probe(now, "GET /-/load HTTP/1.1\r\nHost: " + servers_[server].address + "\r\n\r\n");
     if (connection->state() == http::Client::State::connecting)
         connector_.connect(now, connection, servers_[server].address);
@@ -184,6 +197,22 @@
     for (const auto& connection : idle) connection->close(now, End::idle);
 }
 
+// Guards against servers (or what lies before them) that drop idle connections sooner than the settings say,
+// and silently: a request written to one is reset and may not be repeated elsewhere. A new connection costs
+// little next to that, so from now on none is kept for as long as the one that broke.
+void Servers::wentStale(Time now, Nanos rested) {
+    ++counters_.stale;
+    idleFor_ = std::min(idleFor_, rested / 2);
+    for (Worker server = 0; server < servers_.size(); ++server) {
+        auto& idle = servers_[server].idle;
+        while (!idle.empty() && now - idle.front()->idleSince() > idleFor_) {
+            const auto oldest = idle.front();
+            idle.erase(idle.begin());
+            oldest->close(now, End::idle);
+        }
+    }
+}
+
 std::size_t Servers::idle() const {
     std::size_t count = 0;
     for (const Server& server : servers_) count += server.idle.size();
--- a/src/platform/servers.hpp
+++ b/src/platform/servers.hpp
@@ -29,7 +29,8 @@
     std::size_t idle() const;
 
     struct Counters {
-        std::uint64_t connections = 0, reused = 0, taken = 0, callbacks = 0, strayCallbacks = 0, deletes = 0;
+        std::uint64_t connections = 0, reused = 0, taken = 0, callbacks = 0, strayCallbacks = 0, deletes = 0,
+                      stale = 0;
     };
     const Counters& counters() const { return counters_; }
 
@@ -46,7 +47,8 @@
         std::shared_ptr<Connection> carrier;  // until the job is taken
     };
 
-    std::shared_ptr<Connection> connectionTo(Worker server);
+    std::shared_ptr<Connection> connectionTo(Time now, Worker server);
+    void wentStale(Time now, Nanos rested);
     void ended(Time now, const std::string& traceId, TransactionId id, std::uint32_t number, End how,
                std::string result = {}, const LoadReport& load = {});
     Active* find(const std::string& traceId, TransactionId id, std::uint32_t number);
--- a/src/report.cpp
+++ b/src/report.cpp
@@ -35,6 +35,7 @@
     const auto& s = servers.counters();
     line("servers.connections", s.connections);
     line("servers.reused", s.reused);
+    line("servers.stale", s.stale);
     line("servers.taken", s.taken);
     line("servers.callbacks", s.callbacks);
     line("servers.stray_callbacks", s.strayCallbacks);
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -405,7 +405,8 @@
             work_[r.in.klass].add(ran / hintOf(r.in) / std::clamp(slowness(w), 0.2, 5.0), 200);
             learn(a.worker, seconds(now_ - a.sent) / expectedOf(r.in));
             recover(w);
-        } else if (e.outcome != Outcome::cancelled && e.outcome != Outcome::moot) {
+        } else if (e.outcome != Outcome::cancelled && e.outcome != Outcome::moot &&
+                   e.outcome != Outcome::stale) {
             learn(a.worker, 2 * slowness(w));  // the design: as a job of twice the smoothed time
             if (full) {
                 fulls_ += (1 - fulls_) * kFullWeight;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -296,6 +296,30 @@
     EXPECT_EQ(pool.idle(), 0u);
 }
 
+// Guards against servers that drop idle connections early and silently: that is no fault of theirs, and their
+// connections are kept for less long from then on.
+TEST_F(PoolTest, LearnsHowLongAConnectionMayRest) {
+    const std::string taken = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+    const auto carry = [&](std::size_t at) { network.take(at, now), network.give(at, now, taken); };
+    core.farm(now, fleet, pool, RosterMode::changes, {entry("b", Standing::off)});
+    job(0, "t"), network.made[0]->opened(now), carry(0);
+    pass(2s);
+    job(0, "u");
+    ASSERT_EQ(network.made.size(), 1u);  // on the kept one
+    network.take(0, now);
+    network.made[0]->ended(now, End::peerReset);
+    EXPECT_EQ(core.counters().ends[static_cast<std::size_t>(End::staleSent)], 1u);
+    ASSERT_EQ(network.made.size(), 2u);  // a safe job goes out again
+    network.made[1]->opened(now), carry(1);
+    pass(900ms);
+    EXPECT_EQ(pool.idle(), 1u);
+    job(0, "v"), carry(1);
+    ASSERT_EQ(network.made.size(), 2u);
+    pass(1100ms);
+    job(0, "w");
+    EXPECT_EQ(network.made.size(), 3u);
+}
+
 TEST_F(PoolTest, AConnectionThatDoesNotComeUpProvesNothingRan) {
     job(1, "t");
     pass(260ms);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -424,6 +424,19 @@
     EXPECT_TRUE(tried);
 }
 
+TEST(Health, AStaleConnectionSaysNothingOfItsWorker) {
+    Drive d(plainSettings());
+    d.roster({worker(0), worker(1), worker(2)});
+    const RequestId id = d.arrive();
+    const Worker first = d.sentTo();
+    d.end(id, Outcome::stale);
+    EXPECT_NE(d.sentTo(), first);  // this job goes elsewhere: it may have run, and it is safe
+    d.end(id, Outcome::ok, 1);
+    bool used = false;
+    for (int i = 0; i < 6; ++i) used = d.serve(milliseconds(300)) == first || used;
+    EXPECT_TRUE(used);
+}
+
 TEST(Health, ATrialIsNeverAnUnsafeJobWhereSafeOnesExist) {
     Settings s = plainSettings();
     s.classes.push_back(s.classes[0]);
