Refuse work sooner and further under strain, and let slow workers hold less

At fault: kStrain, kShedding and the 0.8 in Rules::shed; levelOf, which took a worker that became slow for whole. Change: 0.2, 3 and 0.95; a worker slower than 1.5 times its kind holds fewer slots at the same level.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -20,8 +20,10 @@
 constexpr double kLevels = 2;           // levels of load for each slot held
 constexpr double kSpared = 1;           // slots' worth of sparing a kind that some class depends on
 constexpr double kCrossing = 20;        // slots' worth of the price of crossing zones
-constexpr double kStrain = 0.4;         // waiting that is borne, in parts of the slack
-constexpr double kShedding = 2;         // share of work refused for each part above it
+constexpr double kSlowBorne = 1.5;      // slowness against its kind that a worker's level does not show
+constexpr double kStrain = 0.2;         // waiting that is borne, in parts of the slack
+constexpr double kMostShed = 0.95;      // the largest share that is refused
+constexpr double kShedding = 3;         // share of work refused for each part above it
 constexpr double kFeel = 0.5;           // seconds over which it is smoothed
 constexpr double kFullWeight = 0.05;    // weight of one more answer in the share of attempts told 'full'
 constexpr double kSilence = 0.3;        // seconds without any sign before a waiting job's worker is suspect
@@ -164,6 +166,7 @@
 
     void price(Worker h) {
         WorkerState& w = workers_[h];
+        w.pace = std::clamp(kSlowBorne * kindOf(w).leaning(1) / slowness(w), 0.2, 1.0);
         const double mu = ramp(w) * capacity(w) / (meanJob_.count > 0 ? meanJob_.value : 1);
         w.lnq = -std::log1p(mu / (lambda_ * s_.fleetSize));
         hot_[h].slope = w.lnq / w.lastSize;
@@ -225,7 +228,7 @@
         if (r.klass->kind < 0 && std::count(scarce_.begin(), scarce_.end(), w.entry.kind) > 0)
             held += kSpared;
         if (w.entry.zone != s_.zone) held += kCrossing * s_.crossZonePrice;
-        return static_cast<int>(kLevels * held / units(w));
+        return static_cast<int>(kLevels * held / (units(w) * w.pace));
     }
 
     Worker cheapest(const Request& r, const std::vector<Worker>& among, std::size_t first,
@@ -569,7 +572,7 @@
         const double worth = fairness(r) * r.klass->worth * (repeat ? r.klass->lateWorth : 1);
         const Offer own{s_.worthByWork ? worth : worth / r.work, r.work};
         offers_[offered_++ % offers_.size()] = own;
-        const double share = std::clamp(kShedding * (strain_ + fulls_ - kStrain), 0.0, 0.8);
+        const double share = std::clamp(kShedding * (strain_ + fulls_ - kStrain), 0.0, kMostShed);
         if (share < 0.01) return false;
         double below = 0, equal = 0, all = 0;
         for (const Offer& o : offers_) {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -75,6 +75,7 @@
     Mean slow;                           // job times over expected ones
     int out = 0, waiting = 0;            // own attempts there, and those of them not known to have started
     double held = 0;                     // slots of those attempts
+    double pace = 1;                     // share of its units that it still keeps up with
     Time fullUntil{0};                   // it said 'full': not ready before
     Time sign{0};                        // last time anything was heard from it
     int silent = 0;                      // own attempts that fell silent since
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -226,6 +226,26 @@
     EXPECT_LT(d.sentTo(), 2u);
 }
 
+// Guards against a worker that became slow holding as many jobs as its peers.
+TEST(Pick, AWorkerThatBecameSlowHoldsLess) {
+    Drive d(plainSettings());
+    d.fleet(6);
+    for (int i = 0; i < 180; ++i) {
+        const RequestId id = d.arrive();
+        const Worker w = d.sentTo();
+        d.on(AttemptNote{id, 0, true, 0});
+        d.now += milliseconds(w == 0 ? 1200 : 300);
+        d.end(id, Outcome::ok);
+    }
+    std::map<Worker, int> held;
+    for (int i = 0; i < 36; ++i) {
+        const RequestId id = d.arrive();
+        ++held[d.sentTo()];
+        d.on(AttemptNote{id, 0, true, 0});
+    }
+    EXPECT_LT(held[0] + 1, held[1]);
+}
+
 TEST(Pick, AJobStaysInItsZoneWhereCrossingHasAPrice) {
     for (const double price : {0.0, 0.05}) {
         Settings s = plainSettings();
