End bad clients within 3 s, refuse ids in use and what servers can't read

Checked with a probe that logged every head: all of them carried the id of another client's open request, with an empty body; the servers answered them as failed, and the module booked that as the servers' fault. Unknown classes came 600 times in a row on one connection. Silent connections stayed until descriptors ran out or 75 s passed, half messages 10 s. Other faults (lengths, deadlines, no id) were refused already; two headers that count, ids that can't stand in a path, a path of another class, a keyed job without a key and figures such as nan were let through. At fault: Front::request (no check of ids), readJob, decimalNumber, http::Server's watchdogs, Front::relieve, which did not look at what a connection had shown, and the 512 byte reads of Link::linger. Change: Front::claim; stricter readJob and parser; the first message must be whole 2.5 s after the connect; relieve goes by standing (silent, stranger, client); half messages and open jobs are bounded by a quarter of the memory.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -70,11 +70,15 @@
     config.listen = settings::text(from, "listen");
     config.discovery = settings::text(from, "discovery");
     config.seed = readSeed(from);
-    if (const auto limits = settings::find(from, "limits"))
-        config.sockets = static_cast<std::size_t>(
-            settings::integer(settings::asObject(*limits, "limits"), "sockets", 1024));
+    if (const auto limits = settings::find(from, "limits")) {
+        const auto bounds = settings::asObject(*limits, "limits");
+        config.sockets = static_cast<std::size_t>(settings::integer(bounds, "sockets", 1024));
+        config.memoryMb = static_cast<std::size_t>(settings::integer(bounds, "memory_mb", 64));
+    }
     needAddress(config.listen, "listen");
     needAddress(config.discovery, "discovery");
+    if (config.memoryMb < 16 || config.memoryMb > 1024 * 1024)
+        throw BadField("field 'limits.memory_mb' is out of range");
     if (config.sockets < 64) throw BadField("field 'limits.sockets' is under 64");
     config.site = settings::readSite(settings::table(from, "settings"));
     if (const auto known = settings::find(from, "known")) config.known = settings::asObject(*known, "known");
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -15,7 +15,7 @@
 struct Platform {  // the file that ROUTER_CONFIG names
     std::string name, listen, discovery;
     std::uint64_t seed = 0;
-    std::size_t sockets = 1024;
+    std::size_t sockets = 1024, memoryMb = 64;
     settings::Site site;
     std::optional<settings::object> known;  // lives as long as the reader's next reading
 };
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace amberswitch::http {
 
@@ -54,6 +55,8 @@
     double value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
     if (text.empty() || error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+    // Guards against "nan" and "inf", which would spoil every sum they are added to.
+    if (!std::isfinite(value)) return std::nullopt;
     return value;
 }
 
@@ -69,6 +72,11 @@
     return out;
 }
 
+bool Message::repeats(std::string_view name) const {
+    const auto is = [name](const auto& header) { return header.first == name; };
+    return std::count_if(headers.begin(), headers.end(), is) > 1;
+}
+
 const std::string* Message::header(std::string_view name) const {
     for (const auto& [key, value] : headers)
         if (key == name) return &value;
@@ -161,7 +169,8 @@
                                target = text.substr(first + 1, last - first - 1);
         if (!token(method) || target.empty()) return fail(400);
         for (const char c : target)
-            if (static_cast<unsigned char>(c) <= 0x20 || c == 0x7f) return fail(400);
+            if (static_cast<unsigned char>(c) <= 0x20 || static_cast<unsigned char>(c) >= 0x7f)
+                return fail(400);
         if (version.substr(0, 5) != "HTTP/") return fail(400);
         if (version != "HTTP/1.1" && version != "HTTP/1.0") return fail(505);
         message_.minor = version.back() - '0';
@@ -182,7 +191,7 @@
     if (name == "content-length") {
         const auto length = wholeNumber(value);
         // Guards against two lengths: what follows could be read as another request.
-        if (!length || (length_ && *length_ != *length)) return fail(400);
+        if (!length || length_) return fail(400);
         length_ = static_cast<std::size_t>(*length);
     } else if (name == "transfer-encoding") {
         if (lowered(value) != "chunked" || chunked_) return fail(501);
@@ -223,6 +232,12 @@
     return true;
 }
 
+std::size_t Parser::held() const {
+    std::size_t bytes = line_.capacity() + message_.body.capacity();
+    for (const auto& [name, value] : message_.headers) bytes += name.size() + value.size() + 64;
+    return bytes;
+}
+
 void Parser::closed() {
     if (state_ == State::untilClose) state_ = State::complete;
 }
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -22,6 +22,7 @@
     bool keepAlive = true;
 
     const std::string* header(std::string_view name) const;
+    bool repeats(std::string_view name) const;  // there are two or more of this header
     std::string_view path() const;
 };
 
@@ -43,6 +44,7 @@
         return continue_;
     }                                     // true once the head asks for it and the body has not come
     int fault() const { return fault_; }  // the status that a bad request deserves
+    std::size_t held() const;             // bytes kept of a message that is not complete
     const Message& message() const { return message_; }
     Message take();  // the complete message; the parser starts over
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,26 +2,34 @@
 
 namespace amberswitch::http {
 
-Server::Server(Deadlines& deadlines, Time now) : deadlines_(deadlines) {
+Server::Server(Deadlines& deadlines, Time now) : deadlines_(deadlines), born_(now) {
     change(now, State::idle);
 }
 
 void Server::change(Time now, State to) {
     state_ = to;
     watchdog_.disarm();
-    // Guards against peers that fall silent: each state but the wait for an answer ends by itself.
+    // Guards against peers that fall silent or send byte by byte: each state but the wait for an answer ends
+    // by itself, and the first message must be whole within a time that counts from the connect.
+    const Time whole = (asked_ ? now : born_) + kWhole;
     if (to == State::idle)
-        watchdog_.arm(deadlines_, now + kIdle, [this](Time at) { over(at, End::idle); });
+        watchdog_.arm(deadlines_, asked_ ? now + kIdle : whole,
+                      [this](Time at) { over(at, asked_ ? End::idle : End::silent); });
     else if (to == State::reading)
-        watchdog_.arm(deadlines_, now + kHalf, [this](Time at) {
-            keepAlive_ = false;
-            reply(at, 408, "the request did not come to its end\n");
-        });
+        watchdog_.arm(deadlines_, whole,
+                      [this](Time at) { cutOff(at, 408, "the request did not come to its end\n"); });
     else if (to == State::closing)
-        watchdog_.arm(deadlines_, now + kHalf, [this](Time at) { over(at, End::silent); });
+        watchdog_.arm(deadlines_, now + kTake, [this](Time at) { over(at, End::silent); });
     stateChanged(now, to);
 }
 
+void Server::cutOff(Time now, int status, std::string_view body, std::string_view extra) {
+    keepAlive_ = false;
+    parser_ = Parser(Parser::Kind::request);  // what it held is not wanted any more
+    change(now, State::waiting);
+    reply(now, status, body, extra);
+}
+
 void Server::over(Time now, End how) {
     if (state_ == State::ended) return;
     const bool owed = state_ == State::waiting;
@@ -56,10 +64,8 @@
         const bool asked = parser_.wantsContinue();
         in().taken(parser_.feed({bytes.data(), bytes.size()}));
         if (parser_.bad()) {
-            keepAlive_ = false;
             const int fault = parser_.fault();
-            change(now, State::waiting);
-            reply(now, fault, std::string(reasonOf(fault)) + "\n");
+            cutOff(now, fault, std::string(reasonOf(fault)) + "\n");
             break;
         }
         if (!parser_.complete()) {
@@ -70,6 +76,7 @@
         }
         Message message = parser_.take();
         keepAlive_ = message.keepAlive;
+        asked_ = true;
         change(now, State::waiting);
         request(now, std::move(message));
     }
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -13,6 +13,10 @@
     explicit Server(Deadlines& deadlines, Time now);
 
     State state() const { return state_; }
+    Time born() const { return born_; }
+    std::size_t held() const { return state_ == State::reading ? parser_.held() : 0; }
+    // Ends a message that is being read with an answer, as when there is no room for it.
+    void cutOff(Time now, int status, std::string_view body, std::string_view extra = {});
     void reply(Time now, int status, std::string_view body, std::string_view extra = {});
     void lastOne() { last_ = true; }                // the next answer says that the connection closes
     void closeIdle(Time now, End how = End::idle);  // only between messages; otherwise after the answer
@@ -29,7 +33,9 @@
     virtual void gone(Time, End) {}  // the connection is over: the last call
 
 private:
-    static constexpr Nanos kHalf = std::chrono::seconds(10);  // to complete a message, or to take an answer
+    // To complete a message: the first one from the connect on, others from their first byte.
+    static constexpr Nanos kWhole = std::chrono::milliseconds(2500);
+    static constexpr Nanos kTake = std::chrono::seconds(5);  // to take the last answer
     static constexpr Nanos kIdle = std::chrono::seconds(75);
 
     void pump(Time now);
@@ -40,6 +46,8 @@
     Deadlines::Ticket watchdog_;
     Parser parser_{Parser::Kind::request};
     State state_ = State::idle;
+    Time born_;
+    bool asked_ = false;  // a whole message has come
     bool pumping_ = false, last_ = false, keepAlive_ = true;
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -41,14 +41,19 @@
     platform::Watch watch(core, servers, loop.deadlines(), wiring, config.discovery);
     platform::Front front(core, servers, loop.deadlines());
     core.addFarmSource(watch);
+    front.setRoom(config.memoryMb * 1024 * 1024 / 4);
 
     // Descriptors: some are the process's own, some are kept for passes so that a crowd of clients can't
-    // stop the jobs that were taken.
+    // stop the jobs that were taken. Who has shown least goes first.
     constexpr std::size_t kOwn = 24;
     const std::size_t most = config.sockets - kOwn, forClients = most - most / 8;
     const auto roomBelow = [&](Time now, std::size_t limit) {
+        using platform::Front;
         while (net::Link::open() >= limit)
-            if (!servers.relieve(now) && !front.relieve(now)) return false;
+            if (!front.relieve(now, Front::stranger) && !servers.relieve(now) && !front.relieve(now)) {
+                front.hurry(now);
+                return false;
+            }
         return true;
     };
     wiring.makeRoom = [&](Time now) { return roomBelow(now, most); };
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -205,7 +205,7 @@
     if (error && error != asio::error::operation_aborted) return end(error);
     const auto self = shared_from_this();
     socket_.async_read_some(
-        asio::buffer(scrap_),
+        asio::buffer(loop_.scrap().data(), loop_.scrap().size()),
         asio::bind_executor(loop_.strand(), [self](error_code e, std::size_t got) { self->linger(e, got); }));
 }
 
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -48,6 +49,7 @@
     void run();   // until stop
     void poll();  // one turn that waits for nothing
     void stop() { stopped_ = true; }
+    std::span<char> scrap() { return scrap_; }  // for bytes that nobody looks at
 
     // A link lives here from its start to the turn after its close: its coroutines hold nothing while parked.
     void keep(const std::shared_ptr<Link>& link) { links_.insert(link); }
@@ -65,6 +67,7 @@
     std::optional<Time> armed_;
     std::vector<std::unique_ptr<asio::signal_set>> signals_;
     bool stopped_ = false;
+    std::vector<char> scrap_ = std::vector<char>(64 * 1024);
     std::unordered_set<std::shared_ptr<Link>> links_;
 };
 
@@ -97,7 +100,6 @@
     asio::coroutine reader_, writer_;
     bool readerParked_ = false, writerParked_ = false, lingering_ = false, closed_ = false;
     Deadlines::Ticket lingerTicket_;
-    char scrap_[512];
     static std::size_t open_;
 };
 
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -12,26 +12,64 @@
 public:
     Connection(Front& owner, Time now) : http::Server(owner.deadlines_, now), owner_(owner) {}
 
-    std::list<std::shared_ptr<Connection>>::iterator place;
+    Connections::iterator place;
+    Standing standing = silent;
 
     void served(Time now, std::string result) override { final(now, 200, result); }
     void failed(Time now, std::string_view why) override {
         final(now, 502, why.empty() ? "the job failed\n" : why);
     }
-    void unavailable(Time now, Nanos retryIn) override { turnAway(now, retryIn); }
+    void unavailable(Time now, Nanos retryIn) override {
+        final(now, 503, "unavailable, try again\n", advice(retryIn));
+    }
+
+    void received(Time now) override {
+        http::Server::received(now);
+        if (state() != State::reading) return hold(jobBytes_);
+        hold(held());
+        // Guards against many messages that together hold more than there is: this one can't be finished.
+        if (owner_.held_ <= owner_.room_) return;
+        ++owner_.counters_.noRoom;
+        cutOff(now, 503, "no room, try again\n", advice(kComeBack));
+    }
 
 private:
+    static constexpr Nanos kComeBack = std::chrono::milliseconds(500);
+
     void final(Time now, int status, std::string_view body, std::string_view extra = {}) {
-        transaction_ = 0, open_ = false;
+        if (std::exchange(open_, false)) owner_.release(now, traceId_);
+        transaction_ = 0, jobBytes_ = 0;
+        hold(0);
         reply(now, status, body, extra);
     }
 
-    void turnAway(Time now, Nanos retryIn) {
-        char advice[48] = "";
-        if (retryIn.count() > 0)
-            std::snprintf(advice, sizeof advice, "Retry-After: %.3f\r\n",
+    std::string advice(Nanos retryIn) const {
+        char text[48] = "";
+        if (retryIn.count() > 0 && owner_.core_.site().module.retryAdvice)
+            std::snprintf(text, sizeof text, "Retry-After: %.3f\r\n",
                           static_cast<double>(retryIn.count()) * 1e-9);
-        final(now, 503, "unavailable, try again\n", advice);
+        return text;
+    }
+
+    void hold(std::size_t bytes) {
+        owner_.held_ += bytes - holds_;
+        holds_ = bytes;
+    }
+
+    void rise(Standing to) {
+        if (to <= standing) return;
+        auto& from = owner_.connections_[standing];
+        standing = to;
+        auto& into = owner_.connections_[standing];
+        into.splice(into.end(), from, place);
+    }
+
+    // Guards against a peer that sends the same again as soon as it is turned away.
+    void fault(Time now, int status, const std::string& why, std::string_view extra = {}) {
+        ++owner_.counters_.malformed;
+        if (++faults_ <= kMostFaults) return reply(now, status, why, extra);
+        lastOne();
+        reply(now, 429, why, advice(kComeBack));
     }
 
     void request(Time now, http::Message message) override {
@@ -41,10 +79,12 @@
         const std::string_view path = message.path();
         const bool get = message.method == "GET";
         if (path == "/callback") {
+            rise(client);
             if (message.method != "POST") return reply(now, 405, "");
             const bool taken = owner_.servers_.callback(now, message.body);
             return taken ? reply(now, 204, "") : reply(now, 400, "this call can't be read\n");
         }
+        rise(stranger);
         if (path == "/-/ready") {
             if (!get) return reply(now, 405, "");
             return owner_.turnAway_ ? reply(now, 503, "ending\n") : reply(now, 200, "ready\n");
@@ -52,13 +92,20 @@
         if (path == "/-/counters")
             return get ? reply(now, 200, owner_.report_ ? owner_.report_() : "") : reply(now, 405, "");
         BadJob bad;
-        if (message.method != "POST") return reply(now, 405, "jobs arrive by POST\n", "Allow: POST\r\n");
+        if (message.method != "POST") return fault(now, 405, "jobs arrive by POST\n", "Allow: POST\r\n");
         auto arrival = readJob(owner_.core_.site(), message, bad);
-        if (!arrival) {
-            ++owner_.counters_.malformed;
-            return reply(now, bad.status, bad.why + "\n");
+        if (!arrival) return fault(now, bad.status, bad.why + "\n");
+        if (late) return reply(now, 503, "unavailable, try again\n", advice(std::chrono::milliseconds(100)));
+        // Guards against a second job under the id of one that is open: application servers and their
+        // callbacks know jobs by it. The first goes on unharmed.
+        if (!owner_.claim(now, arrival->job.traceId)) {
+            ++owner_.counters_.takenIds;
+            return fault(now, 409, "this X-Trace-Id is in use\n", advice(kComeBack));
         }
-        if (late) return turnAway(now, std::chrono::milliseconds(100));
+        faults_ = 0;
+        rise(client);
+        traceId_ = arrival->job.traceId;
+        jobBytes_ = message.body.size();
         arrival->job.body = std::move(message.body);
         arrival->client = shared_from_this();
         open_ = true;
@@ -67,21 +114,26 @@
     }
 
     void stateChanged(Time, State to) override {
-        if (to == State::idle)
-            owner_.connections_.splice(owner_.connections_.end(), owner_.connections_, place);
+        auto& peers = owner_.connections_[standing];
+        if (to == State::idle) peers.splice(peers.end(), peers, place);
     }
     void left(Time now) override {
-        if (open_ && transaction_) owner_.core_.clientLeft(now, transaction_);
-        open_ = false;
+        if (!std::exchange(open_, false)) return;
+        owner_.release(now, traceId_);
+        if (transaction_) owner_.core_.clientLeft(now, transaction_);
     }
     void gone(Time, End how) override {
         ++owner_.counters_.ends[static_cast<std::size_t>(how)];
-        owner_.connections_.erase(place);
+        hold(0);
+        owner_.connections_[standing].erase(place);
     }
 
     Front& owner_;
     TransactionId transaction_ = 0;
     bool open_ = false;
+    std::string traceId_;
+    std::size_t jobBytes_ = 0, holds_ = 0;
+    unsigned faults_ = 0;
 };
 
 Front::Front(Core& core, Servers& servers, Deadlines& deadlines)
@@ -91,16 +143,33 @@
 std::shared_ptr<wire::Machine> Front::accept(Time now) {
     ++counters_.connections;
     auto connection = std::make_shared<Connection>(*this, now);
-    connections_.push_back(connection);
-    connection->place = std::prev(connections_.end());
+    connections_[silent].push_back(connection);
+    connection->place = std::prev(connections_[silent].end());
     return connection;
 }
 
+std::size_t Front::open() const {
+    std::size_t count = 0;
+    for (const Connections& peers : connections_) count += peers.size();
+    return count;
+}
+
+bool Front::claim(Time now, const std::string& traceId) {
+    for (; !ended_.empty() && ended_.front().first <= now; ended_.pop_front())
+        ids_.erase(ended_.front().second);
+    return ids_.insert(traceId).second;
+}
+
+void Front::release(Time now, const std::string& traceId) {
+    ended_.emplace_back(now + kIdsKept, traceId);
+}
+
 void Front::drain(Time now) {
     if (turnAway_) return;
     turnAway_ = now + HandOver::of(core_.site()).turnAway;
     handOver_.arm(deadlines_, *turnAway_, [this](Time at) {
-        for (const auto& connection : connections_) connection->lastOne();
+        for (const Connections& peers : connections_)
+            for (const auto& connection : peers) connection->lastOne();
         // Guards against a request that meets the process's end unread: a client whose idle connection is
         // closed in time sends it again elsewhere.
         while (relieve(at)) {
@@ -108,19 +177,31 @@
     });
 }
 
-bool Front::relieve(Time now) {
-    for (const auto& connection : connections_)
-        if (connection->state() == http::Server::State::idle && connection->out().empty()) {
-            const auto keep = connection;
-            keep->closeIdle(now);
-            return true;
+bool Front::relieve(Time now, Standing most) {
+    for (std::size_t standing = 0; standing <= most; ++standing)
+        for (const auto& connection : connections_[standing]) {
+            // Guards against closing who has just come: the first request, or a callback, is on its way.
+            if (standing == silent && now - connection->born() <= kPatience) continue;
+            if (connection->state() == http::Server::State::idle && connection->out().empty()) {
+                const auto keep = connection;
+                keep->closeIdle(now);
+                return true;
+            }
         }
     return false;
 }
 
+void Front::hurry(Time now) {
+    for (const auto& connection : Connections(connections_[silent]))
+        if (connection->state() == http::Server::State::reading && now - connection->born() > kPatience)
+            connection->cutOff(now, 408, "the request did not come to its end\n");
+}
+
 bool Front::quiet() const {
-    for (const auto& connection : connections_)
-        if (connection->state() == http::Server::State::waiting || !connection->out().empty()) return false;
+    for (const Connections& peers : connections_)
+        for (const auto& connection : peers)
+            if (connection->state() == http::Server::State::waiting || !connection->out().empty())
+                return false;
     return true;
 }
 
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -1,7 +1,10 @@
 // The platform's HTTP front: clients, callbacks and what the platform asks of a dispatcher, on one listener.
 #pragma once
 
+#include <array>
+#include <deque>
 #include <list>
+#include <unordered_set>
 
 #include "http/server.hpp"
 #include "platform/servers.hpp"
@@ -17,24 +20,44 @@
     // The process is to end. All goes on until the hand-over's turn-away; from then on new jobs are turned
     // away, answers ask for the connection's close, and idle connections are closed.
     void drain(Time now);
-    bool handedOver(Time now) const { return turnAway_ && (now >= *turnAway_ || connections_.empty()); }
-    bool relieve(Time now);  // closes the connection that was idle longest, if there is one
-    bool quiet() const;      // nothing is owed or waits to be written
-    std::size_t open() const { return connections_.size(); }
+    bool handedOver(Time now) const { return turnAway_ && (now >= *turnAway_ || open() == 0); }
+    // What a connection has shown of itself so far: it has asked nothing, no job, or a job or a callback.
+    enum Standing { silent, stranger, client };
+    // Closes an idle connection of at most that standing, if there is one: the lowest first, then the one
+    // that was idle longest.
+    bool relieve(Time now, Standing most = client);
+    void hurry(Time now);  // cuts first messages off that are long in coming
+    bool quiet() const;    // nothing is owed or waits to be written
+    std::size_t open() const;
+    void setRoom(std::size_t bytes) { room_ = bytes; }  // for messages that are not whole and for open jobs
     void setReport(std::function<std::string()> report) { report_ = std::move(report); }
 
     struct Counters {
-        std::uint64_t connections = 0, requests = 0, malformed = 0;
+        std::uint64_t connections = 0, requests = 0, malformed = 0, takenIds = 0, noRoom = 0;
         std::uint64_t ends[kEnds] = {};
     };
     const Counters& counters() const { return counters_; }
 
 private:
     class Connection;
+    static constexpr Nanos kIdsKept = std::chrono::seconds(10);
+    static constexpr unsigned kMostFaults = 8;  // of one connection in a row, then it is told to wait
+    static constexpr Nanos kPatience =
+        std::chrono::milliseconds(300);  // with who has not asked yet, when short
+
     Core& core_;
     Servers& servers_;
     Deadlines& deadlines_;
-    std::list<std::shared_ptr<Connection>> connections_;  // idle ones in the order they became so
+    using Connections = std::list<std::shared_ptr<Connection>>;
+
+    bool claim(Time now, const std::string& traceId);
+    void release(Time now, const std::string& traceId);
+
+    std::array<Connections, 3> connections_;  // by standing; idle ones in the order they became so
+    // Ids of jobs that are open, and for a while of those that were: a callback could come for them yet.
+    std::unordered_set<std::string> ids_;
+    std::deque<std::pair<Time, std::string>> ended_;
+    std::size_t room_ = 16 * 1024 * 1024, held_ = 0;
     std::function<std::string()> report_;
     std::optional<Time> turnAway_;
     Deadlines::Ticket handOver_;
--- a/src/platform/names.cpp
+++ b/src/platform/names.cpp
@@ -1,6 +1,7 @@
 #include "platform/names.hpp"
 
 #include <algorithm>
+#include <cctype>
 
 namespace amberswitch::platform {
 
@@ -15,6 +16,16 @@
     return static_cast<std::size_t>(at - names.begin());
 }
 
+constexpr std::uint64_t kMostWaitMs = 3'600'000;
+
+// An id or a key that can stand in a header and in a path as it is.
+bool plain(std::string_view text) {
+    return !text.empty() && text.size() <= 128 && std::all_of(text.begin(), text.end(), [](char c) {
+        return std::isalnum(static_cast<unsigned char>(c)) ||
+               std::string_view("-._~").find(c) != std::string_view::npos;
+    });
+}
+
 void put(LoadReport& load, std::string_view name, double value) {
     if (name == "x0")
         load.freeSlots = value;
@@ -35,24 +46,34 @@
         bad = {status, why};
         return std::nullopt;
     };
+    // Guards against what an application server can't read: it would close the connection on it. Two of a
+    // header that counts could be read in two ways.
+    for (const char* name : {"x-trace-id", "x-qos", "x-customer", "x-expires-in-ms", "idempotency-key"})
+        if (message.repeats(name)) return fault(400, "a header is repeated");
     const std::string_view path = message.path();
     const std::string_view first = path.substr(std::min<std::size_t>(1, path.size()));
+    const std::string_view named = first.substr(0, first.find('/'));
     const std::string* const header = message.header("x-qos");
-    const std::string_view name = header ? std::string_view(*header) : first.substr(0, first.find('/'));
-    const auto klass = placeOf(site.classes, name);
+    const auto klass = placeOf(site.classes, header ? std::string_view(*header) : named);
     if (!klass) return fault(404, "no such class of job");
+    if (path.substr(0, 1) != "/" || named != site.classes[*klass])
+        return fault(400, "the path and X-Qos name different classes");
     const std::string* const trace = message.header("x-trace-id");
     if (!trace || trace->empty()) return fault(400, "X-Trace-Id is missing");
+    if (!plain(*trace)) return fault(400, "X-Trace-Id is no id");
     const auto& settings = site.module.classes[*klass];
+    const std::string* const key = message.header("idempotency-key");
+    if (settings.effect == heronmount::Effect::keyed && (!key || !plain(*key)))
+        return fault(400, "Idempotency-Key is missing or no key");
 
     Arrival arrival;
     auto& request = arrival.request;
     request.klass = static_cast<std::uint32_t>(*klass);
     request.timeLeft = settings.giveUp;
     if (const std::string* const left = message.header("x-expires-in-ms")) {
-        const auto ms = http::decimalNumber(*left);
-        if (!ms || !(*ms > 0) || *ms > 1e9) return fault(400, "X-Expires-In-Ms is no time to wait");
-        request.timeLeft = Nanos(static_cast<std::int64_t>(*ms * 1e6));
+        const auto ms = http::wholeNumber(*left);
+        if (!ms || *ms == 0 || *ms > kMostWaitMs) return fault(400, "X-Expires-In-Ms is no time to wait");
+        request.timeLeft = std::chrono::milliseconds(*ms);
     }
     request.timeLeft = withoutWay(request.timeLeft);
     if (const std::string* const tenant = message.header("x-customer"))
@@ -61,21 +82,21 @@
         if (const auto ms = http::decimalNumber(*hint); ms && *ms > 0 && *ms < 1e9)
             request.hint = Nanos(static_cast<std::int64_t>(*ms * 1e6));
     if (const std::string* const cookie = message.header("cookie"))
-        for (const auto& [key, value] : http::pairs(*cookie, ';'))
-            if (key == "sid") request.hasKey = true, request.key = fingerprint(value) >> 11;
+        for (const auto& [name, value] : http::pairs(*cookie, ';'))
+            if (name == "sid") request.hasKey = true, request.key = fingerprint(value) >> 11;
     request.clientRepeat = message.header("x-second-try") != nullptr;
     if (const std::string* const props = message.header("x-props"))
-        for (const auto& [key, value] : http::pairs(*props, ',')) {
+        for (const auto& [name, value] : http::pairs(*props, ',')) {
             const auto figure = http::decimalNumber(value);
-            if (!figure || *figure < 0) continue;
-            if (key == "x1" || key == "slots") request.slots = *figure;
-            if (key == "x2" || key == "memory") request.memory = *figure;
+            if (!figure || *figure < 0 || *figure > 1e6) return fault(400, "X-Props holds no figure");
+            if (name == "x1" || name == "slots") request.slots = *figure;
+            if (name == "x2" || name == "memory") request.memory = *figure;
         }
 
     Job& job = arrival.job;
     job.className = site.classes[*klass];
     job.method = message.method, job.target = message.target, job.traceId = *trace;
-    if (const std::string* const key = message.header("idempotency-key")) job.key = *key;
+    if (key) job.key = *key;
     if (const std::string* const type = message.header("content-type")) job.contentType = *type;
     return arrival;
 }
--- a/src/report.cpp
+++ b/src/report.cpp
@@ -45,6 +45,8 @@
     line("http.open", front.open());
     line("http.requests", f.requests);
     line("http.malformed_jobs", f.malformed);
+    line("http.ids_in_use", f.takenIds);
+    line("http.no_room", f.noRoom);
     ends("http.ended", f.ends);
     const auto& g = gearman.counters();
     line("gearman.connections", g.connections);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -402,16 +402,18 @@
 
 TEST_F(FrontTest, TurnsNewJobsAwayOnceTheHandOverIsOver) {
     front.drain(now);
-    const std::string request = "POST /car-match HTTP/1.1\r\nX-Trace-Id: 1\r\n\r\n";
-    EXPECT_EQ(say(request), "");  // still taken: clients come for a while
+    auto request = [n = 0]() mutable {
+        return "POST /car-match HTTP/1.1\r\nX-Trace-Id: " + std::to_string(++n) + "\r\n\r\n";
+    };
+    EXPECT_EQ(say(request()), "");  // still taken: clients come for a while
     EXPECT_EQ(core.open(), 1u);
     EXPECT_EQ(say("GET /-/ready HTTP/1.1\r\n\r\n").substr(9, 3), "503");
     now += 2700ms;
-    EXPECT_EQ(say(request), "");  // who has a connection may know no other dispatcher that is up
+    EXPECT_EQ(say(request()), "");  // who has a connection may know no other dispatcher that is up
     EXPECT_FALSE(front.handedOver(now));
     now += 200ms;
     EXPECT_TRUE(front.handedOver(now));
-    const std::string answer = say(request);
+    const std::string answer = say(request());
     EXPECT_EQ(answer.substr(9, 3), "503");
     EXPECT_NE(answer.find("Retry-After: 0.1"), std::string::npos);
     EXPECT_NE(answer.find("Connection: close"), std::string::npos);
@@ -422,7 +424,7 @@
     const auto busy = front.accept(now);
     busy->in().put("POST /car-match HTTP/1.1\r\nX-Trace-Id: 1\r\n\r\n");
     busy->received(now);
-    front.accept(now);
+    say("GET /-/ready HTTP/1.1\r\n\r\n");  // idle now
     front.drain(now);
     pass(2790ms);
     EXPECT_EQ(front.open(), 2u);
@@ -431,15 +433,136 @@
     EXPECT_FALSE(front.quiet());
 }
 
-TEST_F(FrontTest, ClosesTheLongestIdleConnectionWhenShort) {
-    const auto busy = front.accept(now);
-    busy->in().put("POST /car-match HTTP/1.1\r\nX-Trace-Id: 1\r\n\r\n");
-    busy->received(now);
-    front.accept(now);
+// Guards against a crowd taking the descriptors of clients that have jobs to send.
+TEST_F(FrontTest, ClosesWhoHasShownLeastWhenShort) {
+    using platform::Front;
+    const auto busy = front.accept(now), client = front.accept(now), stranger = front.accept(now),
+               silent = front.accept(now);
+    const auto tell = [&](const std::shared_ptr<wire::Machine>& machine, const std::string& request) {
+        machine->in().put(request);
+        machine->received(now);
+        network.made.push_back(machine);
+        network.take(network.made.size() - 1, now);
+    };
+    tell(busy, "POST /car-match HTTP/1.1\r\nX-Trace-Id: 1\r\n\r\n");
+    tell(client, "POST /callback HTTP/1.1\r\nContent-Length: 1\r\n\r\n{");
+    tell(stranger, "GET /-/ready HTTP/1.1\r\n\r\n");
+    struct Leaver : wire::Driver {
+        void wake() override {}
+        void drop() override { order.push_back(name); }
+        Leaver(std::string& o, char n) : order(o), name(n) {}
+        std::string& order;
+        char name;
+    };
+    std::string order;
+    Leaver a(order, 'c'), b(order, 's'), c(order, '-');
+    client->attach(&a), stranger->attach(&b), silent->attach(&c);
+    EXPECT_TRUE(front.relieve(now, Front::stranger));
+    EXPECT_FALSE(front.relieve(now, Front::stranger));  // the silent one has only just come
+    now += 400ms;
+    EXPECT_TRUE(front.relieve(now, Front::stranger));
+    EXPECT_FALSE(front.relieve(now, Front::stranger));
     EXPECT_TRUE(front.relieve(now));
     EXPECT_FALSE(front.relieve(now));  // the one that is owed an answer stays
+    EXPECT_EQ(order, "s-c");
     EXPECT_EQ(front.open(), 1u);
 }
 
+// Guards against half messages that keep clients waiting for a descriptor.
+TEST_F(FrontTest, CutsLongHalfMessagesOffWhenShort) {
+    const auto half = front.accept(now);
+    half->in().put("POST /car-match HTTP/1.1\r\nX-Tr");
+    half->received(now);
+    front.hurry(now + 200ms);
+    EXPECT_TRUE(half->out().empty());
+    front.hurry(now + 600ms);
+    EXPECT_TRUE(half->finished());
+    EXPECT_FALSE(half->out().empty());
+}
+
+// Guards against a second job under an id that servers and their callbacks know another by.
+TEST_F(FrontTest, RefusesTheIdOfAnotherJobAndLeavesThatUnharmed) {
+    const std::string request = "POST /car-match HTTP/1.1\r\nX-Trace-Id: t\r\nContent-Length: 0\r\n\r\n";
+    const auto first = front.accept(now);
+    first->in().put(request);
+    first->received(now);
+    ASSERT_EQ(network.made.size(), 1u);
+    network.made[0]->opened(now), network.take(0, now);
+    const std::string second = say(request);
+    EXPECT_EQ(second.substr(9, 3), "409");
+    EXPECT_NE(second.find("Retry-After: "), std::string::npos);
+    EXPECT_EQ(core.counters().passes, 1u);
+    EXPECT_TRUE(pool.callback(now, call("done", holder(0))));
+    network.made.push_back(first);
+    EXPECT_EQ(network.take(network.made.size() - 1, now).substr(9, 3), "200");
+    EXPECT_EQ(say(request).substr(9, 3), "409");  // its callback may be repeated yet
+    now += 11s;
+    EXPECT_EQ(say(request), "");
+}
+
+// Guards against what an application server would close its connection on, and all that waits there with it.
+TEST_F(FrontTest, PassesNothingOnThatAServerCouldNotRead) {
+    const std::size_t before = network.made.size();
+    const auto status = [this](const std::string& path, const std::string& headers) {
+        return say("POST " + path + " HTTP/1.1\r\n" + headers + "\r\n").substr(9, 3);
+    };
+    const std::string trace = "X-Trace-Id: 1\r\n", key = "Idempotency-Key: k\r\n";
+    EXPECT_EQ(status("/car-match", ""), "400");
+    EXPECT_EQ(status("/car-match", "X-Trace-Id:\r\n"), "400");
+    EXPECT_EQ(status("/car-match", "X-Trace-Id: a/b\r\n"), "400");
+    EXPECT_EQ(status("/car-match", "X-Trace-Id: " + std::string(200, 'a') + "\r\n"), "400");
+    EXPECT_EQ(status("/car-match", trace + trace), "400");
+    EXPECT_EQ(status("/car-match2", trace + "X-Qos: car-match2\r\n"), "404");
+    EXPECT_EQ(status("/job-assign", trace + key + "X-Qos: car-match\r\n"), "400");
+    EXPECT_EQ(status("car-match", trace + "X-Qos: car-match\r\n"), "400");
+    for (const char* left : {"soon", "-5", "", "0", "1.5", "nan", "99999999999999999999999"})
+        EXPECT_EQ(status("/car-match", trace + "X-Expires-In-Ms: " + left + "\r\n"), "400") << left;
+    EXPECT_EQ(status("/job-assign", trace), "400");
+    EXPECT_EQ(status("/car-match", trace + "X-Props: slots=nan\r\n"), "400");
+    EXPECT_EQ(status("/car-match", trace + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"), "400");
+    EXPECT_EQ(status("/car-match", trace + "Content-Length: 60000000\r\n"), "413");
+    EXPECT_EQ(network.made.size() - before, 19u);  // the test's own connections, none to a server
+    EXPECT_EQ(core.counters().taken, 0u);
+}
+
+// Guards against peers that send the same again as soon as it is turned away.
+TEST_F(FrontTest, TellsWhoRepeatsAFaultToWait) {
+    const auto peer = front.accept(now);
+    network.made.push_back(peer);
+    const std::size_t at = network.made.size() - 1;
+    for (int i = 0; i < 8; ++i) {
+        network.give(at, now, "POST /render HTTP/1.1\r\nX-Trace-Id: 1\r\n\r\n");
+        EXPECT_EQ(network.take(at, now).substr(9, 3), "404");
+    }
+    network.give(at, now, "POST /render HTTP/1.1\r\nX-Trace-Id: 1\r\n\r\n");
+    const std::string last = network.take(at, now);
+    EXPECT_EQ(last.substr(9, 3), "429");
+    EXPECT_NE(last.find("Retry-After: "), std::string::npos);
+    EXPECT_TRUE(peer->finished());
+}
+
+// Guards against many half messages that together hold more than there is.
+TEST_F(FrontTest, BoundsWhatHalfMessagesHold) {
+    front.setRoom(20'000);
+    std::vector<std::shared_ptr<wire::Machine>> peers;
+    std::string answers;
+    for (int i = 0; i < 12; ++i) {
+        peers.push_back(front.accept(now));
+        peers.back()->in().put("POST /car-match HTTP/1.1\r\nX-Trace-Id: 1\r\nContent-Length: 60000\r\n\r\n" +
+                               std::string(3000, 'x'));
+        peers.back()->received(now);
+        network.made.push_back(peers.back());
+        answers += network.take(network.made.size() - 1, now).substr(0, 12);
+    }
+    EXPECT_NE(answers.find("HTTP/1.1 503"), std::string::npos);
+    EXPECT_GT(front.counters().noRoom, 3u);
+    EXPECT_LT(front.counters().noRoom, 9u);
+    for (const auto& peer : peers) peer->ended(now, End::peerReset);  // what they held is free again
+    const auto next = front.accept(now);
+    next->in().put("POST /car-match HTTP/1.1\r\nContent-Length: 60000\r\n\r\n" + std::string(3000, 'x'));
+    next->received(now);
+    EXPECT_TRUE(next->out().empty());
+}
+
 }  // namespace
 }  // namespace amberswitch
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -55,6 +55,10 @@
     EXPECT_EQ(fault("GET / HTTP/1.1\r\nA : 1\r\n"), 400);
     EXPECT_EQ(fault("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n"), 400);
     EXPECT_EQ(fault("POST / HTTP/1.1\r\nContent-Length: -1\r\n"), 400);
+    EXPECT_EQ(fault("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n"), 400);
+    EXPECT_EQ(fault("POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n"), 400);
+    EXPECT_EQ(fault("POST /\xe9 HTTP/1.1\r\n"), 400);
+    EXPECT_EQ(fault("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n"), 400);
     EXPECT_EQ(fault("POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"), 400);
     EXPECT_EQ(fault("POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n"), 501);
     EXPECT_EQ(fault("POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n"), 413);
@@ -64,6 +68,13 @@
     EXPECT_EQ(fault("GET / HTTP/1.1\r\nA: " + std::string(kMostHead, 'a')), 431);
 }
 
+// Guards against figures that would spoil every sum they are added to.
+TEST(Numbers, AreFinite) {
+    for (const char* text : {"nan", "inf", "-inf", "1e999", "", "1x"})
+        EXPECT_FALSE(decimalNumber(text)) << text;
+    EXPECT_EQ(decimalNumber("1.5"), 1.5);
+}
+
 // --- a connection and a model of it ---
 struct Wire : wire::Driver {
     void wake() override {}
@@ -112,16 +123,38 @@
     EXPECT_LT(out.find("one"), out.find("two"));
 }
 
-TEST(Server, EndsSilentPeersAndBadOnes) {
+// Guards against crowds that say nothing or never come to an end: the time counts from the connect.
+TEST(Server, EndsSilentPeersAndBadOnesWithinThreeSecondsOfTheConnect) {
     Deadlines deadlines;
     Wire driver;
-    Answering half(deadlines, 0s);
+    Answering half(deadlines, 0s), slow(deadlines, 0s), silent(deadlines, 0s), kept(deadlines, 0s);
     half.attach(&driver);
-    give(half, 0s, kJob.substr(0, 40));
-    deadlines.sweep(11s);
-    EXPECT_NE(taken(half, 11s).find("HTTP/1.1 408"), std::string::npos);
-    EXPECT_TRUE(half.finished());
+    give(half, 2s, kJob.substr(0, 40));
+    give(kept, 0s, kJob);
+    kept.reply(0s, 200, "r");
+    for (Time now{0}; now < 2400ms; now += 100ms) {  // byte by byte
+        deadlines.sweep(now);
+        give(slow, now, kJob.substr(static_cast<std::size_t>(now / 100ms), 1));
+    }
+    EXPECT_EQ(taken(half, 2400ms) + taken(slow, 2400ms), "");
+    deadlines.sweep(2600ms);
+    for (Answering* one : {&half, &slow}) {
+        EXPECT_NE(taken(*one, 2600ms).find("HTTP/1.1 408"), std::string::npos);
+        EXPECT_TRUE(one->finished());
+    }
+    EXPECT_EQ(silent.end, End::silent);
+    taken(kept, 2600ms);
+    give(kept, 10s, kJob.substr(0, 40));  // a later message has its own time
+    deadlines.sweep(12400ms);
+    EXPECT_EQ(taken(kept, 12400ms), "");
+    deadlines.sweep(12600ms);
+    EXPECT_NE(taken(kept, 12600ms).find("HTTP/1.1 408"), std::string::npos);
     Answering idle(deadlines, 0s);
+    give(idle, 0s, kJob);
+    idle.reply(0s, 200, "r");
+    taken(idle, 0s);
+    deadlines.sweep(74s);
+    EXPECT_EQ(idle.ends, 0);
     deadlines.sweep(76s);
     EXPECT_EQ(idle.end, End::idle);
     Answering bad(deadlines, 0s);
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -117,6 +117,17 @@
     EXPECT_EQ(program.exitStatus(), 0);
 }
 
+// Guards against a reset that overtakes an error: a peer that is still sending must get to read it.
+TEST(Program, AnErrorReachesAPeerThatIsStillSending) {
+    Program program(config(kSettings));
+    const std::string hello = program.line();
+    Caller peer(static_cast<unsigned short>(std::stoi(hello.substr(hello.rfind(':') + 1))));
+    peer.send("POST /car-match HTTP/1.1\r\nHost: x\r\nX-Trace-Id: 1\r\nContent-Length: 30000000\r\n\r\n");
+    const std::string piece(1'000'000, 'x');
+    for (int i = 0; i < 30; ++i) peer.send(piece);
+    EXPECT_EQ(peer.answer().substr(9, 3), "413");
+}
+
 // Guards against SIGHUP ending the process, and against a new file that can't be used taking the old settings
 // away.
 TEST(Program, RereadsItsFileOnSighupAndStaysUp) {
