Serve Gearman workers that grab all, and ration refused packets

libgearman's workers ask with GRAB_JOB_ALL only. They were answered ERR_UNSUPPORTED, asked again at once (40,000 times a second), and their clients waited until the deadline.

GRAB_JOB_ALL is answered with JOB_ASSIGN_ALL and an empty reducer. A connection gets 16 refusals of what isn't there at once and 10 a second; past that its bytes wait in its ring, so a peer that repeats a refused packet costs ten answers a second (tested: 67 in five seconds of flooding) while others are served as before.

--- a/src/gearman/front.cpp
+++ b/src/gearman/front.cpp
@@ -108,13 +108,17 @@
     };
     static constexpr Nanos kHalf = std::chrono::seconds(10);
     static constexpr std::size_t kMostUnread = 256 * 1024;
+    // Packets that ask for what isn't there: so many at once, so many a second; then the peer is read later.
+    static constexpr double kRefusedAtOnce = 16, kRefusedASecond = 10;
+    enum class Grab { plain, unique, all };
 
     void packet(Time now, const Packet& packet);
     void line(Time now, const std::string& text);
     void submit(Time now, const Packet& packet, bool background, int priority);
     void abilities(Time now);
     void takeBack(Time now, bool all);
-    void grab(Time now, bool unique);
+    void grab(Time now, Grab how);
+    void refuse(Time now, std::string_view code, std::string_view text);
     void report(Time now, const Packet& packet);
     void status(Type type, std::string_view by, const Submission* submission);
     void error(std::string_view code, std::string_view text) { say(Type::error, {code, text}); }
@@ -125,7 +129,9 @@
     Front& owner_;
     State state_ = State::open;
     Decoder decoder_{true};
-    Deadlines::Ticket half_;
+    Deadlines::Ticket half_, slowed_;
+    double mayBeRefused_ = kRefusedAtOnce;
+    Time refusedAt_{0};
     std::vector<std::shared_ptr<Submission>> mine_;  // foreground ones this client waits for
     // As a worker
     std::optional<std::size_t> slot_;  // its place among the workers; the farm knows it by this
@@ -202,7 +208,7 @@
 // --- connection ---
 void Front::Connection::received(Time now) {
     const auto self = shared_from_this();
-    while (state_ == State::open && !in().empty()) {
+    while (state_ == State::open && !slowed_.armed() && !in().empty()) {
         const auto bytes = in().front();
         in().taken(decoder_.feed({bytes.data(), bytes.size()}));
         if (decoder_.bad()) return giveUp(now, decoder_.fault());
@@ -223,6 +229,24 @@
                   [this](Time at) { giveUp(at, "half a packet and then nothing"); });
 }
 
+// Guards against a peer that sends a refused packet again as soon as it is told so: a worker that asks for
+// jobs in a way this server doesn't have would ask tens of thousands of times a second. It gets its answer,
+// and past the allowance what it sends next waits in the ring until it may be answered.
+void Front::Connection::refuse(Time now, std::string_view code, std::string_view text) {
+    ++owner_.counters_.refused;
+    error(code, text);
+    const double since = std::chrono::duration<double>(now - refusedAt_).count();
+    mayBeRefused_ = std::min(kRefusedAtOnce, mayBeRefused_ + since * kRefusedASecond) - 1;
+    refusedAt_ = now;
+    if (mayBeRefused_ >= 0) return;
+    ++owner_.counters_.slowed;
+    const auto until = now + Nanos(static_cast<std::int64_t>(-mayBeRefused_ / kRefusedASecond * 1e9));
+    slowed_.arm(owner_.deadlines_, until, [this](Time at) {
+        received(at);
+        wake();  // there is room to read again
+    });
+}
+
 void Front::Connection::giveUp(Time now, std::string_view why) {
     if (state_ != State::open) return;
     ++owner_.counters_.malformed;
@@ -239,6 +263,7 @@
     state_ = State::ended;
     ++owner_.counters_.ends[static_cast<std::size_t>(how)];
     half_.disarm();
+    slowed_.disarm();
     drop();
     takeBack(now, true);
     owner_.connections_.erase(place);
@@ -278,7 +303,7 @@
         case Type::echoReq:
             return say(Type::echoRes, {arg[0]});
         case Type::optionReq:
-            if (arg[0] != "exceptions") return error("ERR_UNKNOWN_OPTION", "there is no such option");
+            if (arg[0] != "exceptions") return refuse(now, "ERR_UNKNOWN_OPTION", "there is no such option");
             exceptions = true;
             return say(Type::optionRes, {arg[0]});
         case Type::setClientId:
@@ -287,7 +312,7 @@
         case Type::canDo:
         case Type::canDoTimeout: {
             const auto klass = owner_.classOf(arg[0]);
-            if (!klass) return error("ERR_UNKNOWN_FUNCTION", "no class of job has this name");
+            if (!klass) return refuse(now, "ERR_UNKNOWN_FUNCTION", "no class of job has this name");
             functions_.insert(*klass);
             timeouts_.erase(*klass);
             if (p.type == Type::canDoTimeout)
@@ -307,9 +332,11 @@
                 say(Type::noop, {}), sleeping_ = false;
             return;
         case Type::grabJob:
-            return grab(now, false);
+            return grab(now, Grab::plain);
         case Type::grabJobUniq:
-            return grab(now, true);
+            return grab(now, Grab::unique);
+        case Type::grabJobAll:
+            return grab(now, Grab::all);
         case Type::workStatus:
         case Type::workComplete:
         case Type::workFail:
@@ -319,12 +346,11 @@
             return report(now, p);
         case Type::allYours:
             return;  // it has no other job server: nothing hangs on that here
-        case Type::grabJobAll:
         case Type::submitJobSched:
         case Type::submitJobEpoch:
         case Type::submitReduceJob:
         case Type::submitReduceJobBg:
-            return error("ERR_UNSUPPORTED", "this server does not do that");
+            return refuse(now, "ERR_UNSUPPORTED", "this server does not do that");
         default:
             return giveUp(now, "a packet that only a server sends");
     }
@@ -332,7 +358,7 @@
 
 void Front::Connection::submit(Time now, const Packet& p, bool background, int priority) {
     const auto klass = owner_.classOf(p.arguments[0]);
-    if (!klass) return error("ERR_UNKNOWN_FUNCTION", "no class of job has this name");
+    if (!klass) return refuse(now, "ERR_UNKNOWN_FUNCTION", "no class of job has this name");
     ++owner_.counters_.submitted;
     if (owner_.draining_) return error("ERR_UNAVAILABLE", advice(std::chrono::milliseconds(100)));
     const std::string& given = p.arguments[1];
@@ -478,7 +504,7 @@
         if (one.transaction == pass.transaction && one.pass == pass.number) one.abandoned = true;
 }
 
-void Front::Connection::grab(Time now, bool unique) {
+void Front::Connection::grab(Time now, Grab how) {
     sleeping_ = false;
     if (offered_.empty() || assigned_.size() >= owner_.config_.workerSlots) return say(Type::noJob, {});
     const ProxyPass pass = offered_.front().pass;
@@ -487,8 +513,10 @@
     const Handle handle = "H:" + owner_.config_.name + ":j" + std::to_string(pass.transaction) + '.' +
                           std::to_string(pass.number);
     assigned_[handle] = {pass.transaction, pass.number, false};
-    if (unique)
+    if (how == Grab::unique)
         say(Type::jobAssignUniq, {handle, pass.job->className, pass.job->key, pass.job->body});
+    else if (how == Grab::all)  // no job here is to be reduced: the reducer is empty
+        say(Type::jobAssignAll, {handle, pass.job->className, pass.job->key, "", pass.job->body});
     else
         say(Type::jobAssign, {handle, pass.job->className, pass.job->body});
     if (const auto most = timeouts_.find(pass.klass); most != timeouts_.end())
--- a/src/gearman/front.hpp
+++ b/src/gearman/front.hpp
@@ -33,7 +33,7 @@
 
     struct Counters {
         std::uint64_t connections = 0, packets = 0, submitted = 0, joined = 0, assigned = 0, stray = 0,
-                      malformed = 0;
+                      malformed = 0, refused = 0, slowed = 0;
         std::uint64_t ends[kEnds] = {};
     };
     const Counters& counters() const { return counters_; }
--- a/src/report.cpp
+++ b/src/report.cpp
@@ -56,6 +56,8 @@
     line("gearman.assigned", g.assigned);
     line("gearman.stray_reports", g.stray);
     line("gearman.malformed", g.malformed);
+    line("gearman.refused_packets", g.refused);
+    line("gearman.slowed_peers", g.slowed);
     ends("gearman.ended", g.ends);
     return out;
 }
--- a/tests/gearman_test.cpp
+++ b/tests/gearman_test.cpp
@@ -143,6 +143,51 @@
     EXPECT_EQ(end[0].arguments, (std::vector<std::string>{created.arguments[0], "result"}));
 }
 
+// libgearman's workers grab in this way only.
+TEST_F(GearmanFrontTest, AWorkerThatGrabsAllGetsAnEmptyReducer) {
+    Peer able = worker({"car-match"}), client = join();
+    say(able, Type::grabJobAll);
+    EXPECT_EQ(last(able).type, Type::noJob);
+    say(able, Type::preSleep);
+    say(client, Type::submitJob, {"car-match", "u", "data"});
+    EXPECT_EQ(last(able).type, Type::noop);
+    say(able, Type::grabJobAll);
+    const Packet job = last(able);
+    ASSERT_EQ(job.type, Type::jobAssignAll);
+    ASSERT_EQ(job.arguments.size(), 5u);
+    EXPECT_EQ(job.arguments[1], "car-match");
+    EXPECT_EQ(job.arguments[2], "u");
+    EXPECT_EQ(job.arguments[3], "");
+    EXPECT_EQ(job.arguments[4], "data");
+    say(able, Type::workComplete, {job.arguments[0], "r"});
+    EXPECT_EQ(last(client).type, Type::workComplete);
+}
+
+// Guards against a peer that repeats a refused packet as fast as it can: each second costs ten answers.
+TEST_F(GearmanFrontTest, APeerThatRepeatsARefusedPacketIsSlowed) {
+    Peer odd = join(), other = join();
+    const std::string refused = encode(true, Type::submitJobEpoch, {"car-match", "", "1", "x"});
+    std::size_t answers = 0, sent = 0;
+    const auto flood = [&] {
+        for (; odd.machine->in().size() + refused.size() < wire::Ring::kSize; ++sent) {
+            odd.machine->in().put(refused);
+            odd.machine->received(now);
+            answers += heard(odd).size();
+        }
+    };
+    flood();
+    EXPECT_EQ(answers, 17u);
+    for (int tenth = 0; tenth < 50; ++tenth) pass(100ms), answers += heard(odd).size(), flood();
+    EXPECT_GE(answers, 60u) << "it is still answered";
+    EXPECT_LE(answers, 70u);
+    EXPECT_GT(front.counters().slowed, 40u);
+    say(other, Type::echoReq, {"x"});
+    EXPECT_EQ(last(other).type, Type::echoRes);
+    const std::size_t armed = deadlines.size();
+    odd.machine->ended(now, End::peerClosed);
+    EXPECT_LT(deadlines.size(), armed);
+}
+
 TEST_F(GearmanFrontTest, AJobWithTheSameUniqueIdIsOneJob) {
     Peer able = worker({"car-match"}), first = join(), second = join();
     say(first, Type::submitJob, {"car-match", "u", "data"});
