Take bytes that are being written for bytes that may have arrived

A connection that broke while its last write was still under way was said to have broken before the request's last byte: that proves that the job never ran, and a job-assign went to a second server.

The outbox knows what the driver was given and has not confirmed; such a break counts as one after the last byte. Ruled out: an order of completions that could be relied on (there is none), and a fault in the stand-in's ledger. The outbox also cuts off what has gone when a stream of puts never lets it run empty.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -57,7 +57,9 @@
 }
 
 void Client::finish(Time now, End how) {
-    const State was = std::exchange(state_, State::ended);
+    State was = std::exchange(state_, State::ended);
+    // Guards against a break that is heard of before the write it follows: the last byte may have arrived.
+    if (was == State::writing && out().lent() == out().size()) was = State::awaiting;
     drop();
     const bool broke = how == End::peerClosed || how == End::peerReset || how == End::malformed;
     if (asked_ && broke && was == State::writing) how = End::brokeUnsent;
--- a/src/wire/ring.hpp
+++ b/src/wire/ring.hpp
@@ -54,11 +54,19 @@
         const std::size_t now = waiting_.empty() ? ring_.put(bytes) : 0;
         waiting_.append(bytes.substr(now));
     }
-    std::span<const char> pending() const { return ring_.front(); }
+    std::span<const char> pending() {  // for the driver, which writes them from now on
+        lent_ = ring_.front().size();
+        return ring_.front();
+    }
+    // Bytes that the driver was given and has not confirmed: the other side may have them already.
+    std::size_t lent() const { return lent_; }
     void sent(std::size_t n) {
+        lent_ = 0;
         ring_.taken(n);
         at_ += ring_.put(std::string_view(waiting_).substr(at_));
         if (at_ == waiting_.size()) waiting_ = {}, at_ = 0;
+        // Guards against a stream of puts that never lets it run empty: what has gone is cut off.
+        if (at_ >= 8 * Ring::kSize && 2 * at_ >= waiting_.size()) waiting_.erase(0, at_), at_ = 0;
     }
     bool empty() const { return ring_.empty(); }
     std::size_t size() const { return ring_.size() + waiting_.size() - at_; }
@@ -66,7 +74,7 @@
 private:
     Ring ring_;
     std::string waiting_;
-    std::size_t at_ = 0;
+    std::size_t at_ = 0, lent_ = 0;
 };
 
 }  // namespace amberswitch::wire
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -221,6 +221,18 @@
 };
 
 // How a pass ends hangs on how far its request had got: only before the last byte is it sure not to have run.
+// Guards against a break that is heard of before the write it follows: what the driver was given may have
+// arrived.
+TEST(Client, ABreakWhileTheLastBytesAreBeingWrittenProvesNothing) {
+    Asking unsure, sure;
+    for (Asking* one : {&unsure, &sure}) one->opened(0s), one->ask(kJob);
+    EXPECT_EQ(unsure.out().pending().size(), kJob.size());
+    EXPECT_EQ(unsure.out().lent(), kJob.size());
+    for (Asking* one : {&unsure, &sure}) one->ended(0s, End::peerReset);
+    EXPECT_EQ(unsure.end, End::brokeSent);
+    EXPECT_EQ(sure.end, End::brokeUnsent) << "not a byte was given to the driver";
+}
+
 TEST(Client, TellsABreakBeforeTheLastByteFromOneAfterIt) {
     Asking early, late, never, stale;
     never.ask(kJob);
