Pass gRPC through: HTTP/2 sessions, a third front, and job servers that speak it

Newer booking apps speak gRPC, and nobody wants to translate by hand.

src/http2 holds sessions of either side on nghttp2's memory API, bounded against hostile peers. src/grpc holds calls, routes, time-outs, the status table, the front and the job servers' side. A call is a transaction whose job carries it as an attachment; the core gets two facts of streams (committed, sealed) that only forbid passes. Stand-ins (a scripted job server with a ledger, a client, a raw peer) have a folder of their own.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -36,24 +36,6 @@
     return number;
 }
 
-// A file of the project's own under deploy/, or the one that the variable names.
-template <class Read>
-auto readFile(const char* variable, const char* usual, Read&& read) {
-    const char* const given = std::getenv(variable);
-    const std::string path = given ? given : usual;
-    decltype(read(std::declval<settings::object>())) config;
-    std::ifstream file(path);
-    if (!file && given) throw BadField("can't read " + path);
-    if (!file) return config;
-    simdjson::dom::parser parser;
-    const settings::object root = parseFile(file, parser, path);
-    try {
-        return read(root);
-    } catch (const BadField& bad) {
-        throw BadField(path + ": " + bad.what());
-    }
-}
-
 void needAddress(const std::string& value, const char* field) {
     if (!net::endpointOf(value))
         throw BadField("field '" + std::string(field) + "' is not an address and a port");
@@ -85,14 +67,4 @@
     return config;
 }
 
-Own readOwn(const settings::Site& site) {
-    Own config;
-    config.gearman = readFile("AMBERSWITCH_GEARMAN", "deploy/gearman.json",
-                              [&](const settings::object& own) { return gearman::readConfig(own, site); });
-    if (!config.gearman.listen.empty()) needAddress(config.gearman.listen, "gearman.listen");
-    config.consul = readFile("AMBERSWITCH_CONSUL", "deploy/consul.json", platform::readConsul);
-    if (!config.consul.address.empty()) needAddress(config.consul.address, "consul.address");
-    return config;
-}
-
 }  // namespace amberswitch::config
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -1,14 +1,11 @@
-// What the program is told when it starts, and again when it is to reread: the platform's file, and the
-// project's own ones under deploy/.
+// What the platform tells the program when it starts, and again when it is to reread.
 #pragma once
 
 #include <cstdint>
 #include <optional>
 #include <string>
 
-#include "gearman/config.hpp"
-#include "platform/consul.hpp"
-#include "settings/settings.hpp"
+#include "settings/json.hpp"
 
 namespace amberswitch::config {
 
@@ -20,11 +17,6 @@
     std::optional<settings::object> known;  // lives as long as the reader's next reading
 };
 
-struct Own {  // the project's own files: what a missing one is for is off
-    gearman::Config gearman;
-    platform::ConsulConfig consul;
-};
-
 class Reader {
 public:
     explicit Reader(std::string path) : path_(std::move(path)) {}
@@ -35,6 +27,4 @@
     simdjson::dom::parser parser_;
 };
 
-Own readOwn(const settings::Site& site);  // throws settings::BadField
-
 }  // namespace amberswitch::config
--- /dev/null
+++ b/src/config/operator.hpp
@@ -0,0 +1,21 @@
+// The operator file: the project's own settings, apart from the platform's. One JSON file, a section a
+// feature; what has no section is off. deploy/operator.json, or the file that AMBERSWITCH_OPERATOR names.
+#pragma once
+
+#include "gearman/config.hpp"
+#include "grpc/config.hpp"
+#include "platform/consul.hpp"
+
+namespace amberswitch::config {
+
+struct Operator {
+    gearman::Config gearman;
+    platform::ConsulConfig consul;
+    grpc::Config grpc;
+};
+
+// Throws settings::BadField with one line: the file, the path in it and the reason.
+Operator readOperator(const settings::Site& site);
+Operator readOperator(const settings::Site& site, const std::string& path, const std::string& text);
+
+}  // namespace amberswitch::config
--- a/src/config/reload.cpp
+++ b/src/config/reload.cpp
@@ -2,22 +2,41 @@
 
 namespace amberswitch::config {
 
-Reload::Reload(Reader& reader, const Platform& running, platform::Watch& watch, Say say)
-    : reader_(reader), listen_(running.listen), watch_(watch), say_(std::move(say)) {}
+Reload::Reload(Reader& reader, const Platform& running, const Operator& own, platform::Watch& watch, Say say,
+               Take take)
+    : reader_(reader),
+      site_(running.site),
+      listen_(running.listen),
+      gearmanListen_(own.gearman.listen),
+      grpcListen_(own.grpc.listen),
+      consulAddress_(own.consul.address),
+      watch_(watch),
+      say_(std::move(say)),
+      take_(std::move(take)) {}
 
 void Reload::operator()(Time now) {
     Platform next;
-    // Guards against a file that is half written or wrong: what runs goes on as it was.
+    Operator own;
+    // Guards against files that are half written or wrong: what runs goes on as it was.
     try {
         next = reader_.read();
+        own = readOperator(site_);
     } catch (const std::exception& bad) {
         ++counters_.refused;
         return say_(std::string("reload refused, the old settings stay: ") + bad.what());
     }
     ++counters_.done;
     watch_.move(now, next.discovery);
-    say_("reloaded: discovery at " + next.discovery +
-         (next.listen == listen_ ? "" : "; field 'listen' waits for the next start"));
+    if (take_) take_(now, own);
+    std::string waits;
+    const auto changed = [&waits](const char* field, const std::string& was, const std::string& is) {
+        if (was != is) waits += std::string("; field '") + field + "' waits for the next start";
+    };
+    changed("listen", listen_, next.listen);
+    changed("gearman.listen", gearmanListen_, own.gearman.listen);
+    changed("grpc.listen", grpcListen_, own.grpc.listen);
+    changed("consul.address", consulAddress_, own.consul.address);
+    say_("reloaded: discovery at " + next.discovery + waits);
 }
 
 }  // namespace amberswitch::config
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -64,18 +64,20 @@
     }
 }
 
+Nanos Core::advice() const {
+    const auto& allowed = site_.module;
+    return allowed.retryAdvice ? std::min<Nanos>(allowed.maxRetryAfter, std::chrono::milliseconds(100))
+                               : Nanos(0);
+}
+
 // Guards against clients that would learn of this process's end by a reset only: who may come again
 // elsewhere is told so while there is time for it.
 void Core::giveUpAll(Time now) {
-    const auto& allowed = site_.module;
-    const Nanos advice = allowed.retryAdvice
-                             ? std::min<Nanos>(allowed.maxRetryAfter, std::chrono::milliseconds(100))
-                             : Nanos(0);
     std::vector<TransactionId> ids;
     for (const auto& [id, t] : transactions_)
         if (!t.answered) ids.push_back(id);
     for (const TransactionId id : ids) {
-        refuse(now, *find(id), advice);
+        refuse(now, *find(id), advice());
         tell(now, ClientLeft{id});  // calls off what is out
         forget(id);
     }
@@ -130,7 +132,7 @@
 // What the rules forbid, whatever asked for it.
 bool Core::legal(Time now, const Transaction& t, const Server& to) const {
     const ClassSettings& klass = site_.module.classes[t.klass];
-    if (t.answered || !to.on || !to.side || now >= t.deadline) return false;
+    if (t.answered || t.sealed || t.committed || !to.on || !to.side || now >= t.deadline) return false;
     if (t.passes.size() >= site_.module.maxAttempts) return false;
     if (t.out > 0 && !site_.module.mayDuplicate) return false;
     if (to.entry.classes ? !(to.entry.classes >> t.klass & 1)
@@ -206,6 +208,30 @@
     if (Transaction* const t = find(id); t->client) t->client->partial(now, kind, bytes);
 }
 
+void Core::commit(Time now, TransactionId id, std::uint32_t pass) {
+    if (!openPass(id, pass)) return;
+    Transaction& t = *find(id);
+    if (t.committed) return;
+    t.committed = pass;
+    ++counters_.committed;
+    for (std::uint32_t other = 0; other < t.passes.size(); ++other)
+        if (other != pass && t.passes[other].open)
+            ++counters_.cancels, endPass(now, t, other, End::withdrawn, {}, {});
+    tell(now, StreamStarted{id, pass});
+}
+
+void Core::seal(TransactionId id) {
+    if (Transaction* const t = find(id); t && !std::exchange(t->sealed, true)) ++counters_.sealed;
+}
+
+// Guards against a transaction that nothing can serve any more and that waits for its deadline all the same.
+// Nothing is decided here: no other pass may follow this one.
+void Core::settle(Time now, Transaction& t, std::uint32_t number, End how) {
+    if (t.answered || (t.committed ? *t.committed != number : !t.sealed || t.out > 0)) return;
+    if (t.committed || how == End::failed) return fail(now, t);
+    refuse(now, t, advice());
+}
+
 void Core::passEnded(Time now, TransactionId id, std::uint32_t pass, End how, std::string result,
                      const LoadReport& load) {
     Transaction* const t = find(id);
@@ -229,6 +255,7 @@
         if (t.answered) ++counters_.lateResults;
         answer(t, [&](ClientEnd& client) { ++counters_.served, client.served(now, std::move(result)); });
     }
+    settle(now, t, number, how);
     tell(now, AttemptEnded{t.id, number, outcomeOf(how), now - pass.sent, t.answered, load});
 }
 
@@ -261,6 +288,10 @@
         server.entry = told.entry;
         server.entry.worker = handle;
         server.entry.id = settings::fingerprint(told.name);
+        // Guards against calls of one wire at servers of another: who names no classes takes those of the
+        // plain wire, by its kind.
+        if (site_.wires > 1 && server.entry.classes == 0)
+            server.entry.classes = settings::classesOf(site_, 0, server.entry.kind);
         server.listed = told.entry.standing != Standing::off;
         server.on = told.entry.standing == Standing::on;
         update.entries.push_back(server.entry);
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <deque>
+#include <optional>
 #include <unordered_map>
 
 #include "core/transaction.hpp"
@@ -28,6 +29,12 @@
     void passPartial(Time now, TransactionId id, std::uint32_t pass, Partial kind, std::string_view bytes);
     void passEnded(Time now, TransactionId id, std::uint32_t pass, End how, std::string result = {},
                    const LoadReport& load = {});
+    // The client has the first part of this pass's answer: no other pass may begin, those that are out are
+    // called off, and its end is the transaction's end.
+    void commit(Time now, TransactionId id, std::uint32_t pass);
+    // What was sent is no longer held: no further pass may begin. Where the last one ends, so does the
+    // transaction.
+    void seal(TransactionId id);
     void probeAnswered(Time now, Worker server, bool ok, const LoadReport& load);
 
     // From a farm source. `servers` speak for the entries of this update. A whole list replaces what the
@@ -59,7 +66,8 @@
         int priority = 1;
         Time deadline{0};
         std::vector<PassState> passes;
-        bool answered = false, mayHaveRun = false;
+        bool answered = false, mayHaveRun = false, sealed = false;
+        std::optional<std::uint32_t> committed;  // the pass whose answer the client is getting
         int zone = 0, cell = 0;
         Time anchoredAt{0};
         std::uint32_t out = 0;
@@ -84,6 +92,8 @@
     Transaction* find(TransactionId id);
     void fail(Time now, Transaction& t);
     void refuse(Time now, Transaction& t, Nanos retryIn);
+    void settle(Time now, Transaction& t, std::uint32_t number, End how);
+    Nanos advice() const;
     template <class Answer>
     void answer(Transaction& t, Answer&& say);
 
--- a/src/core/end.hpp
+++ b/src/core/end.hpp
@@ -17,6 +17,7 @@
     brokeSent,        // it broke after that and before the job was taken
     staleUnsent,      // a connection kept from earlier broke before the last byte was written
     staleSent,        // it broke after that and before the job was taken
+    wentAway,         // the server ends this connection and says that it did nothing with the job
     lost,             // the job was taken, then killed, or its server went away
     timedOut,         // nothing came until the pass was due
     withdrawn,        // this side called the pass off
@@ -34,9 +35,10 @@
 inline const char* nameOf(End end) {
     constexpr const char* kNames[kEnds] = {
         "served",       "failed",     "handed_back",  "connect_refused", "connect_timed_out",
-        "broke_unsent", "broke_sent", "stale_unsent", "stale_sent",      "lost",
-        "timed_out",    "withdrawn",  "unsent",       "peer_closed",     "peer_reset",
-        "idle",         "silent",     "malformed",    "oversized",       "shut_down"};
+        "broke_unsent", "broke_sent", "stale_unsent", "stale_sent",      "went_away",
+        "lost",         "timed_out",  "withdrawn",    "unsent",          "peer_closed",
+        "peer_reset",   "idle",       "silent",       "malformed",       "oversized",
+        "shut_down"};
     return kNames[static_cast<std::size_t>(end)];
 }
 
@@ -61,6 +63,7 @@
             return Outcome::cancelled;
         case End::unsent:
         case End::staleUnsent:
+        case End::wentAway:
             return Outcome::moot;
         case End::staleSent:
             return Outcome::stale;
--- a/src/core/transaction.hpp
+++ b/src/core/transaction.hpp
@@ -17,6 +17,13 @@
 using heronmount::Worker;
 using TransactionId = std::uint64_t;  // numbered by the core: what clients call theirs is opaque
 
+// What a front whose jobs are streams hands on along with the job, to application servers of the same kind.
+// The core only keeps it for as long as the job.
+class Attachment {
+public:
+    virtual ~Attachment() = default;
+};
+
 // What is handed on to an application server. A front fills in what its protocol has.
 struct Job {
     std::string className;
@@ -25,6 +32,7 @@
     std::string contentType;
     std::string key;  // the client's key against repeats, empty if none
     std::string body;
+    std::shared_ptr<Attachment> attachment;
 };
 
 enum class Partial { data, warning };  // what a job may send before its result, where the protocol has it
@@ -84,7 +92,7 @@
 struct Counters {
     std::uint64_t taken = 0, served = 0, unavailable = 0, failed = 0, left = 0;
     std::uint64_t passes = 0, started = 0, cancels = 0, withheld = 0, softened = 0, lateResults = 0;
-    std::uint64_t farmUpdates = 0, farmLost = 0;
+    std::uint64_t farmUpdates = 0, farmLost = 0, committed = 0, sealed = 0;
     std::uint64_t ends[kEnds] = {};
 };
 
--- a/src/gearman/config.cpp
+++ b/src/gearman/config.cpp
@@ -4,59 +4,40 @@
 
 namespace amberswitch::gearman {
 
-using namespace settings;
+using settings::Node;
+using settings::Site;
 
-namespace {
-
-int tenantNamed(const Site& site, std::string_view name, const char* field) {
-    const auto at = std::find(site.tenants.begin(), site.tenants.end(), name);
-    if (at == site.tenants.end())
-        bad("field '" + std::string(field) + "' names the unknown tenant '" + std::string(name) + "'");
-    return static_cast<int>(at - site.tenants.begin());
-}
-
-Nanos milliseconds(const object& from, std::string_view key, Nanos fallback) {
-    const std::int64_t value = integer(from, key, fallback.count() / 1'000'000);
-    if (value <= 0 || value > 86'400'000) bad("field '" + std::string(key) + "' is out of range");
-    return Nanos(value * 1'000'000);
-}
-
-}  // namespace
-
-Config readConfig(const object& from, const Site& site) {
+Config readConfig(const Node& section, const Site& site) {
+    const auto from = section.table(
+        {"listen", "name", "functions", "tenants", "tenant", "worker_slots", "worker_queue", "most_jobs"});
     Config config;
-    config.listen = text(from, "listen", "");
+    config.listen = from.text("listen", "");
+    config.name = from.text("name", config.name);
+    config.workerSlots = from.integer("worker_slots", config.workerSlots, 1, 100'000);
+    config.workerQueue = from.integer("worker_queue", config.workerQueue, 0, 100'000);
+    config.mostJobs = from.integer("most_jobs", config.mostJobs, 1, 100'000);
     // Guards against a front that is off stopping the program: what its file says of classes and tenants may
     // be meant for another site.
     if (config.listen.empty()) return config;
-    config.name = text(from, "name", config.name);
     for (const auto& klass : site.module.classes) config.functions.push_back({klass.giveUp, klass.giveUp, 1});
-    if (const auto functions = find(from, "functions"))
-        for (const auto [name, value] : asObject(*functions, "functions")) {
+    config.functions.resize(site.classes.size());
+    if (const Node* const functions = from.find("functions"))
+        for (const auto& [name, node] : functions->entries()) {
             const auto at = std::find(site.classes.begin(), site.classes.end(), name);
-            if (at == site.classes.end())
-                bad("field 'functions' names the unknown class '" + std::string(name) + "'");
-            const object entry = asObject(value, name);
+            if (at == site.classes.end()) node.fail("there is no class '" + name + "'");
             auto& function = config.functions[static_cast<std::size_t>(at - site.classes.begin())];
-            function.deadline = milliseconds(entry, "deadline_ms", function.deadline);
-            function.backgroundDeadline = milliseconds(entry, "background_deadline_ms", function.deadline);
-            function.slots = number(entry, "slots", 1);
-            if (!(function.slots > 0)) bad("field 'slots' is out of range");
+            const auto entry = node.table({"deadline_ms", "background_deadline_ms", "slots"});
+            function.deadline = entry.milliseconds("deadline_ms", function.deadline, 1);
+            function.backgroundDeadline = entry.milliseconds("background_deadline_ms", function.deadline, 1);
+            function.slots = entry.number("slots", 1, 0.001, 1e6);
         }
-    if (const auto tenants = find(from, "tenants"))
-        for (const auto [client, value] : asObject(*tenants, "tenants"))
-            config.tenants[std::string(client)] =
-                tenantNamed(site, as<std::string_view>(value, "tenants", "made of names"), "tenants");
-    if (const auto tenant = text(from, "tenant", ""); !tenant.empty())
-        config.tenant = tenantNamed(site, tenant, "tenant");
-    const auto count = [&from](const char* key, std::size_t fallback, std::int64_t least) {
-        const std::int64_t value = integer(from, key, static_cast<std::int64_t>(fallback));
-        if (value < least || value > 100'000) bad("field '" + std::string(key) + "' is out of range");
-        return static_cast<std::size_t>(value);
+    const auto tenant = [&site](const Node& node) {
+        return static_cast<int>(node.place(site.tenants, "tenant"));
     };
-    config.workerSlots = count("worker_slots", config.workerSlots, 1);
-    config.workerQueue = count("worker_queue", config.workerQueue, 0);
-    config.mostJobs = count("most_jobs", config.mostJobs, 1);
+    if (const Node* const tenants = from.find("tenants"))
+        for (const auto& [client, node] : tenants->entries()) config.tenants[client] = tenant(node);
+    if (const Node* const other = from.find("tenant"); other && !other->text().empty())
+        config.tenant = tenant(*other);
     return config;
 }
 
--- a/src/gearman/config.hpp
+++ b/src/gearman/config.hpp
@@ -1,4 +1,4 @@
-// The Gearman front's file under deploy/: where it listens, and what the protocol itself does not carry.
+// The `gearman` section of the operator file: where the front listens, and what the protocol does not carry.
 #pragma once
 
 #include <map>
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "core/deadlines.hpp"
-#include "settings/read.hpp"
+#include "settings/strict.hpp"
 
 namespace amberswitch::gearman {
 
@@ -24,6 +24,6 @@
     std::size_t mostJobs = 1000;                   // jobs of all clients that are open at once
 };
 
-Config readConfig(const settings::object& from, const settings::Site& site);  // throws settings::BadField
+Config readConfig(const settings::Node& section, const settings::Site& site);  // throws settings::BadField
 
 }  // namespace amberswitch::gearman
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,6 +6,8 @@
 #include "config/reload.hpp"
 #include "core/hand_over.hpp"
 #include "gearman/front.hpp"
+#include "grpc/front.hpp"
+#include "grpc/servers.hpp"
 #include "net/loop.hpp"
 #include "platform/front.hpp"
 #include "report.hpp"
@@ -32,8 +34,10 @@
 };
 
 int run(config::Reader& reader) {
-    const config::Platform config = reader.read();
-    const config::Own own = config::readOwn(config.site);
+    config::Platform config = reader.read();
+    const config::Operator own = config::readOperator(config.site);
+    const bool speaksGrpc = !own.grpc.listen.empty();
+    if (speaksGrpc) settings::addWire(config.site);
     net::Loop loop;
     Wiring wiring(loop);
     Core core(config.site, config.seed, loop.deadlines());
@@ -81,21 +85,43 @@
             [&](Time now) { return gearman.open() < most / 2 && roomBelow(now, forClients); });
     }
 
-    config::Reload reload(reader, config, watch, [](const std::string& line) {
-        std::fprintf(stderr, "amberswitch: %s\n", line.c_str());
-    });
-    const auto counters = [&] { return report(core, servers, watch, front, gearman, reload); };
+    grpc::Front grpcFront(core, loop.deadlines(), own.grpc);
+    grpc::Servers grpcServers(core, loop.deadlines(), wiring, own.grpc, config.seed);
+    std::optional<net::Listener> grpcListener;
+    if (speaksGrpc) {
+        grpcServers.configure(loop.now(), own.grpc);
+        grpcListener.emplace(loop, *net::endpointOf(own.grpc.listen),
+                             [&](Time now) { return grpcFront.accept(now); });
+        grpcListener->setGate([&](Time now) { return roomBelow(now, forClients); });
+    }
+
+    config::Reload reload(
+        reader, config, own, watch,
+        [](const std::string& line) { std::fprintf(stderr, "amberswitch: %s\n", line.c_str()); },
+        [&](Time now, const config::Operator& next) {
+            // Guards against a front that was to be switched off losing what it serves: it waits for the next
+            // start as it is.
+            if (!speaksGrpc || next.grpc.listen.empty()) return;
+            grpcFront.configure(next.grpc);
+            grpcServers.configure(now, next.grpc);
+        });
+    const auto counters = [&] {
+        return report(core, servers, watch, front, gearman, reload) +
+               (speaksGrpc ? report(grpcFront, grpcServers) : std::string());
+    };
     front.setReport(counters);
     loop.onSignal(SIGUSR1, [&](Time) { std::fputs(counters().c_str(), stderr); });
 
     Deadlines::Ticket leaving;
     bool closing = false;
     std::function<void(Time)> leave = [&](Time now) {
-        if (front.handedOver(now) && core.open() == 0 && front.quiet() && gearman.quiet()) {
+        if (front.handedOver(now) && core.open() == 0 && front.quiet() && gearman.quiet() &&
+            grpcFront.quiet()) {
             // No callback is waited for any more. Those who came last have one more round to be answered in.
             if (std::exchange(closing, true)) return loop.stop();
             listener.close();
             if (gearmanListener) gearmanListener->close();
+            if (grpcListener) grpcListener->close();
         }
         leaving.arm(loop.deadlines(), now + std::chrono::milliseconds(20), leave);
     };
@@ -104,6 +130,7 @@
         if (std::exchange(drained, true)) return;
         front.drain(now);
         gearman.drain(now);
+        grpcFront.drain(now);
         leaving.arm(loop.deadlines(), now + std::chrono::milliseconds(750), leave);
         loop.deadlines().once(now + HandOver::of(config.site).giveUp, [&](Time at) { core.giveUpAll(at); });
         std::fputs("amberswitch: ending; clients are served until the hand-over's end\n", stderr);
@@ -114,8 +141,12 @@
     gearman.setShutdown(drain);
     std::fprintf(stderr, "amberswitch %s: listening on %s:%d\n", config.name.c_str(),
                  listener.address().address().to_string().c_str(), listener.address().port());
+    if (grpcListener)
+        std::fprintf(stderr, "amberswitch %s: gRPC on %s:%d\n", config.name.c_str(),
+                     grpcListener->address().address().to_string().c_str(), grpcListener->address().port());
     loop.run();
     listener.close();
+    grpcFront.closeAll(loop.now()), grpcServers.closeAll(loop.now());
     std::fputs(counters().c_str(), stderr);
     return 0;
 }
--- a/src/platform/consul.cpp
+++ b/src/platform/consul.cpp
@@ -33,18 +33,19 @@
 
 }  // namespace
 
-ConsulConfig readConsul(const object& from) {
+ConsulConfig readConsul(const Node& section) {
+    const auto from = section.table({"address", "service", "api", "datacenter", "token", "wait_s"});
     ConsulConfig config;
-    config.address = text(from, "address", "");
-    config.service = text(from, "service", "");
-    config.token = text(from, "token", "");
-    config.datacenter = text(from, "datacenter", "");
-    config.health = choice<bool>(text(from, "api", "health"), "api", {{"health", true}, {"catalog", false}});
-    const std::int64_t wait = integer(from, "wait_s", 30);
-    if (wait < 1 || wait > 600) bad("field 'wait_s' is out of range");
-    config.wait = std::chrono::seconds(wait);
-    if (!config.address.empty() && config.service.empty()) bad("field 'service' is missing");
-    if (config.token.find_first_of("\r\n") != std::string::npos) bad("field 'token' is out of range");
+    config.address = from.text("address", "");
+    config.service = from.text("service", "");
+    config.token = from.text("token", "");
+    config.datacenter = from.text("datacenter", "");
+    if (const Node* const api = from.find("api"))
+        config.health = api->place({"catalog", "health"}, "api") == 1;
+    config.wait = std::chrono::seconds(from.integer("wait_s", std::int64_t{30}, 1, 600));
+    if (!config.address.empty() && config.service.empty()) from.need("service").fail("is missing");
+    if (config.token.find_first_of("\r\n") != std::string::npos)
+        from.need("token").fail("holds the end of a line");
     return config;
 }
 
--- a/src/platform/consul.hpp
+++ b/src/platform/consul.hpp
@@ -4,6 +4,7 @@
 
 #include "platform/long_poll.hpp"
 #include "platform/servers.hpp"
+#include "settings/strict.hpp"
 
 namespace amberswitch::platform {
 
@@ -13,7 +14,7 @@
     bool health = true;  // else the catalogue
     Nanos wait = std::chrono::seconds(30);
 };
-ConsulConfig readConsul(const settings::object& from);  // throws settings::BadField
+ConsulConfig readConsul(const settings::Node& section);  // throws settings::BadField
 
 class Consul : public LongPoll {
 public:
--- a/src/platform/names.cpp
+++ b/src/platform/names.cpp
@@ -137,10 +137,12 @@
 }
 
 LoadReport readLoad(const http::Message& message) {
-    LoadReport load;
     const std::string* const header = message.header("endpoint-load-metrics");
-    if (!header) return load;
-    std::string_view text = *header;
+    return header ? readLoad(std::string_view(*header)) : LoadReport{};
+}
+
+LoadReport readLoad(std::string_view text) {
+    LoadReport load;
     if (text.substr(0, 4) == "TEXT") text.remove_prefix(4);
     for (const auto& [name, value] : http::pairs(text, ','))
         if (const auto figure = http::decimalNumber(value)) put(load, name, *figure);
--- a/src/platform/names.hpp
+++ b/src/platform/names.hpp
@@ -36,5 +36,6 @@
 
 LoadReport readLoad(const settings::object& from);
 LoadReport readLoad(const http::Message& message);
+LoadReport readLoad(std::string_view text);  // "TEXT name=value, name=value"
 
 }  // namespace amberswitch::platform
--- a/src/report.cpp
+++ b/src/report.cpp
@@ -2,16 +2,28 @@
 
 namespace amberswitch {
 
+namespace {
+
+struct Lines {
+    std::string text;
+    void add(const std::string& name, std::uint64_t value) {
+        text += name + ' ' + std::to_string(value) + '\n';
+    }
+    void ends(const std::string& of, const std::uint64_t (&counts)[kEnds]) {
+        for (std::size_t i = 0; i < kEnds; ++i)
+            if (counts[i] > 0) add(of + '.' + nameOf(static_cast<End>(i)), counts[i]);
+    }
+};
+
+}  // namespace
+
 std::string report(const Core& core, const platform::Servers& servers, const platform::Watch& watch,
                    const platform::Front& front, const gearman::Front& gearman,
                    const config::Reload& reload) {
-    std::string out;
-    const auto line = [&out](const std::string& name, std::uint64_t value) {
-        out += name + ' ' + std::to_string(value) + '\n';
-    };
-    const auto ends = [&](const std::string& of, const std::uint64_t(&counts)[kEnds]) {
-        for (std::size_t i = 0; i < kEnds; ++i)
-            if (counts[i] > 0) line(of + '.' + nameOf(static_cast<End>(i)), counts[i]);
+    Lines out;
+    const auto line = [&out](const std::string& name, std::uint64_t value) { out.add(name, value); };
+    const auto ends = [&out](const std::string& of, const std::uint64_t(&counts)[kEnds]) {
+        out.ends(of, counts);
     };
     const Counters& c = core.counters();
     line("transactions.taken", c.taken);
@@ -59,7 +71,50 @@
     line("gearman.refused_packets", g.refused);
     line("gearman.slowed_peers", g.slowed);
     ends("gearman.ended", g.ends);
-    return out;
+    return out.text;
+}
+
+std::string report(const grpc::Front& front, const grpc::Servers& servers) {
+    Lines out;
+    const auto sessions = [&out](const std::string& of, const http2::Counters& c) {
+        out.add(of + ".connections", c.connections);
+        out.add(of + ".streams", c.streams);
+        out.add(of + ".refused_streams", c.refusedStreams);
+        out.add(of + ".heads_too_long", c.headsTooLong);
+        out.add(of + ".floods", c.floods);
+        out.add(of + ".answers_not_taken", c.notTaken);
+        out.add(of + ".pings", c.pings);
+        out.add(of + ".black_holes", c.blackHoles);
+        out.add(of + ".goaways_received", c.goAways);
+        out.ends(of + ".ended", c.ends);
+    };
+    const auto& f = front.counters();
+    sessions("grpc.front", f.sessions);
+    out.add("grpc.front.open", front.open());
+    out.add("grpc.front.turned_away", f.turnedAway);
+    out.add("grpc.calls", f.calls.calls);
+    out.add("grpc.calls_open", f.calls.open);
+    out.add("grpc.calls_committed", f.calls.committed);
+    out.add("grpc.calls_sealed", f.calls.sealed);
+    out.add("grpc.calls_cancelled", f.calls.cancelled);
+    out.add("grpc.answers_orphaned", f.calls.orphaned);
+    out.add("grpc.no_route", f.noRoute);
+    out.add("grpc.bad_calls", f.badCalls);
+    out.add("grpc.no_room", f.noRoom);
+    for (int i = 0; i < grpc::kStatuses; ++i)
+        if (f.calls.statuses[i] > 0)
+            out.add(std::string("grpc.status.") + nameOf(static_cast<grpc::Status>(i)), f.calls.statuses[i]);
+    const auto& s = servers.counters();
+    sessions("grpc.servers", s.sessions);
+    out.add("grpc.servers.open", servers.openConnections());
+    out.add("grpc.passes", s.passes);
+    out.add("grpc.passes_open", servers.openPasses());
+    out.add("grpc.passes_without_room", s.noRoom);
+    out.add("grpc.passes_backed_off", s.backedOff);
+    out.add("grpc.passes_above_goaway", s.goneAway);
+    out.add("grpc.servers.restarts", s.restarts);
+    out.add("grpc.servers.not_grpc", s.notGrpc);
+    return out.text;
 }
 
 }  // namespace amberswitch
--- a/src/report.hpp
+++ b/src/report.hpp
@@ -5,6 +5,8 @@
 
 #include "config/reload.hpp"
 #include "gearman/front.hpp"
+#include "grpc/front.hpp"
+#include "grpc/servers.hpp"
 #include "platform/front.hpp"
 #include "platform/watch.hpp"
 
@@ -13,4 +15,6 @@
 std::string report(const Core& core, const platform::Servers& servers, const platform::Watch& watch,
                    const platform::Front& front, const gearman::Front& gearman, const config::Reload& reload);
 
+std::string report(const grpc::Front& front, const grpc::Servers& servers);  // where gRPC is on
+
 }  // namespace amberswitch
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -12,6 +12,25 @@
     return hash;
 }
 
+void addWire(Site& site) {
+    const std::size_t count = site.classes.size();
+    if (count * (site.wires + 1) > 64) throw BadField("there are too many classes for one more protocol");
+    for (std::size_t i = 0; i < count; ++i) {
+        const ClassSettings klass = site.module.classes[i];
+        site.module.classes.push_back(klass);
+    }
+    ++site.wires;
+}
+
+std::uint64_t classesOf(const Site& site, std::size_t wire, int kind) {
+    std::uint64_t out = 0;
+    for (std::size_t i = 0; i < site.classes.size(); ++i) {
+        const int needs = site.module.classes[i].kind;
+        if (needs < 0 || needs == kind) out |= std::uint64_t{1} << (wire * site.classes.size() + i);
+    }
+    return out;
+}
+
 Settings readSettings(const object& info) {
     Settings s;
     const object family = table(info, "familyInfo"), rules = table(info, "rules"),
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -20,8 +20,16 @@
     heronmount::Settings module;
     std::vector<std::string> classes, tenants, zones, kinds;
     heronmount::Nanos idleClose{0}, connectTimeout{0}, drainGrace{0};
+    // Where servers of another wire are in the farm, the module has each class once a wire: those of wire w
+    // begin at w * classes.size(). So it chooses among the servers that speak it and learns each wire's job
+    // times.
+    std::size_t wires = 1;
 };
 
+void addWire(Site& site);  // throws BadField if there are too many classes
+// The classes of a wire that a machine of this kind can do, a bit each.
+std::uint64_t classesOf(const Site& site, std::size_t wire, int kind);
+
 // FNV-1a: the same number for a worker at every instance.
 std::uint64_t fingerprint(std::string_view name);
 
--- a/tests/consul_test.cpp
+++ b/tests/consul_test.cpp
@@ -161,16 +161,16 @@
     const auto fault = [](const std::string& text) -> std::string {
         simdjson::dom::parser parser;
         try {
-            readConsul(settings::object(parser.parse(text)));
+            readConsul(settings::Node(settings::element(parser.parse(text)), "consul"));
         } catch (const settings::BadField& bad) {
             return bad.what();
         }
         return "taken";
     };
     EXPECT_EQ(fault("{}"), "taken");
-    EXPECT_EQ(fault(R"({"address":"127.0.0.1:8500"})"), "field 'service' is missing");
-    EXPECT_EQ(fault(R"({"api":"agent"})"), "field 'api' has the unknown value 'agent'");
-    EXPECT_EQ(fault(R"({"wait_s":0})"), "field 'wait_s' is out of range");
+    EXPECT_EQ(fault(R"({"address":"127.0.0.1:8500"})"), "consul.service: is missing");
+    EXPECT_EQ(fault(R"({"api":"agent"})"), "consul.api: there is no api 'agent'");
+    EXPECT_EQ(fault(R"({"wait_s":0})"), "consul.wait_s: is not from 1 to 600");
 }
 
 }  // namespace
--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -1,107 +1,20 @@
-// One loopback suite over both protocols: the same scenarios, played with stand-in clients and application
+// One loopback suite over three protocols: the same scenarios, played with stand-in clients and application
 // servers of each, must end in the same counts. The clock is the test's own.
 #include <gtest/gtest.h>
 
-#include <deque>
 #include <map>
 
 #include "gearman/front.hpp"
+#include "grpc/front.hpp"
+#include "grpc/servers.hpp"
 #include "http/client.hpp"
-#include "net/loop.hpp"
 #include "platform/front.hpp"
+#include "standins/grpc.hpp"
+#include "world.hpp"
 
 namespace amberswitch {
 namespace {
 
-using heronmount::RosterMode;
-using heronmount::Standing;
-using namespace std::chrono_literals;
-
-settings::Site site() {
-    settings::Site s;
-    s.classes = {"car-match", "job-assign"};
-    s.module.classes.resize(2);
-    s.module.classes[0].goal = 400ms, s.module.classes[0].giveUp = 8s;
-    s.module.classes[1].goal = 400ms, s.module.classes[1].giveUp = 5s, s.module.classes[1].window = 7500ms;
-    s.module.classes[1].effect = heronmount::Effect::keyed,
-    s.module.classes[1].group = heronmount::Group::cell;
-    s.module.maxAttempts = 3, s.module.mayCancel = true, s.module.tellsStart = true;
-    s.module.retryAdvice = true, s.module.maxRetryAfter = 2s, s.module.tick = 4ms;
-    s.idleClose = 5s, s.connectTimeout = 250ms;
-    return s;
-}
-
-enum class Fate { pending, served, unavailable, failed };
-struct Seen {
-    Fate fate = Fate::pending;
-    std::string body;
-};
-
-// A job as an application server's stand-in has it; how it ends is the scenario's to say.
-struct Held {
-    std::string className, body;
-    std::function<void(std::string)> complete;
-    std::function<void()> fail;
-};
-
-class World {
-public:
-    virtual ~World() = default;
-    virtual std::size_t submit(const std::string& className, const std::string& key,
-                               const std::string& body) = 0;
-    virtual void leave(std::size_t client) = 0;
-    virtual std::size_t addServer() = 0;
-    virtual void drain(std::size_t server) = 0;
-    virtual void vanish(std::size_t server) = 0;
-
-    std::vector<Seen> seen;
-    std::vector<std::deque<Held>> held;  // by server
-
-    bool until(const std::function<bool()>& done) {
-        const auto guard = std::chrono::steady_clock::now() + 10s;  // a failure's bound, not a proof
-        while (!done() && std::chrono::steady_clock::now() < guard) loop.poll();
-        return done();
-    }
-    void untilStarted(std::uint64_t jobs) {
-        EXPECT_TRUE(until([&] { return core.counters().started == jobs; }));
-    }
-    void pass(Nanos time) {
-        for (Nanos done{0}; done < time; done += 50ms) now += 50ms, settleBriefly();
-    }
-    std::size_t total() const {
-        std::size_t count = 0;
-        for (const auto& jobs : held) count += jobs.size();
-        return count;
-    }
-    Held take(std::size_t server) {
-        EXPECT_TRUE(until([&] { return !held[server].empty(); }));
-        if (held[server].empty()) return {};
-        Held job = std::move(held[server].front());
-        held[server].pop_front();
-        return job;
-    }
-    std::size_t holder() {  // a server that has a job
-        EXPECT_TRUE(until([&] { return total() > 0; }));
-        std::size_t at = 0;
-        while (at + 1 < held.size() && held[at].empty()) ++at;
-        return at;
-    }
-
-    Time now{1'000'000'000'000};
-    net::Loop loop{[this] { return now; }};
-    Core core{site(), 11, loop.deadlines()};
-
-protected:
-    void settleBriefly() {
-        for (int i = 0; i < 20; ++i) loop.poll();
-    }
-};
-
-std::string port(const net::Listener& listener) {
-    return "127.0.0.1:" + std::to_string(listener.address().port());
-}
-const net::tcp::endpoint kAnyPort(net::asio::ip::make_address("127.0.0.1"), 0);
-
 // --- the platform's HTTP ---
 class HttpWorld : public World, public wire::Connector {
 public:
@@ -328,11 +241,110 @@
     std::vector<std::shared_ptr<Worker>> workers_;
 };
 
+// --- gRPC ---
+class GrpcWorld : public World, public wire::Connector {
+public:
+    static settings::Site widened() {
+        settings::Site s = site();
+        settings::addWire(s);
+        return s;
+    }
+    static grpc::Config settingsOf() {
+        grpc::Config c;
+        c.listen = "127.0.0.1:0";
+        c.routes = {{"/taxi.Dispatch/car-match", 0, 1, false}, {"/taxi.Dispatch/job-assign", 1, 1, false}};
+        c.keepalive = Nanos(0);
+        return c;
+    }
+    GrpcWorld() : World(widened()) { pool_.configure(now, config_); }
+
+    std::size_t submit(const std::string& className, const std::string& key,
+                       const std::string& body) override {
+        seen.emplace_back();
+        clients_.push_back(std::make_unique<standins::GrpcClient>(loop, listener_.address()));
+        standins::GrpcClient::Ask ask;
+        ask.path = "/taxi.Dispatch/" + className;
+        ask.payloads = {body};
+        if (!key.empty()) ask.metadata = {{"idempotency-key", key}};
+        clients_.back()->call(now, ask);
+        return seen.size() - 1;
+    }
+    void leave(std::size_t client) override { clients_[client]->hangUp(now); }
+    std::size_t addServer() override {
+        held.emplace_back();
+        const std::size_t index = servers_.size();
+        servers_.push_back(std::make_unique<standins::GrpcServer>(
+            loop, [this, index](const standins::GrpcServer::Execution& call, std::size_t number) {
+                standins::GrpcServer* const server = servers_[index].get();
+                held[index].push_back({call.path.substr(call.path.rfind('/') + 1), "b",
+                                       [this, server, number](const std::string& result) {
+                                           standins::Play done;
+                                           done.part = standins::Part::stream;
+                                           done.bytes = 1;
+                                           done.trailers = {{"result", result}};
+                                           server->play(now, number, done);
+                                       },
+                                       [this, server, number] {
+                                           standins::Play failed;
+                                           failed.part = standins::Part::trailersOnly, failed.status = 13;
+                                           server->play(now, number, failed);
+                                       }});
+                standins::Play wait;
+                wait.part = standins::Part::stall;
+                return wait;
+            }));
+        grpc::ServerEntry entry;
+        entry.name = "g" + std::to_string(index), entry.address = servers_.back()->address();
+        entry.cell = static_cast<int>(index);
+        config_.servers.push_back(entry);
+        pool_.configure(now, config_);
+        return index;
+    }
+    void drain(std::size_t server) override {
+        config_.servers[server].drain = true;
+        pool_.configure(now, config_);
+    }
+    void vanish(std::size_t server) override {
+        const auto name = "g" + std::to_string(server);
+        std::erase_if(config_.servers, [&](const auto& entry) { return entry.name == name; });
+        pool_.configure(now, config_);
+        const auto before = core.counters().ends[static_cast<std::size_t>(End::brokeSent)];
+        servers_[server]->stopListening();
+        servers_[server]->cut(now);
+        EXPECT_TRUE(
+            until([&] { return core.counters().ends[static_cast<std::size_t>(End::brokeSent)] > before; }));
+    }
+    void connect(Time, std::shared_ptr<wire::Machine> machine, const std::string& address) override {
+        net::Link::connect(loop, std::move(machine), *net::endpointOf(address));
+    }
+    void refresh() override {
+        for (std::size_t i = 0; i < seen.size(); ++i) {
+            const auto& told = clients_[i]->outcomes[0];
+            if (told.status < 0) continue;
+            EXPECT_EQ(told.statuses, 1);
+            seen[i].fate = told.status == 0       ? Fate::served
+                           : told.pushback() >= 0 ? Fate::unavailable
+                                                  : Fate::failed;
+            if (const std::string* const result = http2::find(told.trailers, "result"))
+                seen[i].body = *result;
+        }
+    }
+
+private:
+    grpc::Config config_ = settingsOf();
+    grpc::Servers pool_{core, loop.deadlines(), *this, config_, 5};
+    grpc::Front front_{core, loop.deadlines(), config_};
+    net::Listener listener_{loop, kAnyPort, [this](Time at) { return front_.accept(at); }};
+    std::vector<std::unique_ptr<standins::GrpcServer>> servers_;
+    std::vector<std::unique_ptr<standins::GrpcClient>> clients_;
+};
+
 // --- scenarios ---
 using Counts =
     std::vector<std::uint64_t>;  // served, unavailable, failed, left, passes, withheld, late results
 
-Counts countsOf(const World& world) {
+Counts countsOf(World& world) {
+    world.refresh();
     const auto& c = world.core.counters();
     Counts counts = {c.served, c.unavailable, c.failed, c.left, c.passes, c.withheld, c.lateResults};
     EXPECT_EQ(c.taken, c.served + c.unavailable + c.failed + c.left) << "each has exactly one final answer";
@@ -344,7 +356,8 @@
     return counts;
 }
 
-bool answered(const World& world, std::size_t client) {
+bool answered(World& world, std::size_t client) {
+    world.refresh();
     return world.seen[client].fate != Fate::pending;
 }
 
@@ -454,19 +467,22 @@
 void PrintTo(const Scenario& scenario, std::ostream* out) {
     *out << scenario.name;
 }
-class BothFronts : public testing::TestWithParam<Scenario> {};
+class AllFronts : public testing::TestWithParam<Scenario> {};
 
-TEST_P(BothFronts, EndInTheSameCounts) {
+TEST_P(AllFronts, EndInTheSameCounts) {
     HttpWorld http;
     GetParam().play(http);
     GearmanWorld gearman;
     GetParam().play(gearman);
     EXPECT_EQ(countsOf(http), countsOf(gearman));
+    GrpcWorld overGrpc;
+    GetParam().play(overGrpc);
+    EXPECT_EQ(countsOf(http), countsOf(overGrpc));
     EXPECT_EQ(countsOf(http), GetParam().expected);
 }
 
 INSTANTIATE_TEST_SUITE_P(
-    Scenarios, BothFronts,
+    Scenarios, AllFronts,
     testing::Values(Scenario{"PlainWork", plainWork, {6, 0, 0, 0, 6, 0, 0}},
                     Scenario{"SafeFails", aSafeJobThatFailsGoesElsewhere, {1, 0, 0, 0, 2, 0, 0}},
                     Scenario{"KeyedMayHaveRun", aKeyedJobThatMayHaveRunFails, {0, 0, 1, 0, 1, 0, 0}},
--- a/tests/gearman_test.cpp
+++ b/tests/gearman_test.cpp
@@ -54,10 +54,10 @@
 
 Config config() {
     simdjson::dom::parser parser;
-    const settings::object json =
+    const settings::element json =
         parser.parse(std::string(R"({"listen":"127.0.0.1:0","tenants":{"m":"maritsa-taxi"},
         "functions":{"car-match":{"deadline_ms":2000}},"worker_queue":1,"most_jobs":40})"));
-    return readConfig(json, site());
+    return readConfig(settings::Node(json, "gearman"), site());
 }
 
 struct GearmanFrontTest : testing::Test {
@@ -378,7 +378,7 @@
     const auto fault = [](const std::string& text) -> std::string {
         simdjson::dom::parser parser;
         try {
-            readConfig(settings::object(parser.parse(text)), site());
+            readConfig(settings::Node(settings::element(parser.parse(text)), "gearman"), site());
         } catch (const settings::BadField& bad) {
             return bad.what();
         }
@@ -386,14 +386,17 @@
     };
     EXPECT_EQ(fault("{}"), "taken");
     EXPECT_EQ(fault(R"({"listen":"","functions":{"render":{}}})"), "taken");  // it is off
-    EXPECT_EQ(fault(R"({"listen":7})"), "field 'listen' is not a string");
+    EXPECT_EQ(fault(R"({"listen":7})"), "gearman.listen: is not a string");
     EXPECT_EQ(fault(R"({"listen":"127.0.0.1:0","functions":{"render":{}}})"),
-              "field 'functions' names the unknown class 'render'");
+              "gearman.functions.render: there is no class 'render'");
     EXPECT_EQ(fault(R"({"listen":"127.0.0.1:0","functions":{"car-match":{"deadline_ms":0}}})"),
-              "field 'deadline_ms' is out of range");
+              "gearman.functions.car-match.deadline_ms: is not from 1 to 86400000");
     EXPECT_EQ(fault(R"({"listen":"127.0.0.1:0","tenants":{"x":"nobody"}})"),
-              "field 'tenants' names the unknown tenant 'nobody'");
-    EXPECT_EQ(fault(R"({"listen":"127.0.0.1:0","worker_slots":0})"), "field 'worker_slots' is out of range");
+              "gearman.tenants.x: there is no tenant 'nobody'");
+    EXPECT_EQ(fault(R"({"listen":"127.0.0.1:0","worker_slots":0})"),
+              "gearman.worker_slots: is not from 1 to 100000");
+    EXPECT_EQ(fault(R"({"listen":"","workers":1})").substr(0, 40),
+              "gearman.workers: there is no such field;");
 }
 
 }  // namespace
