Turn Consul's answers into membership by a view, and hold down a flapper's good news

The source told the module the whole list on every answer, knew an instance by its id alone and let a flapping one back at once.

src/consul/view is membership without I/O: one address is one member however often it is listed, the worst listing counts, bad news counts at once, good news of a flapper waits twice as long with each flap (bounded, decaying, counted), an id at a new address or registered anew has restarted, and only differences leave it. The existing source feeds it and tells changes alone.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -107,6 +107,7 @@
         });
     const auto counters = [&] {
         return report(core, servers, watch, front, gearman, reload) +
+               (own.consul.address.empty() ? std::string() : report(consul)) +
                (speaksGrpc ? report(grpcFront, grpcServers) : std::string());
     };
     front.setReport(counters);
--- a/src/platform/consul.cpp
+++ b/src/platform/consul.cpp
@@ -34,7 +34,8 @@
 }  // namespace
 
 ConsulConfig readConsul(const Node& section) {
-    const auto from = section.table({"address", "service", "api", "datacenter", "token", "wait_s"});
+    const auto from = section.table({"address", "service", "api", "datacenter", "token", "wait_s",
+                                     "hold_down_ms", "most_hold_down_ms", "flap_half_life_ms"});
     ConsulConfig config;
     config.address = from.text("address", "");
     config.service = from.text("service", "");
@@ -43,6 +44,9 @@
     if (const Node* const api = from.find("api"))
         config.health = api->place({"catalog", "health"}, "api") == 1;
     config.wait = std::chrono::seconds(from.integer("wait_s", std::int64_t{30}, 1, 600));
+    config.hold.first = from.milliseconds("hold_down_ms", config.hold.first, 0);
+    config.hold.most = from.milliseconds("most_hold_down_ms", config.hold.most, 0);
+    config.hold.halfLife = from.milliseconds("flap_half_life_ms", config.hold.halfLife, 1);
     if (!config.address.empty() && config.service.empty()) from.need("service").fail("is missing");
     if (config.token.find_first_of("\r\n") != std::string::npos)
         from.need("token").fail("holds the end of a line");
@@ -54,7 +58,9 @@
                ConsulConfig config)
     : LongPoll(core, deadlines, connector, config.address, config.wait + config.wait / 16, kGap),
       servers_(servers),
-      config_(std::move(config)) {}
+      config_(std::move(config)),
+      view_(config_.hold),
+      deadlines_(deadlines) {}
 
 std::string Consul::target() const {
     std::string out = config_.health ? "/v1/health/service/" : "/v1/catalog/service/";
@@ -69,59 +75,55 @@
 }
 
 // One instance: of the health API it has Node, Service and Checks, of the catalogue all in one object.
-bool Consul::entryOf(const object& from, FarmEntry& told, std::string& address) const {
+bool Consul::readInstance(const object& from, consul::Instance& out) const {
     const bool health = config_.health;
     const object node = health ? table(from, "Node") : from;
     const object service = health ? table(from, "Service") : from;
     const char* const prefix = health ? "" : "Service";
     const auto named = [prefix](const char* key) { return prefix + std::string(key); };
-    const std::string id(text(service, named("ID")));
+    out.id = text(service, named("ID"));
     std::string_view host = text(service, named("Address"), "");
     if (host.empty()) host = text(node, "Address", "");  // an instance without one has its node's
     const std::int64_t port = integer(service, named("Port"), 0);
-    if (id.empty() || host.empty() || port <= 0 || port > 65535) return false;
-    address = std::string(host) + ':' + std::to_string(port);
-    told.name = id;
-    auto& e = told.entry;
-    e.zone = placeOf(core_.site().zones, text(node, "Datacenter", ""));
-    e.kind = placeOf(core_.site().kinds, "");
+    if (out.id.empty() || host.empty() || port <= 0 || port > 65535) return false;
+    out.address = std::string(host) + ':' + std::to_string(port);
+    out.created = static_cast<std::uint64_t>(std::max<std::int64_t>(0, integer(service, "CreateIndex", 0)));
+    out.zone = placeOf(core_.site().zones, text(node, "Datacenter", ""));
+    out.kind = placeOf(core_.site().kinds, "");
     if (const auto meta = find(service, named("Meta"))) {
         const object tags = asObject(*meta, "Meta");
         if (const auto zone = text(tags, "zone", ""); !zone.empty())
-            e.zone = placeOf(core_.site().zones, zone);
-        e.kind = placeOf(core_.site().kinds, text(tags, "type", ""));
+            out.zone = placeOf(core_.site().zones, zone);
+        out.kind = placeOf(core_.site().kinds, text(tags, "type", ""));
         // Consul's meta data are strings throughout.
         const auto figure = [&tags](const char* key) {
             return static_cast<std::int64_t>(http::wholeNumber(text(tags, key, "0")).value_or(0));
         };
-        e.cell = static_cast<int>(figure("group"));
-        e.since = Time(std::min<std::int64_t>(figure("since_ms"), 9'000'000'000'000) * 1'000'000);
+        out.cell = static_cast<int>(figure("group"));
+        out.since = Time(std::min<std::int64_t>(figure("since_ms"), 9'000'000'000'000) * 1'000'000);
     }
-    bool warning = false;
-    if (health)
+    if (health)  // those of the service and of its node alike
         for (const element value : list(from, "Checks")) {
-            const object check = asObject(value, "Checks");
-            const std::string_view status = text(check, "Status", "passing");
+            const std::string_view status = text(asObject(value, "Checks"), "Status", "passing");
             // Maintenance is a critical check too: both complete what they hold and get nothing new.
-            if (status == "critical" || status == "maintenance") e.standing = Standing::draining;
-            if (status == "warning") warning = true;
+            if (status == "critical" || status == "maintenance") out.health = consul::Health::critical;
+            if (status == "warning") out.health = std::max(out.health, consul::Health::warning);
         }
-    if (const auto weights = find(service, named("Weights")))
-        e.units = number(asObject(*weights, "Weights"), warning ? "Warning" : "Passing", 1);
+    if (const auto weights = find(service, named("Weights"))) {
+        out.passingWeight = number(asObject(*weights, "Weights"), "Passing", 1);
+        out.warningWeight = number(asObject(*weights, "Weights"), "Warning", 1);
+    }
     return true;
 }
 
 bool Consul::take(Time now, const http::Message& message) {
     simdjson::dom::array instances;
     if (json_.parse(message.body).get(instances) != simdjson::SUCCESS) return false;
-    std::vector<FarmEntry> entries;
-    std::vector<std::string> addresses;
+    std::vector<consul::Instance> list;
     try {
         for (const element value : instances) {
-            FarmEntry entry;
-            std::string address;
-            if (!entryOf(asObject(value, "instance"), entry, address)) continue;
-            entries.push_back(std::move(entry)), addresses.push_back(std::move(address));
+            consul::Instance instance;
+            if (readInstance(asObject(value, "instance"), instance)) list.push_back(std::move(instance));
         }
     } catch (const BadField&) {
         return false;
@@ -130,10 +132,29 @@
     const std::string* const header = message.header("x-consul-index");
     const std::uint64_t index = header ? http::wholeNumber(*header).value_or(0) : 0;
     index_ = index < index_ ? 0 : std::max<std::uint64_t>(index, 1);
-    for (std::size_t i = 0; i < entries.size(); ++i)
-        servers_.learn(now, core_.handleOf(entries[i].name), entries[i].name, addresses[i]);
-    core_.farm(now, *this, servers_, RosterMode::whole, entries);
+    tell(now, view_.answer(now, config_.service, list));
     return true;
 }
 
+// Only what has changed goes on. What is held down comes when its time is up.
+void Consul::tell(Time now, const consul::View::Changes& changes) {
+    if (const auto next = view_.next())
+        heldDown_.arm(deadlines_, *next, [this](Time at) { tell(at, view_.due(at)); });
+    else
+        heldDown_.disarm();
+    if (changes.empty() && !std::exchange(lost_, false)) return;  // after a loss the module hears in any case
+    lost_ = false;
+    std::vector<FarmEntry> entries;
+    for (const consul::Member& member : changes) {
+        FarmEntry told;
+        told.name = member.name;
+        auto& e = told.entry;
+        e.zone = member.zone, e.kind = member.kind, e.cell = member.cell;
+        e.units = member.units, e.since = member.since, e.standing = member.standing;
+        entries.push_back(std::move(told));
+        servers_.learn(now, core_.handleOf(member.name), member.name, member.address);
+    }
+    core_.farm(now, *this, servers_, RosterMode::changes, entries);
+}
+
 }  // namespace amberswitch::platform
--- a/src/platform/consul.hpp
+++ b/src/platform/consul.hpp
@@ -2,6 +2,7 @@
 // knows no health), with blocking queries. The instances speak the platform's protocol.
 #pragma once
 
+#include "consul/view.hpp"
 #include "platform/long_poll.hpp"
 #include "platform/servers.hpp"
 #include "settings/strict.hpp"
@@ -13,6 +14,7 @@
     std::string service, token, datacenter;
     bool health = true;  // else the catalogue
     Nanos wait = std::chrono::seconds(30);
+    consul::HoldDown hold;
 };
 ConsulConfig readConsul(const settings::Node& section);  // throws settings::BadField
 
@@ -21,17 +23,24 @@
     Consul(Core& core, Servers& servers, Deadlines& deadlines, wire::Connector& connector,
            ConsulConfig config);
 
+    const consul::View& view() const { return view_; }
+
 private:
     std::string target() const override;
     std::string headers() const override;
     bool take(Time now, const http::Message& message) override;
-    void forgotten() override { index_ = 0; }
-    bool entryOf(const settings::object& from, FarmEntry& entry, std::string& address) const;
+    void forgotten() override { index_ = 0, lost_ = true; }
+    bool readInstance(const settings::object& from, consul::Instance& out) const;
+    void tell(Time now, const consul::View::Changes& changes);
 
     Servers& servers_;
     ConsulConfig config_;
     simdjson::dom::parser json_;
     std::uint64_t index_ = 0;
+    bool lost_ = false;  // the module was told so
+    consul::View view_;
+    Deadlines& deadlines_;
+    Deadlines::Ticket heldDown_;
 };
 
 }  // namespace amberswitch::platform
--- a/src/report.cpp
+++ b/src/report.cpp
@@ -75,6 +75,24 @@
     return out.text;
 }
 
+std::string report(const platform::Consul& consul) {
+    Lines out;
+    const auto& c = consul.view().counters();
+    out.add("consul.answers", c.answers);
+    out.add("consul.answers_unchanged", c.unchanged);
+    out.add("consul.members", consul.view().members());
+    out.add("consul.held_down", consul.view().heldDown());
+    out.add("consul.joined", c.joined);
+    out.add("consul.gone", c.gone);
+    out.add("consul.drained", c.drained);
+    out.add("consul.restored", c.restored);
+    out.add("consul.restarts", c.restarts);
+    out.add("consul.flaps", c.flaps);
+    out.add("consul.good_news_held", c.held);
+    out.add("consul.over_bound", c.overBound);
+    return out.text;
+}
+
 std::string report(const grpc::Front& front, const grpc::Servers& servers) {
     Lines out;
     const auto sessions = [&out](const std::string& of, const http2::Counters& c) {
--- a/src/report.hpp
+++ b/src/report.hpp
@@ -7,6 +7,7 @@
 #include "gearman/front.hpp"
 #include "grpc/front.hpp"
 #include "grpc/servers.hpp"
+#include "platform/consul.hpp"
 #include "platform/front.hpp"
 #include "platform/watch.hpp"
 
@@ -15,6 +16,7 @@
 std::string report(const Core& core, const platform::Servers& servers, const platform::Watch& watch,
                    const platform::Front& front, const gearman::Front& gearman, const config::Reload& reload);
 
+std::string report(const platform::Consul& consul);                          // where Consul is on
 std::string report(const grpc::Front& front, const grpc::Servers& servers);  // where gRPC is on
 
 }  // namespace amberswitch
--- a/tests/consul_test.cpp
+++ b/tests/consul_test.cpp
@@ -63,8 +63,8 @@
 
 std::string healthy(const std::string& id, const std::string& status, const std::string& host = "127.0.0.9") {
     return R"({"Node":{"Node":"n","Address":"127.0.0.8","Datacenter":"plovdiv-1"},"Service":{"ID":")" + id +
-           R"(","Service":"job-server","Address":")" + host +
-           R"(","Port":3000,"Meta":{"type":"slow-4","group":"4"},"Weights":{"Passing":2,"Warning":1}},)" +
+           R"(","Service":"job-server","Address":")" + host + R"(","Port":)" + std::to_string(3000 + id[0]) +
+           R"(,"Meta":{"type":"slow-4","group":"4"},"Weights":{"Passing":2,"Warning":1}},)" +
            R"("Checks":[{"CheckID":"serfHealth","Status":"passing"},{"CheckID":"own","Status":")" + status +
            "\"}]}";
 }
@@ -123,6 +123,38 @@
     now += 100ms;
     ASSERT_TRUE(until([&] { return agent.targets.size() == 4; }));
     EXPECT_EQ(agent.targets[3].find("index="), std::string::npos);  // it went back: from the start
+    const auto updates = core.counters().farmUpdates;
+    agent.set(9, "[" + healthy("a", "passing") + "]");  // an index that moved and nothing else
+    ASSERT_TRUE(until([&] { return consul.view().counters().answers == 4; }));
+    EXPECT_EQ(core.counters().farmUpdates, updates) << "only changes go on";
+}
+
+// Good news of a flapper is held down, through the source, and comes when its time is up.
+TEST_F(ConsulTest, AFlapperIsHeldDown) {
+    agent.set(1, "[" + healthy("a", "passing") + "]");
+    Consul consul(core, servers, loop.deadlines(), *this, config());
+    core.addFarmSource(consul);
+    consul.watch(now);
+    ASSERT_TRUE(until([&] { return on("a"); }));
+    std::uint64_t index = 1, answers = 1;
+    const auto says = [&](const char* status) {
+        now += 100ms;
+        agent.set(++index, "[" + healthy("a", status) + "]");
+        ++answers;
+        ASSERT_TRUE(until([&] { return consul.view().counters().answers == answers; }));
+    };
+    for (int flap = 0; flap < 3; ++flap) {
+        says("critical");
+        EXPECT_FALSE(on("a")) << "bad news counts at once";
+        says("passing");
+        EXPECT_EQ(on("a"), flap == 0);
+    }
+    EXPECT_EQ(consul.view().heldDown(), 1u);
+    now = *consul.view().heldUntil("a") - 1ms;
+    for (int i = 0; i < 5; ++i) loop.poll();
+    EXPECT_FALSE(on("a"));
+    now += 2ms;
+    EXPECT_TRUE(until([&] { return on("a"); }));
 }
 
 TEST_F(ConsulTest, ReadsTheCatalogue) {
