Keep Consul's last view in a file, and begin a start with it as stale

A dispatcher that restarts while Consul is away began with nothing: an outage of its own making.

A start tells them as stale; the first answer replaces them. A file that is torn, foreign, of another site, too old or from the future is left aside with one line. Off as shipped: the platform has no lasting disk.

--- a/src/consul/view.cpp
+++ b/src/consul/view.cpp
@@ -32,6 +32,16 @@
     return at == scopes_.end() ? std::nullopt : std::optional<Time>(at->second.heard);
 }
 
+std::map<View::Scope, std::vector<Instance>> View::listings() const {
+    std::map<Scope, std::vector<Instance>> out;
+    for (const auto& [scope, listing] : scopes_) {
+        auto& instances = out[scope];
+        instances.reserve(listing.byKey.size());
+        for (const auto& [key, instance] : listing.byKey) instances.push_back(instance);
+    }
+    return out;
+}
+
 std::optional<Time> View::next() const {
     if (held_.empty()) return std::nullopt;
     return held_.begin()->first;
--- a/src/consul/view.hpp
+++ b/src/consul/view.hpp
@@ -57,6 +57,8 @@
     Changes due(Time now);             // what was held down and is not any more
     std::optional<Time> next() const;  // when due() has something to say
 
+    // The newest answers, to be kept; answer() takes them again.
+    std::map<Scope, std::vector<Instance>> listings() const;
     std::size_t members() const { return members_.size(); }
     std::size_t heldDown() const { return held_.size(); }
     std::optional<Time> heldUntil(const std::string& name) const;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -64,9 +64,11 @@
 
     if (config.known) watch.known(loop.now(), *config.known);
 
-    platform::Consul consul(core, servers, loop.deadlines(), wiring, own.consul);
+    const auto say = [](const std::string& line) { std::fprintf(stderr, "amberswitch: %s\n", line.c_str()); };
+    platform::Consul consul(core, servers, loop.deadlines(), wiring, own.consul, say);
     if (!own.consul.address.empty()) {
         core.addFarmSource(consul);
+        consul.begin(loop.now());
         consul.watch(loop.now());
     }
 
@@ -95,16 +97,13 @@
         grpcListener->setGate([&](Time now) { return roomBelow(now, forClients); });
     }
 
-    config::Reload reload(
-        reader, config, own, watch,
-        [](const std::string& line) { std::fprintf(stderr, "amberswitch: %s\n", line.c_str()); },
-        [&](Time now, const config::Operator& next) {
-            // Guards against a front that was to be switched off losing what it serves: it waits for the next
-            // start as it is.
-            if (!speaksGrpc || next.grpc.listen.empty()) return;
-            grpcFront.configure(next.grpc);
-            grpcServers.configure(now, next.grpc);
-        });
+    config::Reload reload(reader, config, own, watch, say, [&](Time now, const config::Operator& next) {
+        // Guards against a front that was to be switched off losing what it serves: it waits for the next
+        // start as it is.
+        if (!speaksGrpc || next.grpc.listen.empty()) return;
+        grpcFront.configure(next.grpc);
+        grpcServers.configure(now, next.grpc);
+    });
     const auto counters = [&] {
         return report(core, servers, watch, front, gearman, reload) +
                (own.consul.address.empty() ? std::string() : report(consul)) +
@@ -147,6 +146,7 @@
                      grpcListener->address().address().to_string().c_str(), grpcListener->address().port());
     loop.run();
     listener.close();
+    if (!own.consul.address.empty()) consul.end(loop.now());
     grpcFront.closeAll(loop.now()), grpcServers.closeAll(loop.now());
     std::fputs(counters().c_str(), stderr);
     return 0;
--- a/src/platform/consul.cpp
+++ b/src/platform/consul.cpp
@@ -17,6 +17,16 @@
     return static_cast<int>(std::find(names.begin(), names.end(), name) - names.begin());
 }
 
+// Zones and kinds are kept as numbers: they mean nothing where the names are others.
+std::uint64_t siteOf(const Site& site) {
+    std::string names;
+    for (const auto* list : {&site.zones, &site.kinds}) {
+        for (const auto& name : *list) names += name + '\n';
+        names += '\n';
+    }
+    return fingerprint(names);
+}
+
 std::string escaped(std::string_view text) {
     std::string out;
     constexpr char kDigits[] = "0123456789ABCDEF";
@@ -34,8 +44,9 @@
 }  // namespace
 
 ConsulConfig readConsul(const Node& section) {
-    const auto from = section.table({"address", "service", "api", "datacenter", "token", "wait_s",
-                                     "hold_down_ms", "most_hold_down_ms", "flap_half_life_ms"});
+    const auto from =
+        section.table({"address", "service", "api", "datacenter", "token", "wait_s", "hold_down_ms",
+                       "most_hold_down_ms", "flap_half_life_ms", "keep_file", "keep_age_s"});
     ConsulConfig config;
     config.address = from.text("address", "");
     config.service = from.text("service", "");
@@ -47,6 +58,8 @@
     config.hold.first = from.milliseconds("hold_down_ms", config.hold.first, 0);
     config.hold.most = from.milliseconds("most_hold_down_ms", config.hold.most, 0);
     config.hold.halfLife = from.milliseconds("flap_half_life_ms", config.hold.halfLife, 1);
+    config.keep.file = from.text("keep_file", "");
+    config.keep.mostAge = std::chrono::seconds(from.integer("keep_age_s", std::int64_t{3600}, 1, 31'536'000));
     if (!config.address.empty() && config.service.empty()) from.need("service").fail("is missing");
     if (config.token.find_first_of("\r\n") != std::string::npos)
         from.need("token").fail("holds the end of a line");
@@ -55,12 +68,24 @@
 
 // Consul adds up to a sixteenth to a wait, so that many queries do not end together.
 Consul::Consul(Core& core, Servers& servers, Deadlines& deadlines, wire::Connector& connector,
-               ConsulConfig config)
+               ConsulConfig config, consul::Keeper::Say say)
     : LongPoll(core, deadlines, connector, config.address, config.wait + config.wait / 16, kGap),
       servers_(servers),
       config_(std::move(config)),
       view_(config_.hold),
-      deadlines_(deadlines) {}
+      deadlines_(deadlines),
+      keeper_(config_.keep, siteOf(core.site()), std::move(say)) {}
+
+void Consul::begin(Time now) {
+    const auto kept = keeper_.load(now);
+    if (!kept) return;
+    const auto at = kept->scopes.find(config_.service);
+    if (at != kept->scopes.end()) tell(now, view_.answer(kept->at, at->first, at->second), RosterMode::stale);
+}
+
+void Consul::end(Time now) {
+    if (view_.heardOf(config_.service)) keeper_.save(now, view_.listings());
+}
 
 std::string Consul::target() const {
     std::string out = config_.health ? "/v1/health/service/" : "/v1/catalog/service/";
@@ -137,7 +162,7 @@
 }
 
 // Only what has changed goes on. What is held down comes when its time is up.
-void Consul::tell(Time now, const consul::View::Changes& changes) {
+void Consul::tell(Time now, const consul::View::Changes& changes, RosterMode mode) {
     if (const auto next = view_.next())
         heldDown_.arm(deadlines_, *next, [this](Time at) { tell(at, view_.due(at)); });
     else
@@ -154,7 +179,9 @@
         entries.push_back(std::move(told));
         servers_.learn(now, core_.handleOf(member.name), member.name, member.address);
     }
-    core_.farm(now, *this, servers_, RosterMode::changes, entries);
+    core_.farm(now, *this, servers_, mode, entries);
+    if (keeper_.on() && !keep_.armed())
+        keep_.arm(deadlines_, now + kKeepEvery, [this](Time at) { keeper_.save(at, view_.listings()); });
 }
 
 }  // namespace amberswitch::platform
--- a/src/platform/consul.hpp
+++ b/src/platform/consul.hpp
@@ -2,7 +2,7 @@
 // knows no health), with blocking queries. The instances speak the platform's protocol.
 #pragma once
 
-#include "consul/view.hpp"
+#include "consul/keep.hpp"
 #include "platform/long_poll.hpp"
 #include "platform/servers.hpp"
 #include "settings/strict.hpp"
@@ -15,13 +15,19 @@
     bool health = true;  // else the catalogue
     Nanos wait = std::chrono::seconds(30);
     consul::HoldDown hold;
+    consul::KeepConfig keep;
 };
 ConsulConfig readConsul(const settings::Node& section);  // throws settings::BadField
 
 class Consul : public LongPoll {
 public:
-    Consul(Core& core, Servers& servers, Deadlines& deadlines, wire::Connector& connector,
-           ConsulConfig config);
+    Consul(
+        Core& core, Servers& servers, Deadlines& deadlines, wire::Connector& connector, ConsulConfig config,
+        consul::Keeper::Say say = [](const std::string&) {});
+
+    void begin(Time now);  // with the view that was kept, if there is one: as stale
+    void end(Time now);    // keeps the newest
+    const consul::Keeper& keeper() const { return keeper_; }
 
     const consul::View& view() const { return view_; }
 
@@ -31,7 +37,8 @@
     bool take(Time now, const http::Message& message) override;
     void forgotten() override { index_ = 0, lost_ = true; }
     bool readInstance(const settings::object& from, consul::Instance& out) const;
-    void tell(Time now, const consul::View::Changes& changes);
+    void tell(Time now, const consul::View::Changes& changes,
+              heronmount::RosterMode mode = heronmount::RosterMode::changes);
 
     Servers& servers_;
     ConsulConfig config_;
@@ -40,7 +47,9 @@
     bool lost_ = false;  // the module was told so
     consul::View view_;
     Deadlines& deadlines_;
-    Deadlines::Ticket heldDown_;
+    consul::Keeper keeper_;
+    Deadlines::Ticket heldDown_, keep_;
+    static constexpr Nanos kKeepEvery = std::chrono::seconds(1);
 };
 
 }  // namespace amberswitch::platform
--- a/src/report.cpp
+++ b/src/report.cpp
@@ -90,6 +90,11 @@
     out.add("consul.flaps", c.flaps);
     out.add("consul.good_news_held", c.held);
     out.add("consul.over_bound", c.overBound);
+    const auto& k = consul.keeper().counters();
+    out.add("consul.kept", k.saved);
+    out.add("consul.keep_failed", k.failed);
+    out.add("consul.kept_loaded", k.loaded);
+    out.add("consul.kept_refused", k.refused);
     return out.text;
 }
 
--- a/tests/consul_test.cpp
+++ b/tests/consul_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/consul.hpp"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include "http/server.hpp"
 #include "net/loop.hpp"
@@ -129,6 +130,32 @@
     EXPECT_EQ(core.counters().farmUpdates, updates) << "only changes go on";
 }
 
+// A start where Consul is away begins with the kept view, as stale; the first answer replaces it.
+TEST_F(ConsulTest, AStartBeginsWithTheKeptView) {
+    ConsulConfig kept = config();
+    kept.keep.file = testing::TempDir() + "amberswitch-consul-" + std::to_string(::getpid());
+    {
+        agent.set(3, "[" + healthy("a", "passing") + "," + healthy("b", "passing") + "]");
+        Consul before(core, servers, loop.deadlines(), *this, kept);
+        before.watch(now);
+        ASSERT_TRUE(until([&] { return on("a") && on("b"); }));
+        now += 1s;
+        loop.poll();
+        EXPECT_EQ(before.keeper().counters().saved, 1u);
+        before.end(now);
+    }
+    Core later(site(), 2, loop.deadlines());
+    Servers pool(later, loop.deadlines(), *this);
+    Consul after(later, pool, loop.deadlines(), *this, kept);
+    after.begin(now);
+    EXPECT_TRUE(later.accepts(later.handleOf("a")) && later.accepts(later.handleOf("b")));
+    agent.set(4, "[" + healthy("b", "passing") + "]");
+    after.watch(now);
+    ASSERT_TRUE(until([&] { return !later.accepts(later.handleOf("a")); }));
+    EXPECT_TRUE(later.accepts(later.handleOf("b")));
+    ::unlink(kept.keep.file.c_str());
+}
+
 // Good news of a flapper is held down, through the source, and comes when its time is up.
 TEST_F(ConsulTest, AFlapperIsHeldDown) {
     agent.set(1, "[" + healthy("a", "passing") + "]");
