Show a server's slots and the reread of gRPC servers, and list what is still unshown

Read point by point, the gRPC work had claims without a test behind them. Two get one: a server gets no more calls than its slots, and a reload tells the farm once (the refused ones tell it nothing).

--- a/tests/grpc_test.cpp
+++ b/tests/grpc_test.cpp
@@ -717,6 +717,17 @@
     EXPECT_EQ(server.connections(), 1u);
 }
 
+TEST_F(GrpcTest, AServerGetsNoMoreCallsThanItsSlots) {
+    GrpcServer& server = addServer(Part::stall);
+    config.servers[0].slots = 2;
+    pool.configure(now, config);
+    GrpcClient& c = client();
+    for (int i = 0; i < 5; ++i) c.call(now, {});
+    EXPECT_TRUE(until([&] { return core.counters().taken == 5 && pool.counters().noRoom > 0; }));
+    EXPECT_EQ(server.ledger.size(), 2u);
+    EXPECT_EQ(ends(End::handedBack), pool.counters().noRoom);
+}
+
 TEST_F(GrpcTest, AFurtherConnectionIsMadeAtThePeersLimit) {
     http2::Limits few;
     few.streams = 4;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -209,6 +209,8 @@
     for (std::string line = program.line(); !line.empty(); line = program.line()) last += line;
     EXPECT_NE(last.find("grpc.servers.open 0\n"), std::string::npos);
     EXPECT_NE(last.find("reloads.refused 2\n"), std::string::npos);
+    // The known list, the start's servers, and those of the one reload that was taken.
+    EXPECT_NE(last.find("farm.updates 3\n"), std::string::npos) << last;
     EXPECT_EQ(program.exitStatus(), 0);
 }
 
