Show silent job servers and idle connections through the gRPC servers' side

Both were shown on HTTP/2 sessions alone. A machine that takes a connection and says nothing is found by PING (1.3 s with 1 s and 300 ms set), what it was sent counts as may-have-run, and the call ends once; an idle connection closes and the next call makes a new one.

--- a/tests/grpc_test.cpp
+++ b/tests/grpc_test.cpp
@@ -776,6 +776,40 @@
     expectEmpty();
 }
 
+// A machine that takes the connection and says nothing: found by PING, and what it was sent may have run.
+TEST_F(GrpcTest, AJobServerThatFallsSilentIsFoundByPing) {
+    config.keepalive = 1s, config.keepaliveWait = 300ms;
+    std::vector<std::shared_ptr<standins::RawPeer>> mute;
+    net::Listener hole(loop, kAnyPort, [&](Time) {
+        mute.push_back(std::make_shared<standins::RawPeer>());
+        return mute.back();
+    });
+    config.servers.push_back({.name = "hole", .address = port(hole)});
+    pool.configure(now, config);
+    GrpcClient& c = client();
+    c.call(now, assign("k"));
+    EXPECT_TRUE(until([&] { return !mute.empty() && !mute[0]->heard.empty(); }));
+    pass(900ms);
+    EXPECT_EQ(pool.counters().sessions.blackHoles, 0u);
+    pass(600ms);
+    EXPECT_EQ(pool.counters().sessions.blackHoles, 1u);
+    EXPECT_EQ(ends(End::brokeSent), 1u);
+    pass(5s);
+    EXPECT_TRUE(until([&] { return c.outcomes[0].closed; }));
+    EXPECT_EQ(c.outcomes[0].statuses, 1);
+    EXPECT_EQ(c.outcomes[0].pushback(), -1);
+}
+
+TEST_F(GrpcTest, AnIdleConnectionToAJobServerCloses) {
+    config.idle = 1s;
+    GrpcServer& server = addServer(Part::answer);
+    EXPECT_EQ(ended().status, 0);
+    EXPECT_EQ(pool.openConnections(), 1u);
+    pass(3s);
+    EXPECT_TRUE(until([&] { return pool.openConnections() == 0 && server.connections() == 0; }));
+    EXPECT_EQ(ended().status, 0) << "and a new one is made for the next call";
+}
+
 TEST_F(GrpcTest, AConnectThatNeverComesUpEndsInTime) {
     addServer(Part::answer);
     connects = false;
