Add the operators' address, figures by class, and a drain that can be taken back

Nothing listened at the operators' address, so the call was refused.

Out of service, each answer to a client is its connection's last, what rests is closed from 1.7 s on, and a job that only comes to its end 1.9 s after the call is turned away; callbacks' and the front's connections stay. A connection with unread bytes is never closed as idle.

--- a/include/heronmount/dispatcher.hpp
+++ b/include/heronmount/dispatcher.hpp
@@ -67,7 +67,7 @@
     Standing standing = Standing::on;
     double units = 1;
     std::uint64_t classes = 0;  // a bit for each class that it takes, where it says so itself; 0: by its kind
-    Time since{0};  // latest start, 0 if long ago
+    Time since{0};              // latest start, 0 if long ago
 };
 enum class RosterMode { changes, whole, stale, lost };
 struct RosterUpdate {
@@ -165,6 +165,10 @@
     // ignored; a class or tenant that the settings do not have throws std::invalid_argument.
     void on(Time now, const Event& event, std::vector<Action>& actions);
 
+    // How many workers of the list, among those that are on, get no ordinary work as of the last event: each
+    // because of its own failures or because its zone can't be reached.
+    std::size_t avoided() const;
+
 private:
     class Rules;
     std::unique_ptr<Rules> rules_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -57,6 +57,13 @@
         config.sockets = static_cast<std::size_t>(settings::integer(bounds, "sockets", 1024));
         config.memoryMb = static_cast<std::size_t>(settings::integer(bounds, "memory_mb", 64));
     }
+    config.control = settings::text(from, "operator", "");
+    if (!config.control.empty()) needAddress(config.control, "operator");
+    // Guards against two processes that share the file: the variable belongs to one alone.
+    if (const char* const own = std::getenv("ROUTER_OPERATOR"); own && *own) {
+        if (!net::endpointOf(own)) throw BadField("ROUTER_OPERATOR is not an address and a port");
+        config.control = own;
+    }
     needAddress(config.listen, "listen");
     needAddress(config.discovery, "discovery");
     if (config.memoryMb < 16 || config.memoryMb > 1024 * 1024)
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -11,6 +11,7 @@
 
 struct Platform {  // the file that ROUTER_CONFIG names
     std::string name, listen, discovery;
+    std::string control;  // the operators' address: $ROUTER_OPERATOR, else `operator`; empty: none
     std::uint64_t seed = 0;
     std::size_t sockets = 1024, memoryMb = 64;
     settings::Site site;
--- a/src/config/reload.cpp
+++ b/src/config/reload.cpp
@@ -7,6 +7,7 @@
     : reader_(reader),
       site_(running.site),
       listen_(running.listen),
+      control_(running.control),
       gearmanListen_(own.gearman.listen),
       grpcListen_(own.grpc.listen),
       consulAddress_(own.consul.address),
@@ -33,6 +34,7 @@
         if (was != is) waits += std::string("; field '") + field + "' waits for the next start";
     };
     changed("listen", listen_, next.listen);
+    changed("operator", control_, next.control);
     changed("gearman.listen", gearmanListen_, own.gearman.listen);
     changed("grpc.listen", grpcListen_, own.grpc.listen);
     changed("consul.address", consulAddress_, own.consul.address);
--- a/src/config/reload.hpp
+++ b/src/config/reload.hpp
@@ -28,7 +28,7 @@
 private:
     Reader& reader_;
     const settings::Site site_;  // of the start: classes, tenants and zones stay
-    const std::string listen_, gearmanListen_, grpcListen_, consulAddress_;
+    const std::string listen_, control_, gearmanListen_, grpcListen_, consulAddress_;
     platform::Watch& watch_;
     Say say_;
     Take take_;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -8,7 +8,9 @@
 using namespace heronmount;
 
 Core::Core(const settings::Site& site, std::uint64_t seed, Deadlines& deadlines)
-    : site_(site), dispatcher_(site.module, seed), deadlines_(deadlines) {}
+    : site_(site), dispatcher_(site.module, seed), deadlines_(deadlines) {
+    counters_.byClass.resize(std::max<std::size_t>(1, site.classes.size()));
+}
 
 Core::Transaction* Core::find(TransactionId id) {
     const auto at = transactions_.find(id);
@@ -49,7 +51,10 @@
 
 void Core::fail(Time now, Transaction& t) {
     if (!t.answered) trace_(now, "failed t=%llu", static_cast<unsigned long long>(t.id));
-    answer(t, [&](ClientEnd& client) { ++counters_.failed, client.failed(now, t.lastFailure); });
+    answer(t, [&](ClientEnd& client) {
+        ++counters_.failed, ++endedOf(t.klass).aborted;
+        client.failed(now, t.lastFailure);
+    });
 }
 
 void Core::refuse(Time now, Transaction& t, Nanos retryIn) {
@@ -59,7 +64,10 @@
                           (klass.effect == Effect::keyed && klass.group == Group::all);
     if (harmless) {
         trace_(now, "refused t=%llu passes=%zu", static_cast<unsigned long long>(t.id), t.passes.size());
-        answer(t, [&](ClientEnd& client) { ++counters_.unavailable, client.unavailable(now, retryIn); });
+        answer(t, [&](ClientEnd& client) {
+            ++counters_.unavailable, ++endedOf(t.klass).declined;
+            client.unavailable(now, retryIn);
+        });
     } else {  // an unavailable answer would invite a repeat that the class forbids
         ++counters_.softened;
         fail(now, t);
@@ -72,6 +80,17 @@
                                : Nanos(0);
 }
 
+void Core::turnedAway(std::uint32_t klass, bool unavailable) {
+    ++counters_.taken;
+    ++(unavailable ? counters_.unavailable : counters_.failed);
+    ++(unavailable ? endedOf(klass).declined : endedOf(klass).aborted);
+}
+
+std::size_t Core::listed() const {
+    return static_cast<std::size_t>(
+        std::count_if(farm_.begin(), farm_.end(), [](const Server& server) { return server.listed; }));
+}
+
 // Guards against clients that would learn of this process's end by a reset only: who may come again
 // elsewhere is told so while there is time for it.
 void Core::giveUpAll(Time now) {
@@ -266,7 +285,10 @@
     if (how == End::failed) t.lastFailure = std::move(result);
     if (how == End::served) {
         if (t.answered) ++counters_.lateResults;
-        answer(t, [&](ClientEnd& client) { ++counters_.served, client.served(now, std::move(result)); });
+        answer(t, [&](ClientEnd& client) {
+            ++counters_.served, ++endedOf(t.klass).succeeded;
+            client.served(now, std::move(result));
+        });
     }
     settle(now, t, number, how);
     tell(now, AttemptEnded{t.id, number, outcomeOf(how), now - pass.sent, t.answered, load});
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -23,8 +23,12 @@
     TransactionId arrive(Time now, Arrival arrival);
     void clientLeft(Time now, TransactionId id);
     void giveUpAll(Time now);  // this process ends: answers all that is open
+    // A front has answered a job itself that never became a transaction: unavailable, or failed.
+    void turnedAway(std::uint32_t klass, bool unavailable);
 
     // From the application servers' side. A pass that has ended or never was is ignored.
+    // Its last byte was written. Told once a pass, also after its end.
+    void passWritten() { ++counters_.forwards; }
     void passStarted(Time now, TransactionId id, std::uint32_t pass);
     void passProgress(Time now, TransactionId id, std::uint32_t pass, double share);
     void passPartial(Time now, TransactionId id, std::uint32_t pass, Partial kind, std::string_view bytes);
@@ -47,7 +51,9 @@
     Worker handleOf(std::string_view name);  // dense, counted up as names are first heard
     bool accepts(Worker server) const { return server < farm_.size() && farm_[server].on; }
     bool openPass(TransactionId id, std::uint32_t pass) const;
-    std::size_t open() const { return open_; }  // transactions still owed an answer
+    std::size_t open() const { return open_; }                     // transactions still owed an answer
+    std::size_t avoided() const { return dispatcher_.avoided(); }  // of the listed: see the module
+    std::size_t listed() const;  // application servers in the list, those that drain too
     const Counters& counters() const { return counters_; }
     Trace& trace() { return trace_; }
     const Trace& trace() const { return trace_; }
@@ -84,6 +90,7 @@
         heronmount::RosterEntry entry;
     };
 
+    Ended& endedOf(std::uint32_t klass) { return counters_.byClass[klass % counters_.byClass.size()]; }
     void tell(Time now, heronmount::Event event);
     void carryOut(Time now, const heronmount::Action& action);
     void send(Time now, const heronmount::Send& send);
--- a/src/core/hand_over.hpp
+++ b/src/core/hand_over.hpp
@@ -9,6 +9,15 @@
 
 namespace amberswitch {
 
+// A drain of the dispatcher, which can be taken back, goes faster: 4 s after the call no client's connection
+// may rest here, or hold a job that is younger than 2 s. A quarter of a second before that, each must be
+// free.
+struct Drain {
+    static constexpr heronmount::Nanos closeRested = std::chrono::milliseconds(1700);
+    static constexpr heronmount::Nanos turnAway = std::chrono::milliseconds(1900);
+    static constexpr heronmount::Nanos lookAgain = std::chrono::milliseconds(100);
+};
+
 struct HandOver {
     heronmount::Nanos turnAway;  // from then on no job is taken, and connections are closed between messages
     heronmount::Nanos giveUp;    // what is still open then is answered as given up
--- a/src/core/transaction.hpp
+++ b/src/core/transaction.hpp
@@ -89,8 +89,18 @@
     heronmount::RosterEntry entry;  // worker and id are filled in by the core
 };
 
+// How the jobs of one class ended. Each job that a front could read is counted once: served with a result;
+// declined with an unavailable answer, at the door or later; or aborted, which is every other answer. A job
+// whose client left first is counted by `left` alone.
+struct Ended {
+    std::uint64_t succeeded = 0, declined = 0, aborted = 0;
+};
+
 struct Counters {
+    std::vector<Ended> byClass;  // by the site's class
     std::uint64_t taken = 0, served = 0, unavailable = 0, failed = 0, left = 0;
+    // Attempts whose last byte was written to an application server, whatever became of them.
+    std::uint64_t forwards = 0;
     std::uint64_t passes = 0, started = 0, cancels = 0, withheld = 0, softened = 0, lateResults = 0;
     std::uint64_t farmUpdates = 0, farmLost = 0, committed = 0, sealed = 0, loadReports = 0;
     std::uint64_t ends[kEnds] = {};
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -15,8 +15,10 @@
     wake();
 }
 
-void Client::sent(Time) {
-    if (state_ == State::writing && out().empty()) state_ = State::awaiting;
+void Client::sent(Time now) {
+    if (state_ != State::writing || !out().empty()) return;
+    state_ = State::awaiting;
+    wroteAll(now);
 }
 
 void Client::received(Time now) {
@@ -59,7 +61,7 @@
 void Client::finish(Time now, End how) {
     State was = std::exchange(state_, State::ended);
     // Guards against a break that is heard of before the write it follows: the last byte may have arrived.
-    if (was == State::writing && out().lent() == out().size()) was = State::awaiting;
+    if (was == State::writing && out().lent() == out().size()) was = State::awaiting, wroteAll(now);
     drop();
     const bool broke = how == End::peerClosed || how == End::peerReset || how == End::malformed;
     if (asked_ && broke && was == State::writing) how = End::brokeUnsent;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -25,6 +25,7 @@
 
 protected:
     virtual void answered(Time now, Message message, bool reusable) = 0;
+    virtual void wroteAll(Time) {}  // the last byte of what was asked may have arrived; once an exchange
     virtual void over(Time now,
                       End how) = 0;  // the connection is gone; how its exchange ended, if it had one
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -40,7 +40,7 @@
 }
 
 void Server::closeIdle(Time now, End how) {
-    if (state_ != State::idle) return lastOne();
+    if (state_ != State::idle || unread()) return lastOne();
     if (!out().empty()) return change(now, State::closing), wake();
     over(now, how);
 }
@@ -86,7 +86,7 @@
 
 void Server::reply(Time now, int status, std::string_view body, std::string_view extra) {
     if (state_ == State::closing || state_ == State::ended) return;
-    const bool keep = keepAlive_ && !last_;
+    const bool keep = keepAlive_ && !last_ && !parting(now);
     out().put(answer(status, body, keep, extra));
     change(now, keep ? State::idle : State::closing);
     wake();
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -18,8 +18,11 @@
     // Ends a message that is being read with an answer, as when there is no room for it.
     void cutOff(Time now, int status, std::string_view body, std::string_view extra = {});
     void reply(Time now, int status, std::string_view body, std::string_view extra = {});
-    void lastOne() { last_ = true; }                // the next answer says that the connection closes
-    void closeIdle(Time now, End how = End::idle);  // only between messages; otherwise after the answer
+    void lastOne() { last_ = true; }                   // the next answer says that the connection closes
+    void closeIdle(Time now, End how = End::idle);     // only between messages; otherwise after the answer
+    void close(Time now, End how) { over(now, how); }  // at once, whatever is owed
+    // Nothing is read of it, owed to it or written to it: it can be closed without anybody's loss.
+    bool rests() const { return state_ == State::idle && out().empty() && !unread(); }
 
     void received(Time now) override;
     void sent(Time now) override;
@@ -29,8 +32,9 @@
 protected:
     virtual void request(Time now, Message message) = 0;
     virtual void stateChanged(Time, State) {}
-    virtual void left(Time) {}       // the other side went while an answer was owed
-    virtual void gone(Time, End) {}  // the connection is over: the last call
+    virtual bool parting(Time) const { return false; }  // asked at each answer: is it to be the last?
+    virtual void left(Time) {}                          // the other side went while an answer was owed
+    virtual void gone(Time, End) {}                     // the connection is over: the last call
 
 private:
     // To complete a message: the first one from the connect on, others from their first byte.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 
 #include "config/reload.hpp"
+#include "control/control.hpp"
 #include "core/hand_over.hpp"
 #include "gearman/front.hpp"
 #include "grpc/front.hpp"
@@ -48,17 +49,24 @@
                  config.site.module.fleetSize, config.site.module.zone, config.known ? 1 : 0);
     platform::Servers servers(core, loop.deadlines(), wiring);
     platform::Watch watch(core, servers, loop.deadlines(), wiring, config.discovery);
-    platform::Front front(core, servers, loop.deadlines());
+    service::Service service;
+    platform::Front front(core, servers, loop.deadlines(), service);
     core.addFarmSource(watch);
     front.setRoom(config.memoryMb * 1024 * 1024 / 4);
 
     // Descriptors: some are the process's own, some are kept for passes so that a crowd of clients can't
     // stop the jobs that were taken. Who has shown least goes first.
     constexpr std::size_t kOwn = 24;
-    const std::size_t most = config.sockets - kOwn, forClients = most - most / 8;
+    const bool controlled = !config.control.empty();
+    control::Control control(
+        loop.deadlines(), service, [&core] { return figures(core); },
+        control::Control::placesOf(config.sockets));
+    // Operators' callers have places of their own, one more for the one that comes, and the listener.
+    const std::size_t kept = controlled ? control.places() + 2 : 0;
+    const std::size_t most = config.sockets - kOwn - kept, forClients = most - most / 8;
     const auto roomBelow = [&](Time now, std::size_t limit) {
         using platform::Front;
-        while (net::Link::open() >= limit)
+        while (net::Link::open() - control.open() >= limit)
             if (!front.relieve(now, Front::stranger) && !servers.relieve(now) && !front.relieve(now)) {
                 front.hurry(now);
                 return false;
@@ -81,6 +89,16 @@
                            [&](Time now) { return front.accept(now); });
     listener.setGate([&](Time now) { return roomBelow(now, forClients); });
 
+    std::optional<net::Listener> controlListener;
+    if (controlled) {
+        try {
+            controlListener.emplace(loop, *net::endpointOf(config.control),
+                                    [&](Time now) { return control.accept(now); });
+        } catch (const std::exception& unusable) {
+            throw BadField(std::string("operator: ") + unusable.what());
+        }
+    }
+
     gearman::Front gearman(core, loop.deadlines(), own.gearman);
     std::optional<net::Listener> gearmanListener;
     // Gearman's peers stay for long and can't be asked to come again: half of the descriptors is theirs at
@@ -121,7 +139,7 @@
     bool closing = false;
     std::function<void(Time)> leave = [&](Time now) {
         if (front.handedOver(now) && core.open() == 0 && front.quiet() && gearman.quiet() &&
-            grpcFront.quiet()) {
+            grpcFront.quiet() && control.quiet()) {
             // No callback is waited for any more. Those who came last have one more round to be answered in.
             if (std::exchange(closing, true)) return loop.stop();
             listener.close();
@@ -130,10 +148,9 @@
         }
         leaving.arm(loop.deadlines(), now + std::chrono::milliseconds(20), leave);
     };
-    bool drained = false;
     const auto drain = [&](Time now) {
-        if (std::exchange(drained, true)) return;
-        front.drain(now);
+        if (service.ending()) return;
+        service.end(now);
         gearman.drain(now);
         grpcFront.drain(now);
         leaving.arm(loop.deadlines(), now + std::chrono::milliseconds(750), leave);
@@ -149,11 +166,19 @@
     if (grpcListener)
         std::fprintf(stderr, "amberswitch %s: gRPC on %s:%d\n", config.name.c_str(),
                      grpcListener->address().address().to_string().c_str(), grpcListener->address().port());
+    if (controlListener)
+        std::fprintf(stderr, "amberswitch %s: operators on %s:%d\n", config.name.c_str(),
+                     controlListener->address().address().to_string().c_str(),
+                     controlListener->address().port());
+    service.begin(loop.now());
+    service.listen([&](Time, service::Standing) {
+        if (!service.ending()) say(std::string("now ") + service::nameOf(service.standing()));
+    });
     loop.run();
     listener.close();
     if (!own.consul.address.empty()) consul.end(loop.now());
     grpcFront.closeAll(loop.now()), grpcServers.closeAll(loop.now());
-    std::fputs(counters().c_str(), stderr);
+    std::fputs((counters() + figures(core)).c_str(), stderr);
     return 0;
 }
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -137,6 +137,11 @@
     close();
 }
 
+bool Link::unread() const {
+    error_code failed;
+    return !closed_ && socket_.available(failed) > 0 && !failed;
+}
+
 void Link::end(const error_code& error) {
     if (closed_) return;
     machine_->attach(nullptr);
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -83,6 +83,7 @@
 
     void wake() override;
     void drop() override;
+    bool unread() const override;
 
     static std::size_t open() { return open_; }
 
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -2,16 +2,19 @@
 
 #include <cstdio>
 
-#include "core/hand_over.hpp"
-
 namespace amberswitch::platform {
 
 class Front::Connection : public http::Server,
                           public ClientEnd,
                           public std::enable_shared_from_this<Connection> {
 public:
+    // Whose connection it is, by what was asked last; who has asked nothing passes for a client.
+    enum class Of { client, jobServer, platform };
+
     Connection(Front& owner, Time now) : http::Server(owner.deadlines_, now), owner_(owner) {}
 
+    Of of() const { return of_; }
+
     Connections::iterator place;
     Standing standing = silent;
 
@@ -74,10 +77,9 @@
 
     void request(Time now, http::Message message) override {
         ++owner_.counters_.requests;
-        const bool late = owner_.turnAway_ && now >= *owner_.turnAway_;
-        if (late) lastOne();
         const std::string_view path = message.path();
         const bool get = message.method == "GET";
+        of_ = Of::jobServer;
         if (path == "/callback") {
             rise(client);
             if (message.method != "POST") return reply(now, 405, "");
@@ -85,21 +87,28 @@
             return taken ? reply(now, 204, "") : reply(now, 400, "this call can't be read\n");
         }
         rise(stranger);
+        of_ = Of::platform;
         if (path == "/-/ready") {
             if (!get) return reply(now, 405, "");
-            return owner_.turnAway_ ? reply(now, 503, "ending\n") : reply(now, 200, "ready\n");
+            if (owner_.service_.ready()) return reply(now, 200, "ready\n");
+            return reply(now, 503, std::string(service::nameOf(owner_.service_.standing())) + "\n");
         }
         if (path == "/-/counters")
             return get ? reply(now, 200, owner_.report_ ? owner_.report_() : "") : reply(now, 405, "");
+        of_ = Of::client;
         BadJob bad;
         if (message.method != "POST") return fault(now, 405, "jobs arrive by POST\n", "Allow: POST\r\n");
         auto arrival = readJob(owner_.core_.site(), message, bad);
         if (!arrival) return fault(now, bad.status, bad.why + "\n");
-        if (late) return reply(now, 503, "unavailable, try again\n", advice(std::chrono::milliseconds(100)));
+        if (owner_.turnsAway(now)) {
+            owner_.core_.turnedAway(arrival->request.klass, true);
+            return reply(now, 503, "unavailable, try again\n", advice(std::chrono::milliseconds(100)));
+        }
         // Guards against a second job under the id of one that is open: application servers and their
         // callbacks know jobs by it. The first goes on unharmed.
         if (!owner_.claim(now, arrival->job.traceId)) {
             ++owner_.counters_.takenIds;
+            owner_.core_.turnedAway(arrival->request.klass, false);
             return fault(now, 409, "this X-Trace-Id is in use\n", advice(kComeBack));
         }
         faults_ = 0;
@@ -113,6 +122,10 @@
         if (open_) transaction_ = id;
     }
 
+    bool parting(Time now) const override {
+        if (owner_.service_.ending()) return owner_.leaves(now);
+        return of_ == Of::client && owner_.leaves(now);
+    }
     void stateChanged(Time, State to) override {
         auto& peers = owner_.connections_[standing];
         if (to == State::idle) peers.splice(peers.end(), peers, place);
@@ -134,10 +147,17 @@
     std::string traceId_;
     std::size_t jobBytes_ = 0, holds_ = 0;
     unsigned faults_ = 0;
+    Of of_ = Of::client;
 };
 
-Front::Front(Core& core, Servers& servers, Deadlines& deadlines)
-    : core_(core), servers_(servers), deadlines_(deadlines) {}
+Front::Front(Core& core, Servers& servers, Deadlines& deadlines, service::Service& service)
+    : core_(core),
+      servers_(servers),
+      deadlines_(deadlines),
+      service_(service),
+      handOver_(HandOver::of(core.site())) {
+    service_.listen([this](Time now, service::Standing) { standingChanged(now); });
+}
 Front::~Front() = default;
 
 std::shared_ptr<wire::Machine> Front::accept(Time now) {
@@ -164,17 +184,40 @@
     ended_.emplace_back(now + kIdsKept, traceId);
 }
 
-void Front::drain(Time now) {
-    if (turnAway_) return;
-    turnAway_ = now + HandOver::of(core_.site()).turnAway;
-    handOver_.arm(deadlines_, *turnAway_, [this](Time at) {
-        for (const Connections& peers : connections_)
-            for (const auto& connection : peers) connection->lastOne();
-        // Guards against a request that meets the process's end unread: a client whose idle connection is
-        // closed in time sends it again elsewhere.
-        while (relieve(at)) {
+bool Front::leaves(Time now) const {
+    using service::Standing;
+    if (service_.ending()) return now >= service_.since() + handOver_.turnAway;
+    return service_.standing() == Standing::outOfService;
+}
+
+bool Front::turnsAway(Time now) const {
+    using service::Standing;
+    if (service_.ending()) return now >= service_.since() + handOver_.turnAway;
+    return service_.standing() == Standing::outOfService && now >= service_.since() + Drain::turnAway;
+}
+
+// Everything else follows from the standing as it is asked for: in service again, nothing is left over.
+void Front::standingChanged(Time now) {
+    using service::Standing;
+    sweep_.disarm();
+    if (service_.ending())
+        sweep_.arm(deadlines_, now + handOver_.turnAway, [this](Time at) { sweep(at); });
+    else if (service_.standing() == Standing::outOfService)
+        sweep_.arm(deadlines_, now + Drain::closeRested, [this](Time at) { sweep(at); });
+}
+
+// Guards against a request that meets the process's end unread: a client whose idle connection is closed in
+// time sends it again elsewhere. What has come and was not read yet is served first.
+void Front::sweep(Time now) {
+    std::vector<std::shared_ptr<Connection>> rested;
+    for (const Connections& peers : connections_)
+        for (const auto& connection : peers) {
+            const bool theirs = service_.ending() || connection->of() == Connection::Of::client;
+            if (theirs && connection->rests() && now - connection->born() > kPatience)
+                rested.push_back(connection);
         }
-    });
+    for (const auto& connection : rested) connection->closeIdle(now);
+    sweep_.arm(deadlines_, now + Drain::lookAgain, [this](Time at) { sweep(at); });
 }
 
 bool Front::relieve(Time now, Standing most) {
@@ -182,7 +225,7 @@
         for (const auto& connection : connections_[standing]) {
             // Guards against closing who has just come: the first request, or a callback, is on its way.
             if (standing == silent && now - connection->born() <= kPatience) continue;
-            if (connection->state() == http::Server::State::idle && connection->out().empty()) {
+            if (connection->rests()) {
                 const auto keep = connection;
                 keep->closeIdle(now);
                 return true;
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -6,21 +6,24 @@
 #include <list>
 #include <unordered_set>
 
+#include "core/hand_over.hpp"
 #include "http/server.hpp"
 #include "platform/servers.hpp"
+#include "service/service.hpp"
 
 namespace amberswitch::platform {
 
 class Front {
 public:
-    Front(Core& core, Servers& servers, Deadlines& deadlines);
+    // It follows the standing of the process, `service`, which outlives it.
+    Front(Core& core, Servers& servers, Deadlines& deadlines, service::Service& service);
     ~Front();
 
     std::shared_ptr<wire::Machine> accept(Time now);
-    // The process is to end. All goes on until the hand-over's turn-away; from then on new jobs are turned
-    // away, answers ask for the connection's close, and idle connections are closed.
-    void drain(Time now);
-    bool handedOver(Time now) const { return turnAway_ && (now >= *turnAway_ || open() == 0); }
+    // The process ends, and its clients have had the time to go elsewhere.
+    bool handedOver(Time now) const {
+        return service_.ending() && (now >= service_.since() + handOver_.turnAway || open() == 0);
+    }
     // What a connection has shown of itself so far: it has asked nothing, no job, or a job or a callback.
     enum Standing { silent, stranger, client };
     // Closes an idle connection of at most that standing, if there is one: the lowest first, then the one
@@ -52,6 +55,10 @@
 
     bool claim(Time now, const std::string& traceId);
     void release(Time now, const std::string& traceId);
+    void standingChanged(Time now);
+    void sweep(Time now);            // closes clients' connections that rest
+    bool leaves(Time now) const;     // clients are to go elsewhere: each answer is their connection's last
+    bool turnsAway(Time now) const;  // a job that comes now can't be taken any more
 
     std::array<Connections, 3> connections_;  // by standing; idle ones in the order they became so
     // Ids of jobs that are open, and for a while of those that were: a callback could come for them yet.
@@ -59,8 +66,9 @@
     std::deque<std::pair<Time, std::string>> ended_;
     std::size_t room_ = 16 * 1024 * 1024, held_ = 0;
     std::function<std::string()> report_;
-    std::optional<Time> turnAway_;
-    Deadlines::Ticket handOver_;
+    service::Service& service_;
+    const HandOver handOver_;
+    Deadlines::Ticket sweep_;
     Counters counters_;
 };
 
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -26,7 +26,7 @@
         });
     }
     void carry(const ProxyPass& pass, std::string_view request) {
-        task_ = Task::pass, transaction_ = pass.transaction, number_ = pass.number;
+        unwritten_ = true, task_ = Task::pass, transaction_ = pass.transaction, number_ = pass.number;
         traceId_ = pass.job->traceId;
         busy(request);
     }
@@ -56,6 +56,10 @@
         watchdog_.arm(owner_.deadlines_, now + most, [this](Time at) { close(at, End::timedOut); });
     }
 
+    void wroteAll(Time) override {
+        if (std::exchange(unwritten_, false)) owner_.core_.passWritten();
+    }
+
     void answered(Time now, http::Message message, bool reusable) override {
         const auto self = shared_from_this();
         watchdog_.disarm();
@@ -99,6 +103,7 @@
     Worker server_;
     Deadlines::Ticket watchdog_;
     Task task_ = Task::none;
+    bool unwritten_ = false;  // a pass that is not written whole yet, called off or not
     TransactionId transaction_ = 0;
     std::uint32_t number_ = 0;
     std::string traceId_;
--- a/src/report.cpp
+++ b/src/report.cpp
@@ -17,6 +17,25 @@
 
 }  // namespace
 
+std::string figures(const Core& core) {
+    std::string out;
+    const auto add = [&out](const std::string& name, std::uint64_t value) {
+        out += "router." + name + '=' + std::to_string(value) + '\n';
+    };
+    const Counters& c = core.counters();
+    const auto& classes = core.site().classes;
+    for (std::size_t i = 0; i < classes.size(); ++i) {
+        add("succeeded." + classes[i], c.byClass[i].succeeded);
+        add("declined." + classes[i], c.byClass[i].declined);
+        add("aborted." + classes[i], c.byClass[i].aborted);
+    }
+    add("forwards", c.forwards);
+    add("outstanding", core.open());
+    add("discovered", core.listed());
+    add("ejected", core.avoided());
+    return out;
+}
+
 std::string report(const Core& core, const platform::Servers& servers, const platform::Watch& watch,
                    const platform::Front& front, const gearman::Front& gearman,
                    const config::Reload& reload) {
@@ -33,6 +52,7 @@
     line("transactions.failed", c.failed);
     line("transactions.left", c.left);
     line("passes.sent", c.passes);
+    line("passes.forwards", c.forwards);
     line("passes.started", c.started);
     line("passes.cancelled", c.cancels);
     line("passes.withheld_by_rule", c.withheld);
--- a/src/report.hpp
+++ b/src/report.hpp
@@ -13,6 +13,9 @@
 
 namespace amberswitch {
 
+// What the operators' address tells: `router.NAME=value`, one a line.
+std::string figures(const Core& core);
+
 std::string report(const Core& core, const platform::Servers& servers, const platform::Watch& watch,
                    const platform::Front& front, const gearman::Front& gearman, const config::Reload& reload);
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -62,6 +62,11 @@
         out_ = nullptr;
     }
 
+    std::size_t avoided() {
+        const auto away = [this](Worker h) { return leftOut(workers_[h]) || zoneAway(workers_[h]); };
+        return static_cast<std::size_t>(std::count_if(active_.begin(), active_.end(), away));
+    }
+
 private:
     // --- roster ---
     void begin() {
@@ -103,9 +108,7 @@
         const std::vector<Cold> before = std::exchange(cold_, {});
         active_.clear();
         pools_.resize(kinds_.size());
-        for (Pool& pool : pools_) {
-            pool.units = 0, pool.strains.resize(zones_.size());
-        }
+        for (Pool& pool : pools_) pool.units = 0, pool.strains.resize(zones_.size());
         ejected_ = 0, capacity_ = 1e-9;
         for (Worker h = 0; h < workers_.size(); ++h) {
             const int was = std::exchange(hot_[h].cold, -1);
@@ -254,7 +257,6 @@
     }
 
     Worker cheapest(const Request& r, const std::vector<Worker>& among, std::size_t first, int rankBelow) {
-        const bool capped = blameLoad();
         const double chance = s_.fleetSize > 1 ? random_.next() : 0;
         Worker best = kNone;
         int bestRank = std::numeric_limits<int>::max(), bestLevel = bestRank;
@@ -269,7 +271,7 @@
             const WorkerState& w = workers_[h];
             if (!maySend(r, w)) continue;
             int rank = w.waiting + (w.fullUntil > now_ ? 1 : 0);
-            if (w.ejected && !(capped && w.soft) && !trialReady(r, w)) rank += 1000;
+            if (leftOut(w) && !trialReady(r, w)) rank += 1000;
             if (zoneAway(w)) rank += 500;
             for (std::uint32_t a = 0; a < r.sends; ++a)
                 if (r.attempts[a].worker == h) rank += r.attempts[a].open ? kAnyRank : 100;
@@ -312,10 +314,10 @@
         callOff(r);
     }
 
-    void callOff(const Request& r) {
+    void callOff(const Request& r, std::uint32_t but = kMostAttempts) {
         if (!s_.mayCancel) return;
         for (std::uint32_t a = 0; a < r.sends; ++a)
-            if (r.attempts[a].open) out_->push_back(Cancel{r.in.id, a});
+            if (a != but && r.attempts[a].open) out_->push_back(Cancel{r.in.id, a});
     }
 
     void take(const RequestArrived& e) {
@@ -340,8 +342,7 @@
 
     void dispatch(Request& r, int rankBelow = kAnyRank) {
         const Worker h = pick(r, rankBelow);
-        if (h == kNone && r.out == 0) timer(kRetry, r.in.id, 0.05);  // held
-        if (h == kNone) return;
+        if (h == kNone) return r.out == 0 ? timer(kRetry, r.in.id, 0.05) : void();  // held
         WorkerState& w = workers_[h];
         if (!tainted(r)) r.zone = w.entry.zone, r.cell = w.entry.cell, r.anchoredAt = now_;
         Attempt& a = r.attempts[r.sends++];
@@ -448,8 +449,7 @@
             if (r.attempts[a].open && r.attempts[a].started &&
                 (best == r.sends || r.attempts[a].startedAt < r.attempts[best].startedAt))
                 best = a;
-        for (std::uint32_t a = 0; a < r.sends; ++a)
-            if (a != best && r.attempts[a].open) out_->push_back(Cancel{r.in.id, a});
+        callOff(r, best);
     }
 
     void take(const AttemptEnded& e) {
@@ -461,8 +461,7 @@
         WorkerState& w = workers_[a.worker];
         a.open = false, --r.out, --w.out, w.held -= std::max(1.0, r.in.slots);
         if (!a.started) waitOver(a, false), --w.waiting;
-        const bool ok = e.outcome == Outcome::ok;
-        const bool full = e.outcome == Outcome::full;
+        const bool ok = e.outcome == Outcome::ok, full = e.outcome == Outcome::full;
         const bool neverRan = full || e.outcome == Outcome::connectFailed || e.outcome == Outcome::moot;
         if (!neverRan) r.mayHaveRun = true;
         if (ok || full) w.sign = now_;
@@ -513,6 +512,7 @@
     // --- health ---
     // When many look bad at once the load is to blame, or the view: ejection then does more harm than good.
     bool blameLoad() const { return static_cast<double>(ejected_) > kEjectedShare * count(active_); }
+    bool leftOut(const WorkerState& w) const { return w.ejected && !(w.soft && blameLoad()); }
 
     // Load makes workers silent or slow, but not unreachable: only what load may explain counts as soft.
     void strike(WorkerState& w, bool soft) {
@@ -700,5 +700,8 @@
 void Dispatcher::on(Time now, const Event& event, std::vector<Action>& actions) {
     rules_->on(now, event, actions);
 }
+std::size_t Dispatcher::avoided() const {
+    return rules_->avoided();
+}
 
 }  // namespace heronmount
--- a/src/wire/machine.hpp
+++ b/src/wire/machine.hpp
@@ -17,6 +17,7 @@
     virtual ~Driver() = default;
     virtual void wake() = 0;  // there is something to write, or room to read again, or it has finished
     virtual void drop() = 0;  // close at once; the machine hears nothing more
+    virtual bool unread() const { return false; }  // bytes have come that the machine was not given yet
 };
 
 class Machine;
@@ -40,8 +41,10 @@
 
     Ring& in() { return in_; }
     Outbox& out() { return out_; }
+    const Outbox& out() const { return out_; }
     void attach(Driver* driver) { driver_ = driver; }
     bool attached() const { return driver_ != nullptr; }
+    bool unread() const { return !in_.empty() || (driver_ && driver_->unread()); }
 
 protected:
     void wake() {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -407,7 +407,9 @@
         network.made.push_back(machine);
         return network.take(network.made.size() - 1, now);
     }
-    platform::Front front{core, pool, deadlines};
+    explicit FrontTest() { service.begin(now); }
+    service::Service service;
+    platform::Front front{core, pool, deadlines, service};
 };
 
 TEST_F(FrontTest, AnswersWhatItCanNotTakeClearly) {
@@ -424,7 +426,7 @@
 }
 
 TEST_F(FrontTest, TurnsNewJobsAwayOnceTheHandOverIsOver) {
-    front.drain(now);
+    service.end(now);
     auto request = [n = 0]() mutable {
         return "POST /car-match HTTP/1.1\r\nX-Trace-Id: " + std::to_string(++n) + "\r\n\r\n";
     };
@@ -448,7 +450,7 @@
     busy->in().put("POST /car-match HTTP/1.1\r\nX-Trace-Id: 1\r\n\r\n");
     busy->received(now);
     say("GET /-/ready HTTP/1.1\r\n\r\n");  // idle now
-    front.drain(now);
+    service.end(now);
     pass(2790ms);
     EXPECT_EQ(front.open(), 2u);
     pass(20ms);
@@ -456,6 +458,87 @@
     EXPECT_FALSE(front.quiet());
 }
 
+// The drain that can be taken back: by 4 s no client's connection rests or carries a young job, nothing that
+// came is refused for its sake, and job servers' and the platform's own connections stay.
+struct DrainTest : FrontTest {
+    struct Peer : wire::Driver {
+        void wake() override {}
+        void drop() override { dropped = true; }
+        bool unread() const override { return crossing; }
+        std::shared_ptr<wire::Machine> machine;
+        bool dropped = false, crossing = false;
+    };
+    std::unique_ptr<Peer> peer() {
+        auto out = std::make_unique<Peer>();
+        out->machine = front.accept(now);
+        out->machine->attach(out.get());
+        return out;
+    }
+    std::string tell(Peer& to, const std::string& request) {
+        to.machine->in().put(request);
+        to.machine->received(now);
+        network.made.push_back(to.machine);
+        return network.take(network.made.size() - 1, now);
+    }
+    static std::string job(const std::string& id) {
+        return "POST /car-match HTTP/1.1\r\nX-Trace-Id: " + id + "\r\n\r\n";
+    }
+    const std::string ready = "GET /-/ready HTTP/1.1\r\n\r\n",
+                      callback = "POST /callback HTTP/1.1\r\nContent-Length: 1\r\n\r\n{",
+                      unreadable = "POST /render HTTP/1.1\r\nX-Trace-Id: 1\r\n\r\n";
+};
+
+TEST_F(DrainTest, BringsClientsConnectionsToAnEndAndLeavesTheOthers) {
+    const auto client = peer(), idle = peer(), prober = peer(), server = peer(), crossing = peer();
+    EXPECT_EQ(tell(*client, unreadable).find("Connection: close"), std::string::npos);
+    tell(*idle, unreadable), tell(*crossing, unreadable), tell(*server, callback);
+    EXPECT_EQ(tell(*prober, ready).substr(9, 3), "200");
+    service.outOfService(now);
+    EXPECT_EQ(tell(*prober, ready).substr(9, 3), "503");
+    EXPECT_NE(tell(*client, unreadable).find("Connection: close"), std::string::npos);
+    EXPECT_EQ(tell(*server, callback).find("Connection: close"), std::string::npos);
+    pass(1690ms);
+    EXPECT_FALSE(idle->dropped);
+    crossing->crossing = true;  // a request has come that was not read yet
+    pass(20ms);
+    EXPECT_TRUE(idle->dropped);
+    EXPECT_FALSE(prober->dropped || server->dropped || crossing->dropped);
+    crossing->crossing = false;
+    EXPECT_EQ(tell(*crossing, job("1")), "");  // taken
+    EXPECT_EQ(core.open(), 1u);
+    pass(100ms);
+    const auto late = peer();  // the front sends nobody by now, but for a moment somebody may still come
+    pass(200ms);
+    EXPECT_EQ(tell(*late, job("2")).substr(9, 3), "503");  // would be younger than 2 s at 4 s
+    EXPECT_EQ(core.counters().byClass[0].declined, 1u);
+}
+
+TEST_F(DrainTest, LeavesNothingOverWhenTakenBack) {
+    const auto client = peer(), other = peer();
+    tell(*client, unreadable), tell(*other, unreadable);
+    service.outOfService(now);
+    pass(1s);
+    service.inService(now);
+    EXPECT_EQ(tell(*client, unreadable).find("Connection: close"), std::string::npos);
+    EXPECT_EQ(tell(*client, ready).substr(9, 3), "200");
+    pass(5s);
+    EXPECT_FALSE(client->dropped || other->dropped);
+    EXPECT_EQ(tell(*other, job("1")), "");
+    EXPECT_EQ(core.open(), 1u);
+}
+
+TEST_F(DrainTest, AnEndGoesBeforeADrain) {
+    service.outOfService(now);
+    pass(1s);
+    service.end(now);
+    const auto client = peer();
+    pass(2000ms);
+    EXPECT_EQ(tell(*client, job("1")), "");  // the planned end's own times hold
+    EXPECT_FALSE(front.handedOver(now));
+    pass(1s);
+    EXPECT_TRUE(front.handedOver(now));
+}
+
 // Guards against a crowd taking the descriptors of clients that have jobs to send.
 TEST_F(FrontTest, ClosesWhoHasShownLeastWhenShort) {
     using platform::Front;
--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -129,7 +129,8 @@
     int calls_ = 0;
     FarmSource source_;
     platform::Servers pool_{core, loop.deadlines(), *this};
-    platform::Front front_{core, pool_, loop.deadlines()};
+    service::Service service_;
+    platform::Front front_{core, pool_, loop.deadlines(), service_};
     net::Listener listener_{loop, kAnyPort, [this](Time at) { return front_.accept(at); }};
     std::vector<std::shared_ptr<Client>> clients_;
     std::vector<std::unique_ptr<Server>> servers_;
