Replace the process beside itself: inherited listener, a link, callbacks passed on

Seen on upgrade: "node n0 crashed: exited with 1"; the log's last line was "can't listen on ...: Address already in use". With the inherited listener alone, callbacks for the old process's jobs came to the new one: of one upgrade's log "takeover.callbacks_passed_on 39", "callbacks_owned_there 39", so the link is needed.

The list is now kept from the first one on.

The change: src/takeover (the link as a machine, and who serves when), Listener takes an inherited descriptor or a Unix path and can pause, the watch keeps its list in discovery's own form, the clients' front hands calls for strangers' jobs on, /-/ready stays yes while a successor serves. Sockets are asio's generic stream sockets now; TCP calls are the same.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,5 +1,6 @@
 #include "config/config.hpp"
 
+#include <charconv>
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
@@ -64,6 +65,16 @@
         if (!net::endpointOf(own)) throw BadField("ROUTER_OPERATOR is not an address and a port");
         config.control = own;
     }
+    if (const char* const fd = std::getenv("ROUTER_ACCEPT_FD")) {
+        int number = -1;
+        const std::string_view digits(fd);
+        const auto [end, wrong] = std::from_chars(digits.data(), digits.data() + digits.size(), number);
+        if (wrong != std::errc() || end != digits.data() + digits.size() || number < 0)
+            throw BadField("ROUTER_ACCEPT_FD is not a descriptor's number");
+        config.acceptFd = number;
+        if (const char* const folder = std::getenv("TMPDIR"); folder && *folder)
+            config.meeting = std::string(folder) + "/amberswitch.link";
+    }
     needAddress(config.listen, "listen");
     needAddress(config.discovery, "discovery");
     if (config.memoryMb < 16 || config.memoryMb > 1024 * 1024)
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -12,6 +12,10 @@
 struct Platform {  // the file that ROUTER_CONFIG names
     std::string name, listen, discovery;
     std::string control;  // the operators' address: $ROUTER_OPERATOR, else `operator`; empty: none
+    // Of the environment, where the platform holds the clients' listener: its descriptor, and where the old
+    // and the new process of this dispatcher meet (empty: nowhere).
+    std::optional<int> acceptFd;
+    std::string meeting;
     std::uint64_t seed = 0;
     std::size_t sockets = 1024, memoryMb = 64;
     settings::Site site;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,6 +12,7 @@
 #include "net/loop.hpp"
 #include "platform/front.hpp"
 #include "report.hpp"
+#include "takeover/takeover.hpp"
 
 using namespace amberswitch;
 using settings::BadField;
@@ -34,11 +35,23 @@
     }
 };
 
+// Looks for the process that this one is to replace.
+void meet(net::Loop& loop, takeover::Takeover& takeover, const std::string& at) {
+    constexpr std::size_t kMostPath = 90;  // with the suffix of a fresh one it has to fit a socket's name
+    if (at.empty() || at.size() > kMostPath) {
+        if (!at.empty()) std::fprintf(stderr, "amberswitch: $TMPDIR is too long for a socket's path\n");
+        return takeover.alone(loop.now());
+    }
+    net::Link::connect(loop, takeover.begin(loop.now()), net::asio::local::stream_protocol::endpoint(at));
+}
+
 int run(config::Reader& reader) {
     config::Platform config = reader.read();
     const config::Operator own = config::readOperator(config.site);
     const bool speaksGrpc = !own.grpc.listen.empty();
     if (speaksGrpc) settings::addWire(config.site);
+    if (config.acceptFd && (speaksGrpc || !own.gearman.listen.empty()))
+        throw BadField("ROUTER_ACCEPT_FD: the listeners of gearman and grpc can't be inherited");
     net::Loop loop;
     Wiring wiring(loop);
     Core core(config.site, config.seed, loop.deadlines());
@@ -64,9 +77,11 @@
     // Operators' callers have places of their own, one more for the one that comes, and the listener.
     const std::size_t kept = controlled ? control.places() + 2 : 0;
     const std::size_t most = config.sockets - kOwn - kept, forClients = most - most / 8;
+    takeover::Takeover* other = nullptr;  // where another process of this dispatcher may be at work
     const auto roomBelow = [&](Time now, std::size_t limit) {
         using platform::Front;
-        while (net::Link::open() - control.open() >= limit)
+        const std::size_t elsewhere = other ? other->descriptors() : 0;
+        while (net::Link::open() - control.open() + elsewhere >= limit)
             if (!front.relieve(now, Front::stranger) && !servers.relieve(now) && !front.relieve(now)) {
                 front.hurry(now);
                 return false;
@@ -75,6 +90,7 @@
     };
     wiring.makeRoom = [&](Time now) { return roomBelow(now, most); };
 
+    if (config.acceptFd) watch.keep();  // from its first list on
     if (config.known) watch.known(loop.now(), *config.known);
 
     const auto say = [](const std::string& line) { std::fprintf(stderr, "amberswitch: %s\n", line.c_str()); };
@@ -85,10 +101,56 @@
         consul.watch(loop.now());
     }
 
-    net::Listener listener(loop, *net::endpointOf(config.listen),
-                           [&](Time now) { return front.accept(now); });
+    const net::tcp::endpoint clientsAt = *net::endpointOf(config.listen);
+    const auto acceptClient = [&](Time now) { return front.accept(now); };
+    std::optional<net::Listener> held;
+    try {
+        if (config.acceptFd)
+            held.emplace(loop, *config.acceptFd, clientsAt, acceptClient);
+        else
+            held.emplace(loop, clientsAt, acceptClient);
+    } catch (const std::exception& unusable) {
+        if (config.acceptFd) throw BadField(std::string("ROUTER_ACCEPT_FD: ") + unusable.what());
+        throw;
+    }
+    net::Listener& listener = *held;
     listener.setGate([&](Time now) { return roomBelow(now, forClients); });
 
+    std::optional<net::Listener> meeting;
+    takeover::Takeover takeover(
+        loop.deadlines(), service, config.name,
+        {[&] { return watch.told(); }, [&] { return front.idsInUse(); },
+         [&](Time now, std::string_view list, const std::vector<std::string>& ids) {
+             try {
+                 watch.inherit(now, list);
+             } catch (const BadField& bad) {
+                 say(std::string("the old process's list can't be used: ") + bad.what());
+             }
+             front.claimElsewhere(now, ids);
+             watch.watch(now);
+         },
+         [&](Time, bool yes) { yes ? listener.resume() : listener.pause(); },
+         [&](Time) {
+             if (config.meeting.empty()) return;
+             try {
+                 meeting.emplace(loop, config.meeting, [&](Time now) { return takeover.accept(now); });
+             } catch (const std::exception& unusable) {
+                 say(std::string("no process can take over: ") + unusable.what());
+             }
+         },
+         [&](Time now, const std::string& body) {
+             return servers.callback(now, body) == platform::Servers::Call::taken;
+         },
+         [&] { return net::Link::open() + kOwn + kept; }, say});
+    if (config.acceptFd) {
+        other = &takeover;
+        front.setElsewhere([&](Time now, const std::string& body, platform::Front::Answer answer) {
+            takeover.elsewhere(now, body, [answer = std::move(answer)](Time at, takeover::Link::Word word) {
+                answer(at, word == takeover::Link::Word::unknown ? 503 : 204);
+            });
+        });
+    }
+
     std::optional<net::Listener> controlListener;
     if (controlled) {
         try {
@@ -129,6 +191,7 @@
     });
     const auto counters = [&] {
         return report(core, servers, watch, front, gearman, reload) +
+               (config.acceptFd ? report(takeover) : std::string()) +
                (own.consul.address.empty() ? std::string() : report(consul)) +
                (speaksGrpc ? report(grpcFront, grpcServers) : std::string());
     };
@@ -153,7 +216,8 @@
         service.end(now);
         gearman.drain(now);
         grpcFront.drain(now);
-        leaving.arm(loop.deadlines(), now + std::chrono::milliseconds(750), leave);
+        // With a successor nobody new comes.
+        leaving.arm(loop.deadlines(), now + std::chrono::milliseconds(service.succeeded() ? 20 : 750), leave);
         loop.deadlines().once(now + HandOver::of(config.site).giveUp, [&](Time at) { core.giveUpAll(at); });
         std::fputs("amberswitch: ending; clients are served until the hand-over's end\n", stderr);
     };
@@ -170,7 +234,10 @@
         std::fprintf(stderr, "amberswitch %s: operators on %s:%d\n", config.name.c_str(),
                      controlListener->address().address().to_string().c_str(),
                      controlListener->address().port());
-    service.begin(loop.now());
+    if (!config.acceptFd)
+        service.begin(loop.now());
+    else
+        meet(loop, takeover, config.meeting);
     service.listen([&](Time, service::Standing) {
         if (!service.ending()) say(std::string("now ") + service::nameOf(service.standing()));
     });
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,6 +1,13 @@
 #include "net/loop.hpp"
 
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
 #include <charconv>
+#include <cstdio>
+#include <cstring>
 // clang-format off
 #include <boost/asio/yield.hpp>  // last: it defines words
 // clang-format on
@@ -76,7 +83,7 @@
 // --- link ---
 std::size_t Link::open_ = 0;
 
-Link::Link(Loop& loop, std::shared_ptr<wire::Machine> machine, tcp::socket socket)
+Link::Link(Loop& loop, std::shared_ptr<wire::Machine> machine, Socket socket)
     : loop_(loop), machine_(std::move(machine)), socket_(std::move(socket)) {
     ++open_;
 }
@@ -85,15 +92,16 @@
     if (!closed_) --open_;
 }
 
-void Link::accepted(Loop& loop, std::shared_ptr<wire::Machine> machine, tcp::socket socket) {
+void Link::accepted(Loop& loop, std::shared_ptr<wire::Machine> machine, Socket socket) {
     const auto link = std::make_shared<Link>(loop, std::move(machine), std::move(socket));
     link->machine_->attach(link.get());
     link->start();
     if (!link->machine_->out().empty()) link->wake();  // some protocols have the first word
 }
 
-void Link::connect(Loop& loop, std::shared_ptr<wire::Machine> machine, const tcp::endpoint& to) {
-    const auto link = std::make_shared<Link>(loop, std::move(machine), tcp::socket(loop.strand()));
+void Link::connect(Loop& loop, std::shared_ptr<wire::Machine> machine,
+                   const asio::generic::stream_protocol::endpoint& to) {
+    const auto link = std::make_shared<Link>(loop, std::move(machine), Socket(loop.strand()));
     link->machine_->attach(link.get());
     link->socket_.async_connect(to, asio::bind_executor(loop.strand(), [link](error_code error) {
                                     if (link->closed_) return;
@@ -229,16 +237,89 @@
     accept();
 }
 
+Listener::Listener(Loop& loop, int inherited, const tcp::endpoint& at, Make make)
+    : loop_(loop), acceptor_(loop.strand()), make_(std::move(make)), next_(loop.strand()) {
+    const std::string name = "descriptor " + std::to_string(inherited);
+    int listens = 0, type = 0;
+    socklen_t size = sizeof listens;
+    if (::fcntl(inherited, F_GETFD) < 0) throw std::runtime_error(name + " is not open");
+    if (::getsockopt(inherited, SOL_SOCKET, SO_TYPE, &type, &size) != 0 || type != SOCK_STREAM)
+        throw std::runtime_error(name + " is no stream socket");
+    size = sizeof listens;
+    if (::getsockopt(inherited, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || !listens)
+        throw std::runtime_error(name + " does not listen");
+    sockaddr_storage bound{};
+    size = sizeof bound;
+    tcp::endpoint own;
+    if (::getsockname(inherited, reinterpret_cast<sockaddr*>(&bound), &size) != 0 || size > own.capacity() ||
+        (bound.ss_family != AF_INET && bound.ss_family != AF_INET6))
+        throw std::runtime_error(name + " is no TCP socket");
+    std::memcpy(own.data(), &bound, size);
+    own.resize(size);
+    if (own != at)
+        throw std::runtime_error(name + " listens on " + own.address().to_string() + ':' +
+                                 std::to_string(own.port()) + ", not on the address of 'listen'");
+    ::fcntl(inherited, F_SETFD, FD_CLOEXEC);
+    acceptor_.assign(own.protocol(), inherited);
+    acceptor_.non_blocking(true);
+    paused_ = true;  // until there is something to serve with
+    accept();
+}
+
+Listener::Listener(Loop& loop, const std::string& path, Make make)
+    : loop_(loop), acceptor_(loop.strand()), make_(std::move(make)), next_(loop.strand()) {
+    // Guards against a moment in which nobody is found there: the name changes hands at once.
+    const std::string fresh = path + '.' + std::to_string(::getpid());
+    ::unlink(fresh.c_str());
+    const asio::local::stream_protocol::endpoint at(fresh);
+    acceptor_.open(at.protocol());
+    error_code failed;
+    acceptor_.bind(at, failed);
+    if (!failed) acceptor_.listen(16, failed);
+    if (!failed && std::rename(fresh.c_str(), path.c_str()) != 0)
+        failed = error_code(errno, boost::system::generic_category());
+    if (failed) {
+        ::unlink(fresh.c_str());
+        throw std::runtime_error("can't listen on " + path + ": " + failed.message());
+    }
+    accept();
+}
+
+tcp::endpoint Listener::address() const {
+    const auto bound = acceptor_.local_endpoint();
+    tcp::endpoint out;
+    if (bound.size() <= out.capacity())
+        std::memcpy(out.data(), bound.data(), bound.size()), out.resize(bound.size());
+    return out;
+}
+
+void Listener::pause() {
+    paused_ = true;
+    error_code ignored;
+    if (acceptor_.is_open()) acceptor_.cancel(ignored);
+}
+
+void Listener::resume() {
+    if (std::exchange(paused_, false) && !waits_ && acceptor_.is_open()) accept();
+}
+
 void Listener::accept(error_code error) {
     reenter(routine_) {
         for (;;) {
             // Guards against running out of descriptors: connections wait in the backlog until one is free.
-            while (gate_ && !gate_(loop_.now()))
+            while (paused_) yield waits_ = false;
+            waits_ = true;
+            while (!paused_ && gate_ && !gate_(loop_.now()))
                 yield again_.arm(loop_.deadlines(), loop_.now() + std::chrono::milliseconds(10),
                                  [this](Time) { accept(); });
+            if (paused_) continue;
             yield acceptor_.async_accept(
-                next_, asio::bind_executor(loop_.strand(), [this](error_code e) { accept(e); }));
-            if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
+                next_,
+                asio::bind_executor(loop_.strand(), [this, alive = std::weak_ptr(alive_)](error_code e) {
+                    if (!alive.expired()) accept(e);
+                }));
+            if (!acceptor_.is_open()) return;
+            if (error == asio::error::operation_aborted) continue;  // paused, or about to be
             if (error) {
                 // Guards against a spin on an error that stays, such as a full descriptor table.
                 yield again_.arm(loop_.deadlines(), loop_.now() + std::chrono::milliseconds(10),
@@ -246,8 +327,8 @@
                 continue;
             }
             {
-                tcp::socket socket = std::move(next_);
-                next_ = tcp::socket(loop_.strand());
+                Socket socket = std::move(next_);
+                next_ = Socket(loop_.strand());
                 if (auto machine = make_(loop_.now()))
                     Link::accepted(loop_, std::move(machine), std::move(socket));
             }
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -23,6 +23,7 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 using boost::system::error_code;
+using Socket = asio::generic::stream_protocol::socket;  // TCP, or a Unix socket between two of our own
 using Strand = asio::strand<asio::io_context::executor_type>;
 
 // The module's clock: Unix time when the process began, and the steady clock from there on.
@@ -74,12 +75,13 @@
 // The driver of one connection: two stackless coroutines on the strand, one that reads and one that writes.
 class Link : public wire::Driver, public std::enable_shared_from_this<Link> {
 public:
-    Link(Loop& loop, std::shared_ptr<wire::Machine> machine, tcp::socket socket);
+    Link(Loop& loop, std::shared_ptr<wire::Machine> machine, Socket socket);
     ~Link() override;
 
     // An accepted connection, and one to be made.
-    static void accepted(Loop& loop, std::shared_ptr<wire::Machine> machine, tcp::socket socket);
-    static void connect(Loop& loop, std::shared_ptr<wire::Machine> machine, const tcp::endpoint& to);
+    static void accepted(Loop& loop, std::shared_ptr<wire::Machine> machine, Socket socket);
+    static void connect(Loop& loop, std::shared_ptr<wire::Machine> machine,
+                        const asio::generic::stream_protocol::endpoint& to);
 
     void wake() override;
     void drop() override;
@@ -97,7 +99,7 @@
 
     Loop& loop_;
     std::shared_ptr<wire::Machine> machine_;
-    tcp::socket socket_;
+    Socket socket_;
     asio::coroutine reader_, writer_;
     bool readerParked_ = false, writerParked_ = false, lingering_ = false, closed_ = false;
     Deadlines::Ticket lingerTicket_;
@@ -109,20 +111,29 @@
 public:
     using Make = std::function<std::shared_ptr<wire::Machine>(Time)>;
     Listener(Loop& loop, const tcp::endpoint& at, Make make);
+    // A listening socket that is somebody else's, inherited under this number. Throws std::runtime_error
+    // saying why it is none, or not the one at `at`. It is only ever closed here.
+    Listener(Loop& loop, int inherited, const tcp::endpoint& at, Make make);
+    // A Unix socket at this path, in place of whoever listened there.
+    Listener(Loop& loop, const std::string& path, Make make);
     // Asked before each accept: whether a descriptor is free, or could be freed.
     void setGate(std::function<bool(Time)> gate) { gate_ = std::move(gate); }
     void close();
-    tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+    void pause();  // leaves new connections in the queue, for another process that accepts from it
+    void resume();
+    tcp::endpoint address() const;  // of a TCP listener
 
 private:
     void accept(error_code error = {});
 
     Loop& loop_;
-    tcp::acceptor acceptor_;
+    asio::basic_socket_acceptor<asio::generic::stream_protocol> acceptor_;
     Make make_;
     std::function<bool(Time)> gate_;
-    tcp::socket next_;
+    Socket next_;
     asio::coroutine routine_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>();  // gone with this object: accepts outlive it
+    bool paused_ = false, waits_ = false;                     // waits_: an accept is under way
     Deadlines::Ticket again_;
 };
 
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -1,5 +1,6 @@
 #include "platform/front.hpp"
 
+#include <algorithm>
 #include <cstdio>
 
 namespace amberswitch::platform {
@@ -83,14 +84,21 @@
         if (path == "/callback") {
             rise(client);
             if (message.method != "POST") return reply(now, 405, "");
-            const bool taken = owner_.servers_.callback(now, message.body);
-            return taken ? reply(now, 204, "") : reply(now, 400, "this call can't be read\n");
+            const Servers::Call call = owner_.servers_.callback(now, message.body);
+            if (call == Servers::Call::unreadable) return reply(now, 400, "this call can't be read\n");
+            if (call == Servers::Call::taken || !owner_.elsewhere_) return reply(now, 204, "");
+            return owner_.elsewhere_(now, message.body, [self = weak_from_this()](Time at, int status) {
+                const auto caller = self.lock();
+                if (caller && caller->state() == State::waiting) caller->reply(at, status, "");
+            });
         }
         rise(stranger);
         of_ = Of::platform;
         if (path == "/-/ready") {
             if (!get) return reply(now, 405, "");
-            if (owner_.service_.ready()) return reply(now, 200, "ready\n");
+            // Another process has this dispatcher's clients: who asks here comes to it from now on.
+            if (owner_.service_.ending() && owner_.service_.succeeded()) lastOne();
+            if (owner_.service_.ready() || owner_.service_.succeeded()) return reply(now, 200, "ready\n");
             return reply(now, 503, std::string(service::nameOf(owner_.service_.standing())) + "\n");
         }
         if (path == "/-/counters")
@@ -123,8 +131,8 @@
     }
 
     bool parting(Time now) const override {
-        if (owner_.service_.ending()) return owner_.leaves(now);
-        return of_ == Of::client && owner_.leaves(now);
+        const bool others = owner_.service_.ending() && !owner_.service_.succeeded();
+        return (others || of_ == Of::client) && owner_.leaves(now);
     }
     void stateChanged(Time, State to) override {
         auto& peers = owner_.connections_[standing];
@@ -186,7 +194,7 @@
 
 bool Front::leaves(Time now) const {
     using service::Standing;
-    if (service_.ending()) return now >= service_.since() + handOver_.turnAway;
+    if (service_.ending()) return service_.succeeded() || now >= service_.since() + handOver_.turnAway;
     return service_.standing() == Standing::outOfService;
 }
 
@@ -201,7 +209,8 @@
     using service::Standing;
     sweep_.disarm();
     if (service_.ending())
-        sweep_.arm(deadlines_, now + handOver_.turnAway, [this](Time at) { sweep(at); });
+        sweep_.arm(deadlines_, service_.succeeded() ? now : service_.since() + handOver_.turnAway,
+                   [this](Time at) { sweep(at); });
     else if (service_.standing() == Standing::outOfService)
         sweep_.arm(deadlines_, now + Drain::closeRested, [this](Time at) { sweep(at); });
 }
@@ -212,7 +221,8 @@
     std::vector<std::shared_ptr<Connection>> rested;
     for (const Connections& peers : connections_)
         for (const auto& connection : peers) {
-            const bool theirs = service_.ending() || connection->of() == Connection::Of::client;
+            const bool theirs =
+                (service_.ending() && !service_.succeeded()) || connection->of() == Connection::Of::client;
             if (theirs && connection->rests() && now - connection->born() > kPatience)
                 rested.push_back(connection);
         }
@@ -240,6 +250,31 @@
             connection->cutOff(now, 408, "the request did not come to its end\n");
 }
 
+std::size_t Front::clients() const {
+    std::size_t count = 0;
+    for (const Connections& peers : connections_)
+        count += static_cast<std::size_t>(std::count_if(peers.begin(), peers.end(), [](const auto& peer) {
+            return peer->of() == Connection::Of::client;
+        }));
+    return count;
+}
+
+bool Front::handedOver(Time now) const {
+    if (!service_.ending()) return false;
+    return now >= service_.since() + handOver_.turnAway || (service_.succeeded() ? clients() : open()) == 0;
+}
+
+std::vector<std::string> Front::idsInUse() const {
+    return {ids_.begin(), ids_.end()};
+}
+
+// Guards against a second job under an id that the other process of this dispatcher has in use: job servers
+// know the two as one.
+void Front::claimElsewhere(Time now, const std::vector<std::string>& ids) {
+    for (const std::string& id : ids)
+        if (ids_.insert(id).second) release(now, id);
+}
+
 bool Front::quiet() const {
     for (const Connections& peers : connections_)
         for (const auto& connection : peers)
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <list>
 #include <unordered_set>
+#include <vector>
 
 #include "core/hand_over.hpp"
 #include "http/server.hpp"
@@ -21,9 +22,7 @@
 
     std::shared_ptr<wire::Machine> accept(Time now);
     // The process ends, and its clients have had the time to go elsewhere.
-    bool handedOver(Time now) const {
-        return service_.ending() && (now >= service_.since() + handOver_.turnAway || open() == 0);
-    }
+    bool handedOver(Time now) const;
     // What a connection has shown of itself so far: it has asked nothing, no job, or a job or a callback.
     enum Standing { silent, stranger, client };
     // Closes an idle connection of at most that standing, if there is one: the lowest first, then the one
@@ -32,7 +31,15 @@
     void hurry(Time now);  // cuts first messages off that are long in coming
     bool quiet() const;    // nothing is owed or waits to be written
     std::size_t open() const;
+    std::size_t clients() const;  // of those, who are not known for job servers or the platform
     void setRoom(std::size_t bytes) { room_ = bytes; }  // for messages that are not whole and for open jobs
+    // Asked for calls that are for no job of this process: the status to answer with is to be said once, at
+    // any time. Without it they are answered as taken.
+    using Answer = std::function<void(Time, int status)>;
+    using Elsewhere = std::function<void(Time, const std::string& body, Answer)>;
+    void setElsewhere(Elsewhere elsewhere) { elsewhere_ = std::move(elsewhere); }
+    std::vector<std::string> idsInUse() const;
+    void claimElsewhere(Time now, const std::vector<std::string>& ids);  // in use at another process
     void setReport(std::function<std::string()> report) { report_ = std::move(report); }
 
     struct Counters {
@@ -66,6 +73,7 @@
     std::deque<std::pair<Time, std::string>> ended_;
     std::size_t room_ = 16 * 1024 * 1024, held_ = 0;
     std::function<std::string()> report_;
+    Elsewhere elsewhere_;
     service::Service& service_;
     const HandOver handOver_;
     Deadlines::Ticket sweep_;
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -257,10 +257,10 @@
 
 // Guards against calls that repeat, come before the 202, or come late for an older pass: only an open pass
 // of this request at that very server takes them; all others are answered and change nothing.
-bool Servers::callback(Time now, const std::string& body) {
+Servers::Call Servers::callback(Time now, const std::string& body) {
     ++counters_.callbacks;
     object call;
-    if (json_.parse(body).get(call) != simdjson::SUCCESS) return false;
+    if (json_.parse(body).get(call) != simdjson::SUCCESS) return Call::unreadable;
     std::string id;
     std::string_view from, state;
     std::string result;
@@ -271,7 +271,7 @@
         result = text(call, "result", ""), share = number(call, "share", 0);
         if (const auto report = settings::find(call, "load")) load = readLoad(asObject(*report, "load"));
     } catch (const BadField&) {
-        return false;
+        return Call::unreadable;
     }
     const auto at = active_.find(id);
     const Active* match = nullptr;
@@ -280,7 +280,7 @@
             if (servers_[active.server].name == from) match = &active;
     if (!match) {
         ++counters_.strayCallbacks;
-        return true;
+        return Call::strangers;
     }
     const Active pass = *match;
     if (state == "started") core_.passStarted(now, pass.transaction, pass.number);
@@ -291,7 +291,7 @@
                     : state == "lost"     ? End::lost
                                           : End::unsent;
     if (how != End::unsent) ended(now, id, pass.transaction, pass.number, how, std::move(result), load);
-    return true;
+    return Call::taken;
 }
 
 }  // namespace amberswitch::platform
--- a/src/platform/servers.hpp
+++ b/src/platform/servers.hpp
@@ -23,8 +23,9 @@
     void closeIdle(Time now, Worker server) override;
     void probe(Time now, Worker server) override;
 
-    // The body of a call to /callback. False where it can't be read.
-    bool callback(Time now, const std::string& body);
+    // The body of a call to /callback, and what became of it. A stranger's is for no pass that is open here.
+    enum class Call { unreadable, taken, strangers };
+    Call callback(Time now, const std::string& body);
     bool relieve(Time now);  // closes the connection that was idle longest, if there is one
     std::size_t idle() const;
 
--- a/src/platform/watch.cpp
+++ b/src/platform/watch.cpp
@@ -18,6 +18,33 @@
     take(now, list, true);
 }
 
+std::string Watch::told() const {
+    std::string out =
+        "{\"index\":" + std::to_string(version_.value_or(-1)) + ",\"snapshot\":true,\"endpoints\":[";
+    bool first = true;
+    for (const auto& [name, entry] : told_) out += (std::exchange(first, false) ? "" : ",") + entry;
+    return out + "]}";
+}
+
+void Watch::inherit(Time now, std::string_view text) {
+    simdjson::dom::parser parser;
+    object list;
+    if (parser.parse(text.data(), text.size()).get(list) != simdjson::SUCCESS) bad("the list is no JSON");
+    take(now, list, true);
+}
+
+void Watch::note(const object& from, const FarmList& list) {
+    if (list.whole) told_.clear();
+    std::size_t at = 0;
+    for (const element entry : settings::list(from, "endpoints")) {
+        const FarmEntry& read = list.entries[at++];
+        if (read.entry.standing == heronmount::Standing::off)
+            told_.erase(read.name);
+        else
+            told_[read.name] = simdjson::minify(entry);
+    }
+}
+
 // Guards against a discovery that counts anew, at a new address or after it was down: the version of the old
 // one might never be reached there.
 std::string Watch::target() const {
@@ -43,7 +70,9 @@
         const std::string& name = list.entries[i].name;
         servers_.learn(now, core_.handleOf(name), name, list.addresses[i]);
     }
+    if (keeps_) note(from, list);
     version_ = list.version;
+    if (list.version < 0) version_.reset();
     core_.farm(now, *this, servers_,
                stale        ? RosterMode::stale
                : list.whole ? RosterMode::whole
--- a/src/platform/watch.hpp
+++ b/src/platform/watch.hpp
@@ -1,6 +1,8 @@
 // The platform's discovery as a farm source: a standing watch, each call following the last at once.
 #pragma once
 
+#include <map>
+
 #include "platform/long_poll.hpp"
 #include "platform/servers.hpp"
 
@@ -12,6 +14,12 @@
           std::string address);
 
     void known(Time now, const settings::object& list);  // as it was when this process was started
+    // The list as it was told so far, in the same form, once keep() was called. Its index is -1 where the
+    // watch is lost.
+    std::string told() const;
+    void keep() { keeps_ = true; }
+    // Throws BadField if it can't be used.
+    void inherit(Time now, std::string_view list);
 
 private:
     std::string target() const override;
@@ -20,9 +28,13 @@
     bool take(Time now, const http::Message& message) override;
     void take(Time now, const settings::object& list, bool stale);
 
+    void note(const settings::object& from, const FarmList& list);
+
     Servers& servers_;
     simdjson::dom::parser json_;
-    std::optional<std::int64_t> version_;  // none: the whole list comes first
+    bool keeps_ = false;
+    std::map<std::string, std::string, std::less<>> told_;  // by name: an entry as it came
+    std::optional<std::int64_t> version_;                   // none: the whole list comes first
 };
 
 }  // namespace amberswitch::platform
--- a/src/report.cpp
+++ b/src/report.cpp
@@ -96,6 +96,23 @@
     return out.text;
 }
 
+std::string report(const takeover::Takeover& takeover) {
+    Lines out;
+    const auto& c = takeover.counters();
+    out.add("takeover.links", c.links);
+    out.add("takeover.refused", c.refused);
+    out.add("takeover.inherited", c.inherited);
+    out.add("takeover.cold", c.cold);
+    out.add("takeover.succeeded", c.succeeded);
+    out.add("takeover.retaken", c.retaken);
+    out.add("takeover.callbacks_passed_on", c.passedOn);
+    out.add("takeover.callbacks_owned_there", c.owned);
+    out.add("takeover.callbacks_nobodys", c.nobodys);
+    out.add("takeover.callbacks_unanswered", c.unknown);
+    out.add("takeover.callbacks_taken_for", c.took);
+    return out.text;
+}
+
 std::string report(const platform::Consul& consul) {
     Lines out;
     const auto& c = consul.view().counters();
--- a/src/report.hpp
+++ b/src/report.hpp
@@ -10,6 +10,7 @@
 #include "platform/consul.hpp"
 #include "platform/front.hpp"
 #include "platform/watch.hpp"
+#include "takeover/takeover.hpp"
 
 namespace amberswitch {
 
@@ -19,6 +20,7 @@
 std::string report(const Core& core, const platform::Servers& servers, const platform::Watch& watch,
                    const platform::Front& front, const gearman::Front& gearman, const config::Reload& reload);
 
+std::string report(const takeover::Takeover& takeover);
 std::string report(const platform::Consul& consul);                          // where Consul is on
 std::string report(const grpc::Front& front, const grpc::Servers& servers);  // where gRPC is on
 
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -28,6 +28,11 @@
     Time since() const { return since_; }  // when it last changed
     bool ready() const { return standing_ == Standing::inService; }
     bool ending() const { return standing_ == Standing::ending; }
+    // Another process of this dispatcher takes its clients: the dispatcher is ready though this one ends.
+    bool succeeded() const { return succeeded_; }
+    void succeed(Time now, bool yes) {
+        if (std::exchange(succeeded_, yes) != yes) hear(now, standing_);
+    }
 
     // Asked for twice, each is a yes and changes nothing. False where it can't be done: before the start is
     // over a drain is remembered for its end, and an end is never taken back.
@@ -50,19 +55,23 @@
         if (!ending()) change(now, Standing::ending);
     }
 
-    // Told of each change after it, in the order of asking. For as long as the process runs.
+    // Told of each change after it, of a successor's too, in the order of asking. For as long as the process
+    // runs.
     void listen(Hear hear) { hears_.push_back(std::move(hear)); }
 
 private:
     void change(Time now, Standing to) {
         const Standing was = std::exchange(standing_, to);
         since_ = now;
-        for (const Hear& hear : hears_) hear(now, was);
+        hear(now, was);
+    }
+    void hear(Time now, Standing was) {
+        for (const Hear& one : hears_) one(now, was);
     }
 
     Standing standing_ = Standing::starting;
     Time since_{0};
-    bool drainFirst_ = false;
+    bool drainFirst_ = false, succeeded_ = false;
     std::vector<Hear> hears_;
 };
 
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -257,22 +257,23 @@
 
 // Guards against callbacks that come before the 202, repeat, or come from another server.
 TEST_F(PoolTest, TakesACallbackOnceAndFromTheRightServerOnly) {
+    using Call = platform::Servers::Call;
     const auto client = job(0, "t");
     network.made[0]->opened(now);
     network.take(0, now);
     const std::string other = holder(0) == "a" ? "b" : "a";
-    EXPECT_TRUE(pool.callback(now, call("done", other)));
+    EXPECT_EQ(pool.callback(now, call("done", other)), Call::strangers);
     EXPECT_EQ(client->answers, 0);
-    EXPECT_TRUE(pool.callback(now, call("started", holder(0))));
-    EXPECT_TRUE(pool.callback(now, call("done", holder(0))));
+    EXPECT_EQ(pool.callback(now, call("started", holder(0))), Call::taken);
+    EXPECT_EQ(pool.callback(now, call("done", holder(0))), Call::taken);
     EXPECT_EQ(client->last, "served r\"1");
-    EXPECT_TRUE(pool.callback(now, call("done", holder(0))));
-    EXPECT_TRUE(pool.callback(now, call("lost", holder(0))));
+    EXPECT_EQ(pool.callback(now, call("done", holder(0))), Call::strangers);
+    EXPECT_EQ(pool.callback(now, call("lost", holder(0))), Call::strangers);
     network.give(0, now, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
     EXPECT_EQ(client->answers, 1);
     EXPECT_EQ(pool.idle(), 1u);
-    EXPECT_FALSE(pool.callback(now, "{"));
-    EXPECT_FALSE(pool.callback(now, R"({"id":"t"})"));
+    EXPECT_EQ(pool.callback(now, "{"), Call::unreadable);
+    EXPECT_EQ(pool.callback(now, R"({"id":"t"})"), Call::unreadable);
 }
 
 TEST_F(PoolTest, AbandonsByClosingBeforeThe202AndByDeleteAfterIt) {
@@ -598,7 +599,7 @@
     EXPECT_EQ(second.substr(9, 3), "409");
     EXPECT_NE(second.find("Retry-After: "), std::string::npos);
     EXPECT_EQ(core.counters().passes, 1u);
-    EXPECT_TRUE(pool.callback(now, call("done", holder(0))));
+    EXPECT_EQ(pool.callback(now, call("done", holder(0))), platform::Servers::Call::taken);
     network.made.push_back(first);
     EXPECT_EQ(network.take(network.made.size() - 1, now).substr(9, 3), "200");
     EXPECT_EQ(say(request).substr(9, 3), "409");  // its callback may be repeated yet
