Size turns at cold servers by the chance that a dispatcher has a job for its own

Counted over the traces of all dispatchers, by server and two seconds: three warm servers held 20 to 39 queued jobs with waits of 1.5 to 4 s, while six cold ones got 1 to 8 jobs in two seconds, with empty queues and waits of 3 to 10 ms. Lines at fault: in warm() a seat is due by share * fleetSize alone; at 0.6 jobs a second, five seats in nine lapse unused.

The change: seats are divided by the chance of a job in a span, from the own rate.

The test of returned servers runs at 3, 100 and 300 dispatchers now; without the change 12.9 of at least 38.0 units of work reach them at 300.

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -236,6 +236,7 @@
             // Guards against closing who has just come: the first request, or a callback, is on its way.
             if (standing == silent && now - connection->born() <= kPatience) continue;
             if (connection->rests()) {
+                ++counters_.relieved[standing];
                 const auto keep = connection;
                 keep->closeIdle(now);
                 return true;
@@ -247,7 +248,7 @@
 void Front::hurry(Time now) {
     for (const auto& connection : Connections(connections_[silent]))
         if (connection->state() == http::Server::State::reading && now - connection->born() > kPatience)
-            connection->cutOff(now, 408, "the request did not come to its end\n");
+            ++counters_.hurried, connection->cutOff(now, 408, "the request did not come to its end\n");
 }
 
 std::size_t Front::clients() const {
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -44,6 +44,7 @@
 
     struct Counters {
         std::uint64_t connections = 0, requests = 0, malformed = 0, takenIds = 0, noRoom = 0;
+        std::uint64_t relieved[3] = {}, hurried = 0;  // closed for want of descriptors, by standing
         std::uint64_t ends[kEnds] = {};
     };
     const Counters& counters() const { return counters_; }
--- a/src/report.cpp
+++ b/src/report.cpp
@@ -81,6 +81,10 @@
     line("http.malformed_jobs", f.malformed);
     line("http.ids_in_use", f.takenIds);
     line("http.no_room", f.noRoom);
+    line("http.relieved.silent", f.relieved[platform::Front::silent]);
+    line("http.relieved.strangers", f.relieved[platform::Front::stranger]);
+    line("http.relieved.clients", f.relieved[platform::Front::client]);
+    line("http.hurried", f.hurried);
     ends("http.ended", f.ends);
     const auto& g = gearman.counters();
     line("gearman.connections", g.connections);
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -475,12 +475,9 @@
         } else if (e.outcome != Outcome::cancelled && e.outcome != Outcome::moot &&
                    e.outcome != Outcome::stale) {
             learn(a.worker, 2 * slowness(w));  // the design: as a job of twice the smoothed time
-            if (full) {
-                strains_[a.klass].fulls += (1 - strains_[a.klass].fulls) * kFullWeight;
-                w.fullUntil = now_ + nanos(std::min(0.5, 0.5 * meanJob_.value));
-            } else if (e.outcome != Outcome::error) {
-                strike(w, e.outcome == Outcome::timeout);
-            }
+            if (full) strains_[a.klass].fulls += (1 - strains_[a.klass].fulls) * kFullWeight;
+            if (full) w.fullUntil = now_ + nanos(std::min(0.5, 0.5 * meanJob_.value));
+            if (!full && e.outcome != Outcome::error) strike(w, e.outcome == Outcome::timeout);
         }
         if (e.settled && !r.done) r.done = true, callOff(r);
         // Guards against many schedulers' seldom used connections filling a worker's table and taking its
@@ -558,13 +555,14 @@
     // a warm peer of its weight gets from this scheduler (answered work, so that overload does not swell it).
     // Where that is below one job, schedulers take turns: in each span the seats around a number that all
     // know are due, as many as the worker can bear jobs by what each knows, so that the fleet is right
-    // without talk and a fraction of a job is a turn every few spans. A turn is due at once: ages of so few
-    // sends say nothing.
+    // without talk and a fraction of a job is a turn every few spans; more are due where a turn may well meet
+    // no job. A turn is due at once: ages of so few sends say nothing.
     void warm() {
         present_ = capacity_;
         for (const Cold& c : cold_) present_ -= (1 - ramp(workers_[c.worker])) * capacity(workers_[c.worker]);
         present_ = std::max(present_, 1e-9);
         const double fair = std::min(lambda_ / present_, perSecond(served_)) * seconds(s_.overloadFor);
+        const double used = 1 - std::exp(-lambda_ * seconds(s_.overloadFor));  // chance of a job in a span
         int still = 0;
         for (Cold& c : cold_) {
             WorkerState& w = workers_[c.worker];
@@ -579,7 +577,7 @@
                 Random{w.entry.id + static_cast<std::uint64_t>(span)}.next() * s_.fleetSize);
             const double later = Random{w.entry.id}.next() + 0.618034 * static_cast<double>(span);
             c.due = static_cast<double>((s_.me + first) % s_.fleetSize) + later - std::floor(later) <
-                    c.share * s_.fleetSize;
+                    c.share * s_.fleetSize / used;
         }
         if (static_cast<std::size_t>(still) == cold_.size()) return;
         std::erase_if(cold_, [this](const Cold& c) { return hot_[c.worker].cold < 0; });
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -107,14 +107,17 @@
 }
 
 // Guards on both sides: against a returned server that all take up at once, and against capacity left idle
-// because each dispatcher's part of what the server can bear is less than a job.
-TEST(Fleet, TakesUpReturnedServersAtThePaceTheyBear) {
-    Settings s = fleetSettings(100);
+// because each dispatcher's part of what the server can bear is less than a job, or because a dispatcher
+// whose turn it is has no job just then.
+struct FleetOf : testing::TestWithParam<std::uint32_t> {};
+
+TEST_P(FleetOf, TakesUpReturnedServersAtThePaceTheyBear) {
+    Settings s = fleetSettings(GetParam());
     s.mayDuplicate = true;
     s.cold = seconds(20), s.coldFrom = 0.2, s.fallMultiple = 3, s.overloadFor = seconds(1);
     World world(s, farm(16, 0), 15);
     const Time end = world.now + seconds(60), back = world.now + seconds(30);
-    world.offer(80.0 / 100, 0.4, 0, end);  // 32 of 64 slots
+    world.offer(80.0 / GetParam(), 0.4, 0, end);  // 32 of 64 slots
     const auto ramp = [&](Time at) {
         return std::min(1.0, 0.2 + 0.8 * std::chrono::duration<double>(at - back).count() / 20);
     };
@@ -146,6 +149,8 @@
     EXPECT_GT(sent, 0.45 * capacity);  // nearly as the others are used
 }
 
+INSTANTIATE_TEST_SUITE_P(Sizes, FleetOf, testing::Values(3, 100, 300));
+
 // Guards against a mass start that asks for all lists together, repeats in step what failed, and sends all
 // first jobs to one server.
 TEST(Fleet, AMassStartIsSpread) {
