--- a/src/grpc/front.cpp
+++ b/src/grpc/front.cpp
@@ -63,8 +63,13 @@
     return connection;
 }
 
+void Front::resume() {
+    draining_ = left_ = false;
+    second_.disarm();
+}
+
 void Front::drain(Time now) {
-    draining_ = true;
+    if (std::exchange(draining_, true)) return;  // out of service first, and then the end
     const auto all = connections_;  // a session may go while it is told
     for (const auto& connection : all) connection->sayGoodbye(now);
     second_.arm(deadlines_, now + kSecondStep, [this](Time at) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -215,7 +215,6 @@
         if (service.ending()) return;
         service.end(now);
         gearman.drain(now);
-        grpcFront.drain(now);
         // With a successor nobody new comes.
         leaving.arm(loop.deadlines(), now + std::chrono::milliseconds(service.succeeded() ? 20 : 750), leave);
         loop.deadlines().once(now + HandOver::of(config.site).giveUp, [&](Time at) { core.giveUpAll(at); });
@@ -238,7 +237,9 @@
         service.begin(loop.now());
     else
         meet(loop, takeover, config.meeting);
-    service.listen([&](Time, service::Standing) {
+    service.listen([&](Time now, service::Standing) {
+        // Gearman has no word for going elsewhere: its peers are served until the end.
+        service.ready() ? grpcFront.resume() : grpcFront.drain(now);
         if (!service.ending()) say(std::string("now ") + service::nameOf(service.standing()));
     });
     loop.run();
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -17,6 +17,7 @@
     Of of() const { return of_; }
 
     Connections::iterator place;
+    Connections* in = nullptr;  // the list that it stands in
     Standing standing = silent;
 
     void served(Time now, std::string result) override { final(now, 200, result); }
@@ -60,13 +61,7 @@
         holds_ = bytes;
     }
 
-    void rise(Standing to) {
-        if (to <= standing) return;
-        auto& from = owner_.connections_[standing];
-        standing = to;
-        auto& into = owner_.connections_[standing];
-        into.splice(into.end(), from, place);
-    }
+    void rise(Standing to) { standing = std::max(standing, to); }  // it is busy: it rests there later
 
     // Guards against a peer that sends the same again as soon as it is turned away.
     void fault(Time now, int status, const std::string& why, std::string_view extra = {}) {
@@ -135,8 +130,10 @@
         return (others || of_ == Of::client) && owner_.leaves(now);
     }
     void stateChanged(Time, State to) override {
-        auto& peers = owner_.connections_[standing];
-        if (to == State::idle) peers.splice(peers.end(), peers, place);
+        if (to == State::ended) return;  // gone() follows
+        auto& into = to == State::idle ? owner_.resting_[standing] : owner_.busy_;
+        into.splice(into.end(), *in, place);
+        in = &into;
     }
     void left(Time now) override {
         if (!std::exchange(open_, false)) return;
@@ -146,7 +143,7 @@
     void gone(Time, End how) override {
         ++owner_.counters_.ends[static_cast<std::size_t>(how)];
         hold(0);
-        owner_.connections_[standing].erase(place);
+        in->erase(place);
     }
 
     Front& owner_;
@@ -171,15 +168,13 @@
 std::shared_ptr<wire::Machine> Front::accept(Time now) {
     ++counters_.connections;
     auto connection = std::make_shared<Connection>(*this, now);
-    connections_[silent].push_back(connection);
-    connection->place = std::prev(connections_[silent].end());
+    connection->in = &resting_[silent];
+    connection->place = resting_[silent].insert(resting_[silent].end(), connection);
     return connection;
 }
 
 std::size_t Front::open() const {
-    std::size_t count = 0;
-    for (const Connections& peers : connections_) count += peers.size();
-    return count;
+    return resting_[silent].size() + resting_[stranger].size() + resting_[client].size() + busy_.size();
 }
 
 bool Front::claim(Time now, const std::string& traceId) {
@@ -219,7 +214,7 @@
 // time sends it again elsewhere. What has come and was not read yet is served first.
 void Front::sweep(Time now) {
     std::vector<std::shared_ptr<Connection>> rested;
-    for (const Connections& peers : connections_)
+    for (const Connections& peers : resting_)
         for (const auto& connection : peers) {
             const bool theirs =
                 (service_.ending() && !service_.succeeded()) || connection->of() == Connection::Of::client;
@@ -232,9 +227,10 @@
 
 bool Front::relieve(Time now, Standing most) {
     for (std::size_t standing = 0; standing <= most; ++standing)
-        for (const auto& connection : connections_[standing]) {
-            // Guards against closing who has just come: the first request, or a callback, is on its way.
-            if (standing == silent && now - connection->born() <= kPatience) continue;
+        for (const auto& connection : resting_[standing]) {
+            // Guards against closing who has just come: the first request, or a callback, is on its way. So
+            // it is with all that follow.
+            if (standing == silent && now - connection->born() <= kPatience) break;
             if (connection->rests()) {
                 ++counters_.relieved[standing];
                 const auto keep = connection;
@@ -246,18 +242,21 @@
 }
 
 void Front::hurry(Time now) {
-    for (const auto& connection : Connections(connections_[silent]))
-        if (connection->state() == http::Server::State::reading && now - connection->born() > kPatience)
+    for (const auto& connection : Connections(busy_))
+        if (connection->standing == silent && connection->state() == http::Server::State::reading &&
+            now - connection->born() > kPatience)
             ++counters_.hurried, connection->cutOff(now, 408, "the request did not come to its end\n");
 }
 
+template <class Of>
+std::size_t Front::countIf(Of&& of) const {
+    auto count = std::count_if(busy_.begin(), busy_.end(), of);
+    for (const Connections& peers : resting_) count += std::count_if(peers.begin(), peers.end(), of);
+    return static_cast<std::size_t>(count);
+}
+
 std::size_t Front::clients() const {
-    std::size_t count = 0;
-    for (const Connections& peers : connections_)
-        count += static_cast<std::size_t>(std::count_if(peers.begin(), peers.end(), [](const auto& peer) {
-            return peer->of() == Connection::Of::client;
-        }));
-    return count;
+    return countIf([](const auto& peer) { return peer->of() == Connection::Of::client; });
 }
 
 bool Front::handedOver(Time now) const {
@@ -277,11 +276,9 @@
 }
 
 bool Front::quiet() const {
-    for (const Connections& peers : connections_)
-        for (const auto& connection : peers)
-            if (connection->state() == http::Server::State::waiting || !connection->out().empty())
-                return false;
-    return true;
+    return countIf([](const auto& peer) {
+               return peer->state() == http::Server::State::waiting || !peer->out().empty();
+           }) == 0;
 }
 
 }  // namespace amberswitch::platform
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -61,6 +61,8 @@
     Deadlines& deadlines_;
     using Connections = std::list<std::shared_ptr<Connection>>;
 
+    template <class Of>
+    std::size_t countIf(Of&& of) const;
     bool claim(Time now, const std::string& traceId);
     void release(Time now, const std::string& traceId);
     void standingChanged(Time now);
@@ -68,7 +70,10 @@
     bool leaves(Time now) const;     // clients are to go elsewhere: each answer is their connection's last
     bool turnsAway(Time now) const;  // a job that comes now can't be taken any more
 
-    std::array<Connections, 3> connections_;  // by standing; idle ones in the order they became so
+    // Who rests, by standing and in the order they came to rest, and who doesn't. Apart, so that making room
+    // costs no more with thousands that have stopped half way.
+    std::array<Connections, 3> resting_;
+    Connections busy_;
     // Ids of jobs that are open, and for a while of those that were: a callback could come for them yet.
     std::unordered_set<std::string> ids_;
     std::deque<std::pair<Time, std::string>> ended_;
--- a/tests/grpc_test.cpp
+++ b/tests/grpc_test.cpp
@@ -708,6 +708,23 @@
     EXPECT_TRUE(until([&] { return front.open() == 0; })) << "and the connections end by themselves";
 }
 
+// A drain that is taken back: who comes after it is served as before, and nothing of the drain comes later.
+TEST_F(GrpcTest, ADrainThatIsTakenBackLeavesNothingOver) {
+    addServer(Part::answer);
+    GrpcClient& first = client();
+    first.call(now, {});
+    EXPECT_TRUE(until([&] { return first.unanswered() == 0; }));
+    front.drain(now);
+    EXPECT_TRUE(until([&] { return first.toldToLeave(); }));
+    front.resume();
+    pass(600ms);  // the second step would have been by now
+    GrpcClient& next = client();
+    next.call(now, {});
+    EXPECT_TRUE(until([&] { return next.unanswered() == 0; }));
+    EXPECT_EQ(next.outcomes[0].statuses, 1);
+    EXPECT_FALSE(next.toldToLeave());
+}
+
 // --- connections to job servers ---
 TEST_F(GrpcTest, ConnectionsAreSharedAndThePeersLimitIsKept) {
     GrpcServer& server = addServer(Part::stall);
