Show the handed-over list, ids in use, who is avoided and operators in a crowd by tests

The list is now followed from its first form through changes into another process, with its version and without one. A predecessor that was told nothing no longer takes away the list that the new process knows (Watch::inherit).

--- a/src/grpc/front.cpp
+++ b/src/grpc/front.cpp
@@ -70,7 +70,7 @@
 
 void Front::drain(Time now) {
     if (std::exchange(draining_, true)) return;  // out of service first, and then the end
-    const auto all = connections_;  // a session may go while it is told
+    const auto all = connections_;               // a session may go while it is told
     for (const auto& connection : all) connection->sayGoodbye(now);
     second_.arm(deadlines_, now + kSecondStep, [this](Time at) {
         left_ = true;
--- a/src/platform/watch.cpp
+++ b/src/platform/watch.cpp
@@ -30,7 +30,8 @@
     simdjson::dom::parser parser;
     object list;
     if (parser.parse(text.data(), text.size()).get(list) != simdjson::SUCCESS) bad("the list is no JSON");
-    take(now, list, true);
+    // Guards against a predecessor that was told nothing yet taking away the list that this one knows.
+    if (settings::list(list, "endpoints").size() > 0) take(now, list, true);
 }
 
 void Watch::note(const object& from, const FarmList& list) {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "gearman/front.hpp"
 #include "platform/front.hpp"
 #include "platform/watch.hpp"
@@ -399,6 +401,57 @@
     EXPECT_EQ(network.take(old + 2, now).find("GET /api/targets?index=2&wait="), 0u);
 }
 
+// What one process of a dispatcher was told is what the next one begins with: first list, changes and
+// version.
+TEST_F(PoolTest, TheWatchHandsItsListOnAsItStands) {
+    const auto entry = [](const std::string& name, const std::string& status) {
+        return R"({"name":")" + name + R"(","address":")" + name + R"(:1","zone":"z","status":")" + status +
+               R"(","weight":2.0,"since_ms":7})";
+    };
+    const auto list = [](int index, bool whole, const std::string& entries) {
+        return R"({"index":)" + std::to_string(index) + R"(,"snapshot":)" + (whole ? "true" : "false") +
+               R"(,"endpoints":[)" + entries + "]}";
+    };
+    platform::Watch watch(core, pool, deadlines, network, "d:1");
+    watch.keep();
+    simdjson::dom::parser parser;
+    watch.known(
+        now,
+        parser
+            .parse(list(4, true, entry("p", "Ready") + ',' + entry("q", "Ready") + ',' + entry("r", "Ready")))
+            .get_object()
+            .value());
+    watch.watch(now);
+    const std::size_t at = network.made.size() - 1;
+    network.made[at]->opened(now), network.take(at, now);
+    const std::string news = list(5, false, entry("q", "Terminating") + ',' + entry("r", "Gone"));
+    network.give(at, now,
+                 "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(news.size()) + "\r\n\r\n" + news);
+    const std::string told = watch.told();
+    EXPECT_EQ(told.find(R"({"index":5,"snapshot":true,"endpoints":[)"), 0u) << told;
+
+    Core next(site(), 1, deadlines);
+    platform::Servers nextPool(next, deadlines, network);
+    platform::Watch after(next, nextPool, deadlines, network, "d:1");
+    after.known(now, parser.parse(list(1, true, entry("r", "Ready"))).get_object().value());
+    after.inherit(now, told);
+    EXPECT_TRUE(next.accepts(next.handleOf("p")));
+    EXPECT_FALSE(next.accepts(next.handleOf("q")));  // told just before the change: it drains here, too
+    EXPECT_FALSE(next.accepts(next.handleOf("r")));
+    EXPECT_EQ(next.listed(), 2u);
+    after.watch(now);
+    const std::size_t asks = network.made.size() - 1;
+    network.made[asks]->opened(now);
+    EXPECT_EQ(network.take(asks, now).find("GET /api/targets?index=5&wait="), 0u);
+    network.made[at]->ended(
+        now, End::peerReset);  // the old watch is lost: what it told holds, its version doesn't
+    EXPECT_EQ(watch.told().find(R"({"index":-1,)"), 0u);
+    after.inherit(now, R"({"index":9,"snapshot":true,"endpoints":[]})");  // of one that was told nothing
+    EXPECT_EQ(next.listed(), 2u);
+    EXPECT_THROW(after.inherit(now, "{"), settings::BadField);
+    EXPECT_THROW(after.inherit(now, R"({"endpoints":[{"name":1}]})"), settings::BadField);
+}
+
 // --- the platform's front: what a request may look like ---
 struct FrontTest : PoolTest {
     std::string say(const std::string& request) {
@@ -459,6 +512,20 @@
     EXPECT_FALSE(front.quiet());
 }
 
+// Ids that another process of this dispatcher has in use are refused here, for as long as calls may come.
+TEST_F(FrontTest, RefusesIdsInUseAtTheOtherProcess) {
+    const auto request = [](const std::string& trace) {
+        return "POST /car-match HTTP/1.1\r\nX-Trace-Id: " + trace + "\r\n\r\n";
+    };
+    front.claimElsewhere(now, {"x"});
+    EXPECT_EQ(say(request("x")).substr(9, 3), "409");
+    EXPECT_EQ(say(request("y")), "");
+    const auto ids = front.idsInUse();
+    EXPECT_EQ(std::set<std::string>(ids.begin(), ids.end()), (std::set<std::string>{"x", "y"}));
+    pass(11s);
+    EXPECT_EQ(say(request("x")), "");
+}
+
 // The drain that can be taken back: by 4 s no client's connection rests or carries a young job, nothing that
 // came is refused for its sake, and job servers' and the platform's own connections stay.
 struct DrainTest : FrontTest {
--- a/tests/replace_test.cpp
+++ b/tests/replace_test.cpp
@@ -193,6 +193,32 @@
     }
 }
 
+// Guards against a crowd of clients, or of callers that say nothing, keeping operators out: their places are
+// kept back.
+TEST_F(Replace, OperatorsAreAnsweredWhileACrowdHoldsEveryOtherPlace) {
+    std::string text = config(kSettings);
+    text.replace(text.find("1024"), 4, "96");
+    Program program(text, "{}", {{"ROUTER_OPERATOR", "127.0.0.1:0"}});
+    const unsigned short crowded = program.portOf("listening on"), control = program.portOf("operators on");
+    std::vector<std::unique_ptr<Caller>> crowd, mute;
+    for (int i = 0; i < 200; ++i) {
+        crowd.push_back(std::make_unique<Caller>(crowded));
+        crowd.back()->send("POST /car-match HTTP/1.1\r\nX-Trace-Id: c" + std::to_string(i) +
+                           "\r\nX-Expires-In-Ms: 9000\r\n\r\n");
+    }
+    for (int i = 0; i < 100; ++i) {
+        mute.push_back(std::make_unique<Caller>(control));
+        if (i % 2) mute.back()->send("GET /control/co");
+    }
+    const std::string figures = ask(control, "GET /control/counters");
+    EXPECT_EQ(figures.substr(9, 3), "200");
+    EXPECT_EQ(ask(control, "POST /control/out-of-service").substr(9, 3), "200");
+    EXPECT_EQ(ask(control, "POST /control/in-service").substr(9, 3), "200");
+    std::size_t descriptors = entriesOf("/proc/" + std::to_string(program.child) + "/fd");
+    EXPECT_LE(descriptors, 96u);
+    EXPECT_GT(descriptors, 48u);  // the crowd is in
+}
+
 // The variable goes before the file, and a reload leaves the address as it is.
 TEST_F(Replace, TheOperatorsAddressIsTheVariablesAndWaitsForTheNextStart) {
     std::string text = config(kSettings);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -492,6 +492,37 @@
     EXPECT_TRUE(tried);
 }
 
+TEST(Health, TellsHowManyAreAvoided) {
+    Drive drive(plainSettings());
+    drive.fleet(8);
+    EXPECT_EQ(drive.dispatcher.avoided(), 0u);
+    drive.arrive();
+    const Worker away = drive.all<Send>().at(0).worker;
+    const auto missed = [](RequestId id) {
+        AttemptEnded e;
+        e.id = id, e.outcome = Outcome::connectFailed;
+        return e;
+    };
+    drive.on(missed(1));
+    EXPECT_EQ(drive.dispatcher.avoided(), 1u);
+    AttemptEnded served;
+    served.id = 1, served.attempt = 1, served.settled = true;
+    drive.on(served);
+    EXPECT_EQ(drive.dispatcher.avoided(), 1u);  // another one served it
+    RosterEntry back = worker(away);
+    back.since = drive.now;
+    drive.roster({back}, RosterMode::changes);  // started anew: nothing is held against it
+    EXPECT_EQ(drive.dispatcher.avoided(), 0u);
+    drive.arrive();
+    const Worker gone = drive.all<Send>().at(0).worker;
+    drive.on(missed(2));
+    EXPECT_EQ(drive.dispatcher.avoided(), 1u);
+    RosterEntry off = worker(gone);
+    off.standing = Standing::off;
+    drive.roster({off}, RosterMode::changes);  // only who is listed counts
+    EXPECT_EQ(drive.dispatcher.avoided(), 0u);
+}
+
 TEST(Health, AStaleConnectionSaysNothingOfItsWorker) {
     Drive d(plainSettings());
     d.roster({worker(0), worker(1), worker(2)});
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -134,6 +134,15 @@
     EXPECT_TRUE(old.service.succeeded() && old.service.ready());
 }
 
+// A new one is in service whatever the old one was told: it must say yes.
+TEST_F(TakeoverTest, ANewOneBesideADrainedOneIsInService) {
+    serve(old);
+    old.service.outOfService(now);
+    join(fresh, old), settle();
+    EXPECT_TRUE(fresh.service.ready() && fresh.accepts);
+    EXPECT_FALSE(old.service.ready() || old.accepts);
+}
+
 TEST_F(TakeoverTest, ACallGoesToItsOwnerWhicheverProcessHearsIt) {
     serve(old);
     old.owns = {"of the old"}, fresh.owns = {"of the new"};
