Close a long poll's connection with its owner: the sanitizer saw it used afterwards

Seen with the address sanitizer: "stack-use-after-scope" in ConsulTest.AStartBeginsWithTheKeptView, where a source is destroyed while its watch is open. Line at fault: LongPoll's destructor left the connection to the loop, whose end it then told to an owner that was gone. The destructor closes it now; the same test fails without it.

--- a/src/platform/long_poll.cpp
+++ b/src/platform/long_poll.cpp
@@ -27,7 +27,10 @@
       wait_(wait),
       gap_(gap) {}
 
-LongPoll::~LongPoll() = default;
+// Guards against a connection that outlives who asked over it: it would tell its end to nobody.
+LongPoll::~LongPoll() {
+    if (const auto last = std::exchange(connection_, nullptr)) last->close(Time(0), End::shutDown);
+}
 
 void LongPoll::watch(Time now) {
     if (running_) return;
