--- a/src/main.cpp
+++ b/src/main.cpp
@@ -191,6 +191,7 @@
     });
     const auto counters = [&] {
         return report(core, servers, watch, front, gearman, reload) +
+               (controlled ? report(control) : std::string()) +
                (config.acceptFd ? report(takeover) : std::string()) +
                (own.consul.address.empty() ? std::string() : report(consul)) +
                (speaksGrpc ? report(grpcFront, grpcServers) : std::string());
--- a/src/report.cpp
+++ b/src/report.cpp
@@ -100,6 +100,17 @@
     return out.text;
 }
 
+std::string report(const control::Control& control) {
+    Lines out;
+    const auto& c = control.counters();
+    out.add("control.connections", c.connections);
+    out.add("control.calls", c.calls);
+    out.add("control.refused", c.refused);
+    out.add("control.pushed_out", c.pushedOut);
+    out.ends("control.ended", c.ends);
+    return out.text;
+}
+
 std::string report(const takeover::Takeover& takeover) {
     Lines out;
     const auto& c = takeover.counters();
--- a/src/report.hpp
+++ b/src/report.hpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "config/reload.hpp"
+#include "control/control.hpp"
 #include "gearman/front.hpp"
 #include "grpc/front.hpp"
 #include "grpc/servers.hpp"
@@ -20,6 +21,7 @@
 std::string report(const Core& core, const platform::Servers& servers, const platform::Watch& watch,
                    const platform::Front& front, const gearman::Front& gearman, const config::Reload& reload);
 
+std::string report(const control::Control& control);  // where operators have an address
 std::string report(const takeover::Takeover& takeover);
 std::string report(const platform::Consul& consul);                          // where Consul is on
 std::string report(const grpc::Front& front, const grpc::Servers& servers);  // where gRPC is on
--- a/tests/replace_test.cpp
+++ b/tests/replace_test.cpp
@@ -217,6 +217,10 @@
     std::size_t descriptors = entriesOf("/proc/" + std::to_string(program.child) + "/fd");
     EXPECT_LE(descriptors, 96u);
     EXPECT_GT(descriptors, 48u);  // the crowd is in
+    ::kill(program.child, SIGUSR1);
+    std::string said = program.line();
+    while (!said.empty() && said.find("control.pushed_out ") == std::string::npos) said = program.line();
+    EXPECT_GE(std::atoi(said.substr(said.rfind(' ') + 1).c_str()), 90) << said;  // of 100 mute ones, 8 places
 }
 
 // The variable goes before the file, and a reload leaves the address as it is.
