--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -46,7 +46,9 @@
     // same source had told before, and nothing else.
     void farm(Time now, const FarmSource& source, ApplicationServers& servers, heronmount::RosterMode mode,
               const std::vector<FarmEntry>& entries);
-    void farmLost(Time now);
+    // A source can't be reached. Where `ask`, the module is to say when to ask again; else the source tries
+    // by itself.
+    void farmLost(Time now, bool ask = true);
 
     Worker handleOf(std::string_view name);  // dense, counted up as names are first heard
     bool accepts(Worker server) const { return server < farm_.size() && farm_[server].on; }
@@ -76,6 +78,7 @@
         Time deadline{0};
         std::vector<PassState> passes;
         bool answered = false, mayHaveRun = false, sealed = false;
+        bool calledOff = false;  // a pass was called off or timed out: its server may hold it yet
         std::optional<std::uint32_t> committed;  // the pass whose answer the client is getting
         int zone = 0, cell = 0;
         Time anchoredAt{0};
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -91,7 +91,7 @@
     wiring.makeRoom = [&](Time now) { return roomBelow(now, most); };
 
     if (config.acceptFd) watch.keep();  // from its first list on
-    if (config.known) watch.known(loop.now(), *config.known);
+    watch.begin(loop.now(), config.known);
 
     const auto say = [](const std::string& line) { std::fprintf(stderr, "amberswitch: %s\n", line.c_str()); };
     platform::Consul consul(core, servers, loop.deadlines(), wiring, own.consul, say);
--- a/src/platform/consul.cpp
+++ b/src/platform/consul.cpp
@@ -69,7 +69,8 @@
 // Consul adds up to a sixteenth to a wait, so that many queries do not end together.
 Consul::Consul(Core& core, Servers& servers, Deadlines& deadlines, wire::Connector& connector,
                ConsulConfig config, consul::Keeper::Say say)
-    : LongPoll(core, deadlines, connector, config.address, config.wait + config.wait / 16, kGap),
+    : LongPoll(core, deadlines, connector, config.address,
+               {config.wait + config.wait / 16, kGrace, kGap, Nanos(0)}),
       servers_(servers),
       config_(std::move(config)),
       view_(config_.hold),
--- a/src/platform/long_poll.cpp
+++ b/src/platform/long_poll.cpp
@@ -19,13 +19,8 @@
 };
 
 LongPoll::LongPoll(Core& core, Deadlines& deadlines, wire::Connector& connector, std::string address,
-                   Nanos wait, Nanos gap)
-    : core_(core),
-      deadlines_(deadlines),
-      connector_(connector),
-      address_(std::move(address)),
-      wait_(wait),
-      gap_(gap) {}
+                   Pace pace)
+    : core_(core), deadlines_(deadlines), connector_(connector), address_(std::move(address)), pace_(pace) {}
 
 // Guards against a connection that outlives who asked over it: it would tell its end to nobody.
 LongPoll::~LongPoll() {
@@ -50,7 +45,8 @@
 
 void LongPoll::ask(Time now) {
     ++calls_;
-    due_.arm(deadlines_, now + (waits() ? wait_ : Nanos(0)) + kGrace, [this](Time at) { lost(at); });
+    due_.arm(deadlines_, now + (waits() ? pace_.wait : Nanos(0)) + pace_.grace,
+             [this](Time at) { lost(at); });
     const bool fresh = !connection_ || connection_->state() != http::Client::State::idle;
     if (fresh) connection_ = std::make_shared<Connection>(*this);
     const auto connection = connection_;
@@ -63,18 +59,19 @@
     if (message.status != 200 || !take(now, message)) return lost(now);
     if (!running_) return;
     // Where a gap would end the watch, the next call follows at once.
-    if (gap_.count() == 0) return ask(now);
-    due_.arm(deadlines_, now + gap_, [this](Time at) { ask(at); });
+    if (pace_.gap.count() == 0) return ask(now);
+    due_.arm(deadlines_, now + pace_.gap, [this](Time at) { ask(at); });
 }
 
-// The old list still holds; the module says when to ask again.
+// The old list still holds; where a call has its price, the module says when to ask again.
 void LongPoll::lost(Time now) {
     due_.disarm();
     if (const auto connection = std::exchange(connection_, nullptr)) connection->close(now, End::timedOut);
     forgotten();
     if (now < hurryUntil_) return due_.arm(deadlines_, now + kHurryGap, [this](Time at) { ask(at); });
+    core_.farmLost(now, pace_.again.count() == 0);
+    if (pace_.again.count() > 0) return due_.arm(deadlines_, now + pace_.again, [this](Time at) { ask(at); });
     running_ = false;
-    core_.farmLost(now);
 }
 
 }  // namespace amberswitch::platform
--- a/src/platform/long_poll.hpp
+++ b/src/platform/long_poll.hpp
@@ -12,6 +12,15 @@
 class LongPoll : public FarmSource {
 public:
     void watch(Time now) override;  // unless it runs already
+    // How calls follow one another.
+    struct Pace {
+        Nanos wait{0};   // how long a call may wait there
+        Nanos grace{0};  // beyond that: then nothing will come
+        Nanos gap{0};    // after an answer, before the next call; 0: at once
+        // After a call that failed, before the next. 0: whoever asked for the watch is told that it is lost,
+        // and says when it begins again.
+        Nanos again{0};
+    };
     // Its list is told at another address from now on: a new watch begins there at once. What was told holds
     // until then.
     void move(Time now, std::string address);
@@ -19,8 +28,7 @@
     std::size_t calls() const { return calls_; }
 
 protected:
-    LongPoll(Core& core, Deadlines& deadlines, wire::Connector& connector, std::string address, Nanos wait,
-             Nanos gap);
+    LongPoll(Core& core, Deadlines& deadlines, wire::Connector& connector, std::string address, Pace pace);
     ~LongPoll() override;
 
     virtual std::string target() const = 0;  // path and query of the next call
@@ -29,13 +37,13 @@
     virtual void forgotten() {}                  // the watch is lost: the next call starts a new one
     virtual bool waits() const { return true; }  // the next call may wait there
 
-    Nanos wait() const { return wait_; }
+    static constexpr Nanos kGrace = std::chrono::seconds(2);
+    const Pace& pace() const { return pace_; }
     Core& core_;
 
 private:
     class Connection;
     static constexpr std::size_t kMostList = 4 * 1024 * 1024;
-    static constexpr Nanos kGrace = std::chrono::seconds(2);  // beyond the wait: then nothing will come
     // After a move what is new counts as told within seconds: failed calls are repeated sooner than the
     // module asks.
     static constexpr Nanos kHurry = std::chrono::seconds(4), kHurryGap = std::chrono::milliseconds(250);
@@ -47,7 +55,7 @@
     Deadlines& deadlines_;
     wire::Connector& connector_;
     std::string address_;
-    Nanos wait_, gap_;
+    Pace pace_;
     std::shared_ptr<Connection> connection_;
     Deadlines::Ticket due_;
     Time hurryUntil_{0};
--- a/src/platform/watch.cpp
+++ b/src/platform/watch.cpp
@@ -5,14 +5,32 @@
 using namespace settings;
 using heronmount::RosterMode;
 
-namespace {
-constexpr Nanos kWait = std::chrono::seconds(20);
+using namespace std::chrono_literals;
+
+// A gap of 200 ms would end the watch.
+//
+// Where lists are asked for, calls have a price and wait for long; whether a watch that was lost begins again
+// is the module's to say. Where they are pushed, the agent on this machine answers at no cost, and what it
+// has counts as told: an agent that was silent must be heard again well inside the rule on drains, also over
+// a connection that died with it. Guards besides against an agent that answers each call at once making a
+// loop of it.
+LongPoll::Pace Watch::paceOf(const settings::Site& site) {
+    if (site.module.askRoster) return {20s, kGrace, 0s, 0s};
+    const Nanos grace = site.drainGrace.count() > 0 ? std::min<Nanos>(site.drainGrace, 4s) : 2s;
+    return {grace / 4, grace / 8, std::min<Nanos>(grace / 40, 50ms), std::min<Nanos>(grace / 20, 100ms)};
 }
 
-// A gap of 200 ms would end the watch: there is none.
 Watch::Watch(Core& core, Servers& servers, Deadlines& deadlines, wire::Connector& connector,
              std::string address)
-    : LongPoll(core, deadlines, connector, std::move(address), kWait, Nanos(0)), servers_(servers) {}
+    : LongPoll(core, deadlines, connector, std::move(address), paceOf(core.site())), servers_(servers) {}
+
+void Watch::begin(Time now, const std::optional<object>& list) {
+    if (list)
+        take(now, *list, true);
+    else  // Guards against a module that nobody wakes: it asks for lists from its first event on
+        core_.farm(now, *this, servers_, RosterMode::stale, {});
+    if (!core_.site().module.askRoster) watch(now);
+}
 
 void Watch::known(Time now, const object& list) {
     take(now, list, true);
@@ -50,8 +68,7 @@
 // one might never be reached there.
 std::string Watch::target() const {
     if (!version_) return "/api/targets";
-    return "/api/targets?index=" + std::to_string(*version_) +
-           "&wait=" + std::to_string(kWait / std::chrono::milliseconds(1));
+    return "/api/targets?index=" + std::to_string(*version_) + "&wait=" + std::to_string(pace().wait / 1ms);
 }
 
 bool Watch::take(Time now, const http::Message& message) {
--- a/src/platform/watch.hpp
+++ b/src/platform/watch.hpp
@@ -13,7 +13,9 @@
     Watch(Core& core, Servers& servers, Deadlines& deadlines, wire::Connector& connector,
           std::string address);
 
-    void known(Time now, const settings::object& list);  // as it was when this process was started
+    // As it was when this process was started, if it was told one. Where lists are pushed, the watch begins.
+    void begin(Time now, const std::optional<settings::object>& known);
+    void known(Time now, const settings::object& list);
     // The list as it was told so far, in the same form, once keep() was called. Its index is -1 where the
     // watch is lost.
     std::string told() const;
@@ -22,6 +24,7 @@
     void inherit(Time now, std::string_view list);
 
 private:
+    static Pace paceOf(const settings::Site& site);
     std::string target() const override;
     bool waits() const override { return version_.has_value(); }
     void forgotten() override { version_.reset(); }
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -187,6 +187,24 @@
     EXPECT_EQ(fleet.started.size(), 1u);
 }
 
+// Guards against a second copy where none is allowed: a server that was told to give a job up may hear it
+// late, or never.
+TEST_F(CoreTest, NothingIsSentAgainAfterACallOffWhereCopiesAreNotAllowed) {
+    for (const bool copies : {false, true}) {
+        settings::Site strict = site();
+        strict.module.mayDuplicate = copies, strict.module.progress = 1s;
+        Core own(strict, 5, deadlines);
+        Fleet servers;
+        own.farm(now, servers, servers, RosterMode::whole, {entry("a"), entry("b"), entry("c")});
+        Arrival arrival;
+        arrival.request.klass = 0, arrival.request.timeLeft = 8s;
+        arrival.client = std::make_shared<Client>();
+        own.arrive(now, std::move(arrival));
+        pass(7s);  // nobody gives a sign
+        EXPECT_EQ(servers.started.size() > 1, copies);
+    }
+}
+
 TEST_F(CoreTest, ALeavingClientCallsItsPassesOff) {
     core.farm(now, fleet, fleet, RosterMode::whole, {entry("a")});
     const auto client = ask(1);
@@ -372,6 +390,57 @@
     EXPECT_TRUE(core.accepts(core.handleOf("b")));  // the old list holds
 }
 
+// Guards against a dispatcher that lives on the list it was started with, and against an agent on the same
+// machine whose silence outlasts the rule on drains: the word of a drain has to be obeyed in time after it,
+// too.
+TEST_F(PoolTest, APushedListIsWatchedFromTheStartAndAgainAfterSilence) {
+    settings::Site pushed = site();
+    pushed.module.askRoster = false, pushed.drainGrace = 2s;
+    Core own(pushed, 3, deadlines);
+    platform::Servers servers(own, deadlines, network);
+    platform::Watch watch(own, servers, deadlines, network, "agent:1");
+    own.addFarmSource(watch);
+    const auto answer = [&](std::size_t at, const std::string& body) {
+        network.give(at, now,
+                     "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    };
+    const auto listing = [](int index, const std::string& status) {
+        return R"({"index":)" + std::to_string(index) +
+               R"(,"snapshot":true,"endpoints":[{"name":"a","address":"a:1","zone":"z","status":")" + status +
+               R"(","weight":1.0,"since_ms":0}]})";
+    };
+    watch.begin(now, std::nullopt);  // no job has come and no list was known
+    std::size_t at = network.made.size() - 1;
+    ASSERT_EQ(network.addresses[at], "agent:1");
+    network.made[at]->opened(now);
+    EXPECT_EQ(network.take(at, now).find("GET /api/targets HTTP/1.1"), 0u);
+    answer(at, listing(7, "Ready"));
+    EXPECT_TRUE(own.accepts(own.handleOf("a")));
+    for (int calls = 0; calls < 5; ++calls) {  // an agent that answers at once is not called in a loop
+        EXPECT_EQ(network.take(at, now), "");
+        pass(50ms);
+        EXPECT_EQ(network.take(at, now).find("GET /api/targets?index=7&wait=500 "), 0u);
+        answer(at, R"({"index":7,"snapshot":false,"endpoints":[]})");
+    }
+    pass(50ms);
+    ASSERT_NE(network.take(at, now), "");
+    // Now it is silent for 6 s, and so are its connections. The news comes to it just after a call was made.
+    std::size_t calls = network.made.size();
+    pass(6s);
+    EXPECT_GE(network.made.size() - calls, 6u);
+    EXPECT_LE(network.made.size() - calls, 20u);
+    calls = network.made.size();
+    const Time told = now;
+    while (network.made.size() == calls && now < told + 3s) pass(10ms);
+    at = network.made.size() - 1;
+    network.made[at]->opened(now);
+    EXPECT_EQ(network.take(at, now).find("GET /api/targets HTTP/1.1"), 0u);  // it may count anew
+    answer(at, listing(1, "Terminating"));
+    EXPECT_FALSE(own.accepts(own.handleOf("a")));
+    EXPECT_LE(now - told, 1s);
+    EXPECT_GE(own.counters().farmLost, 6u);
+}
+
 // Guards against news that are missed when discovery moves: the new address may count its versions anew, and
 // what it has to tell counts as told within seconds, also when its first calls fail.
 TEST_F(PoolTest, TheWatchMovesAtOnceAndKeepsTheFarm) {
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -43,6 +43,24 @@
     EXPECT_EQ(peer.answer().substr(9, 3), "413");
 }
 
+// Guards against a program that waits for its first job before it asks for a list, whichever way lists come.
+TEST(Program, AsksForAListBeforeAnyJobAlsoWithoutAKnownOne) {
+    for (const char* const mode : {"ask", "push"}) {
+        boost::asio::io_context io;
+        tcp::acceptor discovery(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+        std::string text = config(kSettings, "127.0.0.1:0",
+                                  "127.0.0.1:" + std::to_string(discovery.local_endpoint().port()));
+        const std::string known = R"("known":{"index":1,"snapshot":true,"endpoints":[]},)";
+        text.erase(text.find(known), known.size());
+        text.replace(text.find(R"("discovery":"ask")"), 17, std::string(R"("discovery":")") + mode + '"');
+        Program program(text);
+        tcp::socket watch = discovery.accept();
+        std::string asked;
+        boost::asio::read_until(watch, boost::asio::dynamic_buffer(asked), "\r\n\r\n");
+        EXPECT_EQ(asked.find("GET /api/targets HTTP/1.1"), 0u) << mode;
+    }
+}
+
 // Guards against SIGHUP ending the process, and against a new file that can't be used taking the old settings
 // away.
 TEST(Program, RereadsItsFileOnSighupAndStaysUp) {
