--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -24,7 +24,7 @@
 constexpr double kFeel = 0.5;           // seconds over which it is smoothed,
 constexpr double kFeelMost = 2.5;       // and at most, where own jobs are few and one says little
 constexpr double kFullWeight = 0.05;    // weight of one more answer in the share of attempts told 'full'
-constexpr double kFilled = 0.5;         // part of a core that an own job since the last list is taken to fill
+constexpr double kFilled = 0.75;        // part of a core for each own job that came or went since the list
 constexpr double kPatience = 0.125;     // part of the goal after which an unstarted job is copied
 constexpr double kSilence = 0.3;        // seconds without any sign before a waiting job's worker is suspect
 constexpr double kColdCaution = 0.5;    // part of the cold budget that is used
@@ -466,7 +466,7 @@
         Attempt& a = r.attempts[e.attempt];
         if (!a.open) return;
         WorkerState& w = workers_[a.worker];
-        a.open = false, --r.out, --w.out, w.held -= slotsOf(r);
+        a.open = false, --r.out, --w.out, w.since -= live_, w.held -= slotsOf(r);
         if (!a.started) waitOver(a, false), --w.waiting;
         const bool ok = e.outcome == Outcome::ok, full = e.outcome == Outcome::full;
         const bool neverRan = full || e.outcome == Outcome::connectFailed || e.outcome == Outcome::moot;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -153,11 +153,16 @@
     require(s.progress.count() >= 0, "progress");
     require(s.coldFrom > 0 && s.coldFrom <= 1, "coldFrom");
     require(s.fallMultiple > 0, "fallMultiple");
+    require(s.wholeGoal >= 0, "goal.whole");
+    require(s.worstClassGoal >= 0, "goal.worstClass");
+    require(s.crossZonePrice >= 0, "prices.crossZone");
     for (const ClassSettings& c : s.classes) {
         require(c.giveUp.count() > 0, "classes.giveUp");
         require(c.goal.count() >= 0, "classes.goal");
         require(c.window.count() >= 0, "classes.window");
         require(c.worth >= 0, "classes.worth");
+        require(c.stretch >= 0, "classes.stretch");
+        require(c.lateWorth >= 0 && c.lateWorth <= 1, "classes.lateWorth");
     }
 }
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -815,6 +815,10 @@
     for (int i = 0; i < 60; ++i) d.arrive(seconds(5), 0, milliseconds(500)), sent += !d.all<Send>().empty();
     EXPECT_GE(sent, 8);
     EXPECT_LE(sent, 24);
+    for (int i = 0; i < 60; ++i) {  // one at a time: what has ended is no longer there
+        d.tell({0.9, 0.9, 0.9, 0.9});
+        for (int job = 0; job < 10; ++job) EXPECT_TRUE(d.takes(0));
+    }
 }
 
 // Guards against a class with a short wanted time that is shut out by one that can wait, and lets one that is
@@ -963,6 +967,9 @@
     EXPECT_NE(fault([](Settings& s) { s.coldFrom = 0; }).find("coldFrom"), std::string::npos);
     EXPECT_NE(fault([](Settings& s) { s.classes[0].giveUp = Nanos(0); }).find("classes.giveUp"),
               std::string::npos);
+    EXPECT_NE(fault([](Settings& s) { s.worstClassGoal = -1; }).find("goal.worstClass"), std::string::npos);
+    EXPECT_NE(fault([](Settings& s) { s.classes[0].stretch = -1; }).find("classes.stretch"),
+              std::string::npos);
     EXPECT_EQ(fault([](Settings&) {}), "accepted");
 }
 
