--- a/src/platform/watch.cpp
+++ b/src/platform/watch.cpp
@@ -26,7 +26,7 @@
 
 void Watch::begin(Time now, const std::optional<object>& list) {
     if (list)
-        take(now, *list, true);
+        known(now, *list);
     else  // Guards against a module that nobody wakes: it asks for lists from its first event on
         core_.farm(now, *this, servers_, RosterMode::stale, {});
     if (!core_.site().module.askRoster) watch(now);
