--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -191,18 +191,20 @@
 }
 
 // Guards against jobs that wait behind a big one though another worker holds less.
-TEST(Pick, SlotsHeldCountRatherThanJobs) {
-    Drive d(plainSettings());
-    d.roster({worker(0), worker(1)});
-    RequestArrived big;
-    big.id = d.next++, big.timeLeft = seconds(5), big.slots = 4;
-    d.on(big);
-    const Worker loaded = d.sentTo();
-    d.on(AttemptNote{big.id, 0, true, 0});
-    for (int i = 0; i < 3; ++i) {
-        const RequestId id = d.arrive();
-        EXPECT_NE(d.sentTo(), loaded) << i;
-        d.on(AttemptNote{id, 0, true, 0});
+TEST(Pick, SlotsAndMemoryHeldCountRatherThanJobs) {
+    for (const bool memory : {false, true}) {  // a worker has a unit of memory for each slot
+        Drive d(plainSettings());
+        d.roster({worker(0), worker(1)});
+        RequestArrived big;
+        big.id = d.next++, big.timeLeft = seconds(5), (memory ? big.memory : big.slots) = 4;
+        d.on(big);
+        const Worker loaded = d.sentTo();
+        d.on(AttemptNote{big.id, 0, true, 0});
+        for (int i = 0; i < 3; ++i) {
+            const RequestId id = d.arrive();
+            EXPECT_NE(d.sentTo(), loaded) << memory << ' ' << i;
+            d.on(AttemptNote{id, 0, true, 0});
+        }
     }
 }
 
