--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -34,7 +34,7 @@
         settings::element root;
         if (const auto error = parser.parse(text).get(root); error != simdjson::SUCCESS)
             throw BadField(std::string("the file: is not valid JSON: ") + simdjson::error_message(error));
-        const auto from = Node(root, "").table({"gearman", "consul", "grpc", "log"});
+        const auto from = Node(root, "").table({"gearman", "consul", "grpc", "log", "start"});
         Operator out;
         if (const Node* const section = from.find("gearman"))
             out.gearman = gearman::readConfig(*section, site), needAddress(*section, "listen");
@@ -51,6 +51,7 @@
             out.log.trace = log.flag("trace", false);
             out.log.linesPerSecond = log.integer("lines_per_s", std::uint32_t{200}, 1, 100'000);
         }
+        if (const Node* const section = from.find("start")) out.start = start::readPace(*section);
         return out;
     } catch (const BadField& bad) {
         throw BadField(path + ": " + bad.what());
--- a/src/config/operator.hpp
+++ b/src/config/operator.hpp
@@ -5,6 +5,7 @@
 #include "gearman/config.hpp"
 #include "grpc/config.hpp"
 #include "platform/consul.hpp"
+#include "start/turns.hpp"
 
 namespace amberswitch::config {
 
@@ -19,6 +20,7 @@
     gearman::Config gearman;
     platform::ConsulConfig consul;
     grpc::Config grpc;
+    start::Pace start;
 };
 
 // Throws settings::BadField with one line: the file, the path in it and the reason.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,6 +12,7 @@
 #include "net/loop.hpp"
 #include "platform/front.hpp"
 #include "report.hpp"
+#include "start/gate.hpp"
 #include "takeover/takeover.hpp"
 
 using namespace amberswitch;
@@ -61,8 +62,16 @@
     core.trace()(loop.now(), "begin me=%u fleet=%u zone=%d known=%d", config.site.module.me,
                  config.site.module.fleetSize, config.site.module.zone, config.known ? 1 : 0);
     platform::Servers servers(core, loop.deadlines(), wiring);
-    platform::Watch watch(core, servers, loop.deadlines(), wiring, config.discovery);
+    platform::Watch watch(core, servers, loop.deadlines(), wiring, config.discovery, own.start, config.seed);
     service::Service service;
+    using start::Gate;
+    const bool others = speaksGrpc || !own.gearman.listen.empty() || !own.consul.address.empty();
+    Gate gate(loop.deadlines(),
+              others         ? Gate::Has::otherSource
+              : config.known ? Gate::Has::oldList
+                             : Gate::Has::nothing,
+              own.start.waitForList, [&service](Time now) { service.begin(now); });
+    watch.setFirst([&gate](Time now) { gate.listed(now); });
     platform::Front front(core, servers, loop.deadlines(), service);
     core.addFarmSource(watch);
     front.setRoom(config.memoryMb * 1024 * 1024 / 4);
@@ -72,7 +81,7 @@
     constexpr std::size_t kOwn = 24;
     const bool controlled = !config.control.empty();
     control::Control control(
-        loop.deadlines(), service, [&core] { return figures(core); },
+        loop.deadlines(), service, [&] { return figures(core) + report(gate, loop.now()); },
         control::Control::placesOf(config.sockets));
     // Operators' callers have places of their own, one more for the one that comes, and the listener.
     const std::size_t kept = controlled ? control.places() + 2 : 0;
@@ -127,7 +136,7 @@
                  say(std::string("the old process's list can't be used: ") + bad.what());
              }
              front.claimElsewhere(now, ids);
-             watch.watch(now);
+             watch.hasten(now);
          },
          [&](Time, bool yes) { yes ? listener.resume() : listener.pause(); },
          [&](Time) {
@@ -235,7 +244,7 @@
                      controlListener->address().address().to_string().c_str(),
                      controlListener->address().port());
     if (!config.acceptFd)
-        service.begin(loop.now());
+        gate.begin(loop.now());
     else
         meet(loop, takeover, config.meeting);
     service.listen([&](Time now, service::Standing) {
--- a/src/platform/consul.hpp
+++ b/src/platform/consul.hpp
@@ -35,7 +35,7 @@
     std::string target() const override;
     std::string headers() const override;
     bool take(Time now, const http::Message& message) override;
-    void forgotten() override { index_ = 0, lost_ = true; }
+    void forgotten(bool) override { index_ = 0, lost_ = true; }
     bool readInstance(const settings::object& from, consul::Instance& out) const;
     void tell(Time now, const consul::View::Changes& changes,
               heronmount::RosterMode mode = heronmount::RosterMode::changes);
--- a/src/platform/long_poll.cpp
+++ b/src/platform/long_poll.cpp
@@ -12,7 +12,11 @@
         const auto self = shared_from_this();
         if (owner_.connection_ != self) return;
         owner_.connection_ = nullptr;
-        if (owner_.running_ && owner_.due_.armed()) owner_.lost(now);
+        // Guards against a connection that ends while the next turn is waited for being taken for a call that
+        // failed: there was none.
+        const bool paced = owner_.pace_.gap.count() > 0;
+        if (owner_.running_ && owner_.due_.armed() && (owner_.out_ || paced))
+            owner_.lost(now, start::Loss::refused);
     }
 
     LongPoll& owner_;
@@ -33,11 +37,21 @@
     ask(now);
 }
 
+void LongPoll::begin(Time at) {
+    if (std::exchange(running_, true)) return;
+    due_.arm(deadlines_, at, [this](Time then) { ask(then); });
+}
+
+void LongPoll::hasten(Time now) {
+    running_ = true;
+    if (!out_) ask(now);
+}
+
 void LongPoll::move(Time now, std::string address) {
     if (address == address_) return;
     address_ = std::move(address);
     hurryUntil_ = now + kHurry;
-    forgotten();
+    forgotten(true);
     if (const auto old = std::exchange(connection_, nullptr)) old->close(now, End::withdrawn);
     running_ = true;
     ask(now);
@@ -45,8 +59,9 @@
 
 void LongPoll::ask(Time now) {
     ++calls_;
-    due_.arm(deadlines_, now + (waits() ? pace_.wait : Nanos(0)) + pace_.grace,
-             [this](Time at) { lost(at); });
+    asked_ = now, out_ = true;
+    due_.arm(deadlines_, now + (waits() ? pace_.wait : Nanos(0)) + grace(),
+             [this](Time at) { lost(at, start::Loss::silent); });
     const bool fresh = !connection_ || connection_->state() != http::Client::State::idle;
     if (fresh) connection_ = std::make_shared<Connection>(*this);
     const auto connection = connection_;
@@ -56,19 +71,37 @@
 
 void LongPoll::answered(Time now, const http::Message& message) {
     due_.disarm();
-    if (message.status != 200 || !take(now, message)) return lost(now);
+    out_ = false;
+    const bool waited = waits();
+    if (message.status != 200 || !take(now, message)) {
+        Time notBefore{0};
+        if (const std::string* const wait = message.header("retry-after"))
+            if (const auto seconds = http::decimalNumber(*wait))
+                notBefore = now + Nanos(static_cast<std::int64_t>(1e9 * std::min(*seconds, kMostAdvice)));
+        return lost(now, start::Loss::busy, notBefore);
+    }
+    const auto turn = replied(now, now - asked_, waited);
     if (!running_) return;
+    if (turn) return due_.arm(deadlines_, *turn, [this](Time at) { ask(at); });
     // Where a gap would end the watch, the next call follows at once.
     if (pace_.gap.count() == 0) return ask(now);
     due_.arm(deadlines_, now + pace_.gap, [this](Time at) { ask(at); });
 }
 
 // The old list still holds; where a call has its price, the module says when to ask again.
-void LongPoll::lost(Time now) {
+void LongPoll::lost(Time now, start::Loss how, Time notBefore) {
     due_.disarm();
-    if (const auto connection = std::exchange(connection_, nullptr)) connection->close(now, End::timedOut);
-    forgotten();
+    out_ = false;
+    // A service that is busy is spared a new connection.
+    if (how != start::Loss::busy || !connection_ || connection_->state() != http::Client::State::idle)
+        if (const auto connection = std::exchange(connection_, nullptr))
+            connection->close(now, End::timedOut);
+    forgotten(false);
     if (now < hurryUntil_) return due_.arm(deadlines_, now + kHurryGap, [this](Time at) { ask(at); });
+    if (const auto turn = nextTurn(now, how, notBefore)) {
+        core_.farmLost(now, false);
+        return due_.arm(deadlines_, *turn, [this](Time at) { ask(at); });
+    }
     core_.farmLost(now, pace_.again.count() == 0);
     if (pace_.again.count() > 0) return due_.arm(deadlines_, now + pace_.again, [this](Time at) { ask(at); });
     running_ = false;
--- a/src/platform/long_poll.hpp
+++ b/src/platform/long_poll.hpp
@@ -6,12 +6,14 @@
 
 #include "core/core.hpp"
 #include "http/client.hpp"
+#include "start/turns.hpp"
 
 namespace amberswitch::platform {
 
 class LongPoll : public FarmSource {
 public:
     void watch(Time now) override;  // unless it runs already
+    void hasten(Time now);          // it does not wait for its turn
     // How calls follow one another.
     struct Pace {
         Nanos wait{0};   // how long a call may wait there
@@ -34,8 +36,16 @@
     virtual std::string target() const = 0;  // path and query of the next call
     virtual std::string headers() const { return {}; }
     virtual bool take(Time now, const http::Message& message) = 0;  // false: it can't be used
-    virtual void forgotten() {}                  // the watch is lost: the next call starts a new one
+    // The watch is lost, or its source is at another address: where it begins anew, it does from here.
+    virtual void forgotten(bool /* moved */) {}
     virtual bool waits() const { return true; }  // the next call may wait there
+    // A call failed: when the next is to come, where that is not the pace's or the module's to say.
+    virtual std::optional<Time> nextTurn(Time, start::Loss, Time /* notBefore */) { return std::nullopt; }
+    // A call was answered with a list. When the next is to come, if not by the pace.
+    virtual std::optional<Time> replied(Time, Nanos /* took */, bool /* waited */) { return std::nullopt; }
+    virtual Nanos grace() const { return pace_.grace; }  // of the next call
+
+    void begin(Time at);  // the watch runs from now on; its first call is then
 
     static constexpr Nanos kGrace = std::chrono::seconds(2);
     const Pace& pace() const { return pace_; }
@@ -44,13 +54,15 @@
 private:
     class Connection;
     static constexpr std::size_t kMostList = 4 * 1024 * 1024;
+    static constexpr double kMostAdvice =
+        60;  // seconds; a service that says more is asked by then all the same
     // After a move what is new counts as told within seconds: failed calls are repeated sooner than the
     // module asks.
     static constexpr Nanos kHurry = std::chrono::seconds(4), kHurryGap = std::chrono::milliseconds(250);
 
     void ask(Time now);
     void answered(Time now, const http::Message& message);
-    void lost(Time now);
+    void lost(Time now, start::Loss how, Time notBefore = Time(0));
 
     Deadlines& deadlines_;
     wire::Connector& connector_;
@@ -60,7 +72,9 @@
     Deadlines::Ticket due_;
     Time hurryUntil_{0};
     std::size_t calls_ = 0;
+    Time asked_{0};
     bool running_ = false;
+    bool out_ = false;  // a call is
 };
 
 }  // namespace amberswitch::platform
--- a/src/platform/watch.cpp
+++ b/src/platform/watch.cpp
@@ -21,15 +21,40 @@
 }
 
 Watch::Watch(Core& core, Servers& servers, Deadlines& deadlines, wire::Connector& connector,
-             std::string address)
-    : LongPoll(core, deadlines, connector, std::move(address), paceOf(core.site())), servers_(servers) {}
+             std::string address, const start::Pace& pace, std::uint64_t seed)
+    : LongPoll(core, deadlines, connector, std::move(address), paceOf(core.site())), servers_(servers) {
+    const heronmount::Settings& site = core.site().module;
+    // What is new counts as told after askWithin, whether it was asked for or not: with a list in hand two
+    // turns come in that time, without one all but one.
+    if (site.askRoster)
+        turns_.emplace(
+            start::Turns::Terms{site.fleetSize, site.me, pace, site.askWithin / 2, site.askWithin / 40 * 39},
+            seed);
+}
 
 void Watch::begin(Time now, const std::optional<object>& list) {
     if (list)
         known(now, *list);
     else  // Guards against a module that nobody wakes: it asks for lists from its first event on
         core_.farm(now, *this, servers_, RosterMode::stale, {});
-    if (!core_.site().module.askRoster) watch(now);
+    turns_ ? LongPoll::begin(turns_->first(now, list.has_value())) : watch(now);
+}
+
+std::optional<Time> Watch::nextTurn(Time now, start::Loss how, Time notBefore) {
+    if (!turns_) return std::nullopt;
+    return turns_->after(now, how, notBefore);
+}
+
+std::optional<Time> Watch::replied(Time now, Nanos took, bool waited) {
+    if (turns_ && waited) turns_->heard();
+    if (!turns_ || waited) return std::nullopt;
+    turns_->answered(took);
+    return turns_->later(now);
+}
+
+// Others may stand before a call for a whole list.
+Nanos Watch::grace() const {
+    return turns_ && !waits() ? turns_->patience() : pace().grace;
 }
 
 void Watch::known(Time now, const object& list) {
@@ -64,8 +89,8 @@
     }
 }
 
-// Guards against a discovery that counts anew, at a new address or after it was down: the version of the old
-// one might never be reached there.
+// A watch that was lost goes on from its version. Guards against an agent that counts anew after it was down,
+// or a discovery at a new address: the version of the old one might never be reached there.
 std::string Watch::target() const {
     if (!version_) return "/api/targets";
     return "/api/targets?index=" + std::to_string(*version_) + "&wait=" + std::to_string(pace().wait / 1ms);
@@ -75,10 +100,16 @@
     object list;
     if (json_.parse(message.body).get(list) != simdjson::SUCCESS) return false;
     try {
+        // It counts anew, and these are changes of something else: the whole list is wanted, in its turn.
+        if (turns_ && version_ && !flag(list, "snapshot", false) && integer(list, "index") < *version_) {
+            version_.reset();
+            return false;
+        }
         take(now, list, false);
     } catch (const BadField&) {
         return false;
     }
+    if (const auto first = std::exchange(first_, nullptr)) first(now);
     return true;
 }
 
--- a/src/report.cpp
+++ b/src/report.cpp
@@ -36,6 +36,13 @@
     return out;
 }
 
+std::string report(const start::Gate& gate, Time now) {
+    if (!gate.waits()) return {};
+    return std::string("router.start.waits_for=") + gate.waitsFor() +
+           "\nrouter.start.waits_ms=" + std::to_string((now - gate.since()) / std::chrono::milliseconds(1)) +
+           '\n';
+}
+
 std::string report(const Core& core, const platform::Servers& servers, const platform::Watch& watch,
                    const platform::Front& front, const gearman::Front& gearman,
                    const config::Reload& reload) {
@@ -64,6 +71,9 @@
     line("farm.updates", c.farmUpdates);
     line("farm.lost", c.farmLost);
     line("farm.calls", watch.calls());
+    if (watch.turns())
+        line("farm.round_ms",
+             static_cast<std::uint64_t>(watch.turns()->round() / std::chrono::milliseconds(1)));
     line("reloads.done", reload.counters().done);
     line("reloads.refused", reload.counters().refused);
     const auto& s = servers.counters();
--- a/src/report.hpp
+++ b/src/report.hpp
@@ -11,6 +11,7 @@
 #include "platform/consul.hpp"
 #include "platform/front.hpp"
 #include "platform/watch.hpp"
+#include "start/gate.hpp"
 #include "takeover/takeover.hpp"
 
 namespace amberswitch {
@@ -21,6 +22,8 @@
 std::string report(const Core& core, const platform::Servers& servers, const platform::Watch& watch,
                    const platform::Front& front, const gearman::Front& gearman, const config::Reload& reload);
 
+// What the start waits for and since when, on the operators' address; nothing once it is over.
+std::string report(const start::Gate& gate, Time now);
 std::string report(const control::Control& control);  // where operators have an address
 std::string report(const takeover::Takeover& takeover);
 std::string report(const platform::Consul& consul);                          // where Consul is on
--- /dev/null
+++ b/src/start/gate.cpp
@@ -0,0 +1,25 @@
+#include "start/gate.hpp"
+
+namespace amberswitch::start {
+
+Gate::Gate(Deadlines& deadlines, Has has, Nanos mostWait, Open open)
+    : deadlines_(deadlines), has_(has), mostWait_(mostWait), open_(std::move(open)) {}
+
+void Gate::begin(Time now) {
+    begun_ = true, since_ = now;
+    if (listed_ || has_ == Has::otherSource || (has_ == Has::oldList && mostWait_.count() == 0))
+        return open(now);
+    if (has_ == Has::oldList) due_.arm(deadlines_, now + mostWait_, [this](Time at) { open(at); });
+}
+
+void Gate::listed(Time now) {
+    listed_ = true;
+    if (begun_) open(now);
+}
+
+void Gate::open(Time now) {
+    due_.disarm();
+    if (!std::exchange(opened_, true)) open_(now);
+}
+
+}  // namespace amberswitch::start
--- /dev/null
+++ b/src/start/turns.cpp
@@ -0,0 +1,87 @@
+#include "start/turns.hpp"
+
+#include <algorithm>
+
+namespace amberswitch::start {
+
+using namespace std::chrono_literals;
+
+Pace readPace(const settings::Node& section) {
+    const auto from = section.table({"list_calls_per_s", "longest_round_ms", "wait_for_list_ms"});
+    Pace out;
+    out.callsPerSecond = from.number("list_calls_per_s", out.callsPerSecond, 0.1, 100'000);
+    out.longest = from.milliseconds("longest_round_ms", out.longest, 0, 600'000);
+    out.waitForList = from.milliseconds("wait_for_list_ms", out.waitForList, 0, 600'000);
+    return out;
+}
+
+Turns::Turns(const Terms& terms, std::uint64_t seed)
+    : terms_(terms),
+      first_(static_cast<std::int64_t>(1e9 / terms.pace.callsPerSecond)),
+      each_(first_),
+      state_(seed) {
+    // Guards against settings that say nothing of it.
+    terms_.longest = std::max(terms_.longest, kAlone);
+    terms_.longestWithout = std::max(terms_.longestWithout, kAlone);
+    if (terms_.pace.longest.count() > 0) terms_.longest = terms_.longestWithout = terms_.pace.longest;
+}
+
+double Turns::draw() {  // splitmix64
+    std::uint64_t z = state_ += 0x9e3779b97f4a7c15u;
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
+    return static_cast<double>((z ^ (z >> 31)) >> 11) * 0x1p-53;
+}
+
+// In steps of two: dispatchers whose beliefs differ a little have the same round.
+Nanos Turns::round() const {
+    Nanos each = first_;
+    while (each < each_) each *= 2;
+    while (each / 2 >= each_) each /= 2;
+    return std::clamp<Nanos>(each * terms_.fleet, 1ms, longest());
+}
+
+Nanos Turns::patience() const {
+    return std::clamp<Nanos>(round(), 2s, 6s);
+}
+
+Time Turns::next(Time from, Nanos round) {
+    const Nanos slot = std::max<Nanos>(round / terms_.fleet, 1ns);
+    const Nanos mine = slot * terms_.me;
+    Time at = from - from % round + mine +
+              Nanos(static_cast<std::int64_t>(draw() * static_cast<double>(slot.count())));
+    while (at < from) at += round;
+    return last_ = at;
+}
+
+Time Turns::first(Time now, bool listed) {
+    listed_ = listed;
+    return next(now, round());
+}
+
+Time Turns::later(Time now) {
+    const Nanos round = this->round();  // before there was a list
+    listed_ = true;
+    return next(std::max(now, last_ + round / 2), round);
+}
+
+Time Turns::after(Time now, Loss how, Time notBefore) {
+    ++failed_;
+    if (how == Loss::busy) each_ = std::min(each_ * 2, kMost);
+    Nanos round = this->round();
+    // Guards against a few dispatchers that call a service which is away many times a second: their round
+    // doubles with each call that fails, up to a second.
+    const Nanos most = std::min(std::max(round, kAlone), longest());
+    for (unsigned i = 1; i < failed_ && round < most; ++i) round = std::min(round * 2, most);
+    // Guards against a turn that was used coming again: one call a round.
+    return next(std::max({now, notBefore, last_ + round / 2}), round);
+}
+
+void Turns::answered(Nanos took) {
+    failed_ = 0;
+    // Downwards by a step of the first belief, and no further than what was seen.
+    const Nanos seen = std::max(took + took / 4, kLeast);
+    each_ = seen < each_ ? std::max(seen, each_ / 4) : std::max(each_ - first_ / 4, std::min(seen, first_));
+}
+
+}  // namespace amberswitch::start
