--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -101,7 +101,7 @@
     ::posix_spawn_file_actions_destroy(&actions);
     if (failed)
         node.pid = -1, world_.books.wrong(now, "n" + std::to_string(dispatcher) + " can't be started");
-    node.ours = false;
+    node.ours = false, ++node.starts;
 }
 
 void Fleet::signal(int dispatcher, int number) {
--- a/lab/fleet.hpp
+++ b/lab/fleet.hpp
@@ -23,6 +23,7 @@
     }
     void start(Time now, int dispatcher, bool emptied = false);
     void signal(int dispatcher, int number);
+    std::size_t starts(int dispatcher) const { return nodes_[static_cast<std::size_t>(dispatcher)].starts; }
     bool running(int dispatcher) const { return nodes_[static_cast<std::size_t>(dispatcher)].pid > 0; }
     void reap(Time now);  // after SIGCHLD
     void measure();       // descriptors and memory of all
@@ -36,6 +37,7 @@
 private:
     struct Node {
         pid_t pid = -1;
+        std::size_t starts = 0;
         bool ours = false;  // its end was ordered here
         net::tcp::endpoint listen;
         std::string folder;
--- a/lab/lists.cpp
+++ b/lab/lists.cpp
@@ -10,7 +10,8 @@
     : world_(world),
       addressOf_(std::move(addressOf)),
       entries_(world.script.servers.count),
-      callsOf_(world.script.dispatchers) {
+      callsOf_(world.script.dispatchers),
+      pace_(world.script.list.callsPerSecond) {
     for (std::size_t d = 0; d < world.script.dispatchers; ++d) {
         const int dispatcher = static_cast<int>(d);
         listeners_.push_back(world_.listen(world_.path(dispatcher, Side::list), [this, dispatcher](Time now) {
@@ -111,7 +112,7 @@
 void Lists::work(Time now) {
     if (working_ || stalled_ || queue_.empty()) return;
     working_ = true;
-    const Nanos takes(static_cast<std::int64_t>(1e9 / world_.script.list.callsPerSecond));
+    const Nanos takes(static_cast<std::int64_t>(1e9 / pace_));
     world_.deadlines().once(now + takes, [this](Time at) {
         working_ = false;
         if (stalled_ || queue_.empty()) return;
--- a/lab/lists.hpp
+++ b/lab/lists.hpp
@@ -25,8 +25,9 @@
     void down(Time now, bool yes);
     void busy(double share) { busy_ = share; }  // answers 503 to so many at once
     void stall(Time now, bool yes);             // takes calls and answers none
-    void anew(Time now);                        // starts again and counts from 1
-    void old(bool yes);                         // whole lists are as they were now
+    void pace(double callsPerSecond) { pace_ = callsPerSecond; }
+    void anew(Time now);  // starts again and counts from 1
+    void old(bool yes);   // whole lists are as they were now
     std::size_t calls() const { return calls_; }
     std::size_t callsOf(int dispatcher) const { return callsOf_[static_cast<std::size_t>(dispatcher)]; }
     void onCall(std::function<void(Time)> hear) { heard_ = std::move(hear); }
@@ -64,7 +65,7 @@
     std::vector<std::size_t> callsOf_;
     std::size_t calls_ = 0;
     bool working_ = false, down_ = false, stalled_ = false, old_ = false;
-    double busy_ = 0;
+    double busy_ = 0, pace_;
     std::function<void(Time)> heard_;
 };
 
--- a/lab/rig.cpp
+++ b/lab/rig.cpp
@@ -32,6 +32,8 @@
     fleet_->ended = [this](Time now, int dispatcher, bool ours) {
         log_->info("{{\"at\":{:.3f},\"event\":\"ended\",\"of\":{},\"ours\":{}}}",
                    world_.books.sinceBegin(now), dispatcher, ours);
+        clients_->gone(dispatcher);
+        if (returning_.erase(dispatcher)) startOne(now, dispatcher, true);
     };
     loop_.onSignal(SIGCHLD, [this](Time now) { fleet_->reap(now); });
 }
@@ -134,16 +136,19 @@
     if (act == "list_busy") return lists_->busy(on ? std::max(fault.share, fault.amount) : 0);
     if (act == "list_stall") return lists_->stall(now, on);
     if (act == "list_anew") return on ? lists_->anew(now) : void();
+    if (act == "list_pace")
+        return lists_->pace(on ? std::max(0.1, fault.amount) : script_.list.callsPerSecond);
     if (act == "list_old") return lists_->old(on);
     if (act == "burst") return clients_->burst(on ? std::max(0.01, fault.amount) : 1);
     std::size_t place = 0;
     for (const int one : whom) {
         const Time from = now - script_.clients.giveUp;
-        if (act == "kill" || act == "term") {
+        if (act == "kill" || act == "term" || act == "roll") {
             if (!on) {
-                startOne(now, one, act == "kill");
+                if (act != "roll") startOne(now, one, act == "kill");
                 continue;
             }
+            if (act == "roll") returning_.insert(one);
             if (act == "kill") world_.books.excuse(one, from, now + 1s + script_.clients.giveUp);
             // A roll: one after the other, `amount` milliseconds apart.
             const Time due =
@@ -153,9 +158,12 @@
             world_.deadlines().once(due, [this, one, number](Time) { fleet_->signal(one, number); });
             world_.deadlines().once(due + (number == SIGKILL ? 1s : 100ms),
                                     [this, one](Time) { clients_->gone(one); });
+            // Of this run of it alone.
             if (number == SIGTERM)
                 world_.deadlines().once(due + script_.clients.giveUp + 700ms,
-                                        [this, one](Time) { fleet_->signal(one, SIGKILL); });
+                                        [this, one, run = fleet_->starts(one)](Time) {
+                                            if (fleet_->starts(one) == run) fleet_->signal(one, SIGKILL);
+                                        });
         } else if (act == "start") {
             if (on) startOne(now, one, true);
         } else if (act == "stop") {
@@ -266,6 +274,7 @@
     atMost("share of list calls turned away", out.turnedAway, expect.turnedAway);
     atMost("list calls in a second, of the pace", out.overPace, expect.overPace);
     atMost("whole lists after the first fault", static_cast<double>(out.wholeAfter), expect.wholeAfter);
+    atMost("connections over the limit", static_cast<double>(books.sum(Count::overLimit)), expect.overLimit);
     const double bound = std::chrono::duration<double>(expect.ready).count();
     if (expect.ready.count() >= 0)
         atMost("seconds until all were ready", out.ready < 0 ? 1e9 : out.ready, bound);
--- a/lab/rig.hpp
+++ b/lab/rig.hpp
@@ -68,6 +68,7 @@
     std::unique_ptr<Clients> clients_;
     std::vector<State> states_;
     std::vector<Mark> marks_;
+    std::set<int> returning_;  // of a roll: started again once they have ended
     std::optional<Time> firstFault_;
     std::uint64_t wholeBefore_ = 0;
     bool looking_ = false, ending_ = false;
--- a/lab/script.cpp
+++ b/lab/script.cpp
@@ -69,9 +69,10 @@
 Fault readFault(const Node& node, const Script& script) {
     const auto from = node.table({"name", "do", "when", "for_ms", "share", "whom", "side", "way", "amount"});
     const std::vector<std::string> acts{
-        "kill",     "stop",        "term",         "start",        "cut",       "delay",      "throttle",
-        "split",    "reset",       "refuse",       "list_down",    "list_busy", "list_stall", "list_anew",
-        "list_old", "server_kill", "server_stall", "server_error", "drain",     "burst"};
+        "kill",         "stop",         "term",      "roll",      "start",    "cut",
+        "delay",        "throttle",     "split",     "reset",     "refuse",   "list_down",
+        "list_busy",    "list_stall",   "list_anew", "list_pace", "list_old", "server_kill",
+        "server_stall", "server_error", "drain",     "burst"};
     Fault out;
     from.need("do").place(acts, "act");
     out.act = from.need("do").text();
@@ -96,7 +97,7 @@
 
 Expect readExpect(const Node& node) {
     const auto from = node.table({"whole_lists_each", "turned_away", "over_pace", "ready_ms", "served_share",
-                                  "whole_lists_after", "falls"});
+                                  "whole_lists_after", "over_limit"});
     Expect out;
     out.wholeLists = from.number("whole_lists_each", -1, 0, 1000);
     out.turnedAway = from.number("turned_away", -1, 0, 1);
@@ -104,7 +105,7 @@
     out.ready = from.milliseconds("ready_ms", out.ready, 1, kMostMs);
     out.servedShare = from.number("served_share", -1, 0, 1);
     out.wholeAfter = from.number("whole_lists_after", -1, 0, 1e6);
-    out.falls = from.integer("falls", out.falls, 0, 1000);
+    out.overLimit = from.number("over_limit", -1, 0, 1e6);
     return out;
 }
 
--- a/lab/script.hpp
+++ b/lab/script.hpp
@@ -58,7 +58,7 @@
     Nanos ready{-1};          // until all have said yes once
     double servedShare = -1;  // least, of the jobs of the last three seconds
     double wholeAfter = -1;   // whole lists asked for once the first fault has set in
-    std::size_t falls = 0;    // cold servers pushed over
+    double overLimit = -1;    // connections that job servers had no place for
 };
 
 struct Script {
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -555,13 +555,13 @@
 
     // Guards against pushing a cold worker over. A span's budget is the multiple of its present part of what
     // a warm peer of its weight gets from this scheduler (answered work, so that overload does not swell it).
-    // Where that is below one job, schedulers take turns: in each span the seats around a number that all
-    // know are due, as many as the worker can bear jobs, more where a turn may well meet no job; a fraction
-    // of a job is a turn every few spans. A turn is due at once: ages of so few sends say nothing.
+    // Below one job, schedulers take turns: in each span the seats around a number that all know are due, as
+    // many as the worker can bear jobs, more where a turn may well meet none; a fraction is a turn every few
+    // spans. It is due at once: ages of so few sends say nothing. Where all are cold, one job a span begins.
     void warm() {
-        present_ = capacity_;
+        present_ = capacity_ + 1e-6;
         for (const Cold& c : cold_) present_ -= (1 - ramp(workers_[c.worker])) * capacity(workers_[c.worker]);
-        present_ = std::max(present_, 1e-9);
+        const double least = cold_.size() == active_.size() ? 1.0 / s_.fleetSize : 0;
         const double fair = std::min(lambda_ / present_, perSecond(served_)) * seconds(s_.overloadFor);
         const double used = 1 - std::exp(-lambda_ * seconds(s_.overloadFor));  // chance of a job in a span
         int still = 0;
@@ -573,7 +573,7 @@
             if (part > 1.1 * c.priced) c.priced = part, price(c.worker);
             const std::int64_t span = (now_ - w.entry.since) / s_.overloadFor;
             if (span != c.span) c.span = span, c.sent = 0;
-            c.share = kColdCaution * s_.fallMultiple * part * fair * capacity(w);
+            c.share = std::max(least, kColdCaution * s_.fallMultiple * part * fair * capacity(w));
             const auto first = static_cast<std::uint64_t>(
                 Random{w.entry.id + static_cast<std::uint64_t>(span)}.next() * s_.fleetSize);
             const double later = Random{w.entry.id}.next() + 0.618034 * static_cast<double>(span);
--- a/src/start/turns.cpp
+++ b/src/start/turns.cpp
@@ -42,7 +42,7 @@
 }
 
 Nanos Turns::patience() const {
-    return std::clamp<Nanos>(round(), 2s, 6s);
+    return std::min<Nanos>(std::clamp<Nanos>(round(), 2s, 6s) * (1 << std::min(silent_, 2u)), 8s);
 }
 
 Time Turns::next(Time from, Nanos round) {
@@ -67,7 +67,8 @@
 
 Time Turns::after(Time now, Loss how, Time notBefore) {
     ++failed_;
-    if (how == Loss::busy) each_ = std::min(each_ * 2, kMost);
+    if (how == Loss::busy) each_ = std::min<Nanos>(each_ * 2, first_ * kSlowest);
+    silent_ = how == Loss::silent ? silent_ + 1 : 0;
     Nanos round = this->round();
     // Guards against a few dispatchers that call a service which is away many times a second: their round
     // doubles with each call that fails, up to a second.
@@ -78,7 +79,7 @@
 }
 
 void Turns::answered(Nanos took) {
-    failed_ = 0;
+    heard();
     // Downwards by a step of the first belief, and no further than what was seen.
     const Nanos seen = std::max(took + took / 4, kLeast);
     each_ = seen < each_ ? std::max(seen, each_ / 4) : std::max(each_ - first_ / 4, std::min(seen, first_));
--- a/src/start/turns.hpp
+++ b/src/start/turns.hpp
@@ -46,13 +46,16 @@
     Time after(Time now, Loss how, Time notBefore);
     // A call that needed no wait there was answered after so long. It says what a call takes at the most.
     void answered(Nanos took);
-    void heard() { failed_ = 0; }  // a call that waited there was answered
+    void heard() { failed_ = silent_ = 0; }  // a call that waited there was answered
 
-    Nanos round() const;     // how long a round is now
-    Nanos patience() const;  // with a call that is to be answered at once: others may stand before it
+    Nanos round() const;  // how long a round is now
+    // With a call that is to be answered at once: others may stand before it. Longer after each that was in
+    // vain, as a service that is behind works through calls that nobody waits for any more.
+    Nanos patience() const;
 
 private:
-    static constexpr Nanos kLeast = std::chrono::milliseconds(2), kMost = std::chrono::seconds(1);
+    static constexpr Nanos kLeast = std::chrono::milliseconds(2);
+    static constexpr int kSlowest = 4;  // of the first belief: where that is not enough the service says when
     static constexpr Nanos kAlone = std::chrono::seconds(1);  // a small fleet's failed calls, in the end
     Nanos longest() const { return listed_ ? terms_.longest : terms_.longestWithout; }
     Time next(Time from, Nanos round);
@@ -61,8 +64,8 @@
     Terms terms_;
     Nanos first_, each_;  // what a call is believed to take: in the beginning, and now
     bool listed_ = false;
-    unsigned failed_ = 0;  // calls in a row
-    Time last_{-1};        // the turn that was given last
+    unsigned failed_ = 0, silent_ = 0;  // calls in a row
+    Time last_{-1};                     // the turn that was given last
     std::uint64_t state_;
 };
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -681,6 +681,35 @@
     EXPECT_LE(together, static_cast<int>(2.5 * 0.28 * 5 * 2));  // the tier's budget for its first 2 s
 }
 
+// Where all start together nothing was answered yet that could say what they bear: a job each, by all
+// schedulers together, and more as it is answered. Guards against a tier that serves nobody until all are
+// warm.
+TEST(Cold, WhereAllAreColdAFirstJobEachBegins) {
+    constexpr std::uint32_t kFleet = 10;
+    int first = 0, last = 0;
+    for (std::uint32_t me = 0; me < kFleet; ++me) {
+        Drive d(coldSettings(kFleet, me), 100 + me);
+        std::vector<RosterEntry> all;
+        for (Worker w = 0; w < 5; ++w) all.push_back(worker(w)), all.back().since = d.now - milliseconds(1);
+        d.roster(all);
+        for (int i = 0; i < 100; ++i) {  // ten a second
+            const RequestId id = d.arrive();
+            const bool sent = !d.all<Send>().empty();
+            if (sent) d.on(AttemptNote{id, 0, true, 0});
+            d.now += milliseconds(100);
+            if (sent)
+                d.end(id, Outcome::ok);
+            else
+                d.on(ClientLeft{id});
+            first += sent && i < 3, last += sent && i >= 80;
+        }
+    }
+    EXPECT_GE(first, 1);
+    EXPECT_LE(first,
+              30);  // a job each by turns, if only one scheduler in five had a job: nothing is known yet
+    EXPECT_GE(last, 150);  // of 200
+}
+
 TEST(Cold, ARestartUnderTheSameIdIsColdAgain) {
     Drive d(coldSettings(1, 0));
     d.roster({worker(0), worker(1)});
