--- a/src/start/turns.cpp
+++ b/src/start/turns.cpp
@@ -56,7 +56,9 @@
 
 Time Turns::first(Time now, bool listed) {
     listed_ = listed;
-    return next(now, round());
+    // Guards against old lists that are believed for long: what changed since is heard in this turn.
+    const Nanos most = terms_.pace.longest.count() > 0 ? longest() : longest() * 2 / 3;
+    return next(now, listed ? std::min(round(), most) : round());
 }
 
 Time Turns::later(Time now) {
