Keep the last list in a file where the operator names one

The file of Consul's view becomes src/store: mark, sum, site, time, body, written beside its place and renamed. A start without known begins with the kept list; off, as shipped, no file, thread or descriptor is there for it (a test counts them).

--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -70,7 +70,10 @@
         << ",\"limits\":{\"sockets\":1024,\"memory_mb\":64},"
         << (told.known.empty() ? "" : "\"known\":" + told.known + ",")
         << "\"settings\":" << settings(dispatcher) << "}\n";
-    std::ofstream(node.folder + "/operator.json") << world_.script.own << '\n';
+    std::string own = world_.script.own;  // FOLDER in it is the process's own
+    for (std::size_t at = 0; (at = own.find("FOLDER", at)) != std::string::npos;)
+        own.replace(at, 6, node.folder);
+    std::ofstream(node.folder + "/operator.json") << own << '\n';
 }
 
 void Fleet::start(Time now, int dispatcher, bool emptied) {
--- a/src/consul/keep.cpp
+++ b/src/consul/keep.cpp
@@ -1,30 +1,18 @@
 #include "consul/keep.hpp"
 
-#include <fcntl.h>
-#include <unistd.h>
-#include <xxhash.h>
-
-#include <cerrno>
-#include <cstdio>
-#include <cstring>
-#include <fstream>
-
 #include "state.pb.h"
 
 namespace amberswitch::consul {
 
 namespace {
 
-constexpr std::string_view kMark = "ASWVIEW1";
-constexpr std::size_t kHead = 16;
+using Scopes = std::map<View::Scope, std::vector<Instance>>;
 
-}  // namespace
+constexpr std::string_view kMark = "ASWVIEW2";
 
-std::string encode(const Kept& kept) {
+std::string write(const Scopes& scopes) {
     kept::State state;
-    state.set_site(kept.site);
-    state.set_at_ns(kept.at.count());
-    for (const auto& [name, instances] : kept.scopes) {
+    for (const auto& [name, instances] : scopes) {
         kept::Scope& scope = *state.add_scopes();
         scope.set_name(name);
         for (const Instance& from : instances) {
@@ -36,34 +24,17 @@
             to.set_since_ns(from.since.count()), to.set_created(from.created);
         }
     }
-    const std::string body = state.SerializeAsString();
-    std::string out(kMark);
-    const std::uint64_t sum = XXH64(body.data(), body.size(), 0);
-    for (int shift = 0; shift < 64; shift += 8) out += static_cast<char>(sum >> shift & 0xff);
-    return out += body;
+    return state.SerializeAsString();
 }
 
-std::optional<Kept> decode(std::string_view bytes, std::string& fault) {
-    const auto bad = [&fault](const char* why) {
-        fault = why;
-        return std::nullopt;
-    };
-    if (bytes.size() > kMostKept) return bad("it is too long");
-    if (bytes.size() < kHead || bytes.substr(0, kMark.size()) != kMark)
-        return bad("it is no file of this kind");
-    std::uint64_t sum = 0;
-    for (std::size_t i = 0; i < 8; ++i)
-        sum |= static_cast<std::uint64_t>(static_cast<unsigned char>(bytes[kMark.size() + i])) << (8 * i);
-    const std::string_view body = bytes.substr(kHead);
-    if (XXH64(body.data(), body.size(), 0) != sum) return bad("it is torn");
+std::optional<Scopes> read(const std::string& body) {
     kept::State state;
-    if (!state.ParseFromArray(body.data(), static_cast<int>(body.size()))) return bad("it can't be read");
-    Kept out;
-    out.site = state.site(), out.at = Time(state.at_ns());
+    if (!state.ParseFromString(body)) return std::nullopt;
+    Scopes out;
     for (const kept::Scope& scope : state.scopes()) {
-        auto& instances = out.scopes[scope.name()];
+        auto& instances = out[scope.name()];
         for (const kept::Instance& from : scope.instances()) {
-            if (from.health() > static_cast<std::uint32_t>(Health::critical)) return bad("it can't be read");
+            if (from.health() > static_cast<std::uint32_t>(Health::critical)) return std::nullopt;
             Instance to;
             to.id = from.id(), to.address = from.address();
             to.health = static_cast<Health>(from.health());
@@ -76,49 +47,38 @@
     return out;
 }
 
+std::optional<Kept> opened(const store::Sealed& sealed, std::string& fault) {
+    auto scopes = read(sealed.body);
+    if (scopes) return Kept{sealed.site, sealed.at, std::move(*scopes)};
+    fault = "it can't be read";
+    return std::nullopt;
+}
+
+}  // namespace
+
+std::string encode(const Kept& kept) {
+    return store::seal(kMark, {kept.site, kept.at, write(kept.scopes)});
+}
+
+std::optional<Kept> decode(std::string_view bytes, std::string& fault) {
+    const auto sealed = store::unseal(kMark, bytes, fault);
+    return sealed ? opened(*sealed, fault) : std::nullopt;
+}
+
+Keeper::Keeper(KeepConfig config, std::uint64_t site, Say say)
+    : file_(std::move(config), kMark, site, "view", std::move(say)) {}
+
 std::optional<Kept> Keeper::load(Time now) {
-    if (!on()) return std::nullopt;
-    std::ifstream file(config_.file, std::ios::binary);
-    if (!file) return std::nullopt;  // the first start
-    std::string bytes(kMostKept + 1, '\0');
-    file.read(bytes.data(), static_cast<std::streamsize>(bytes.size()));
-    bytes.resize(static_cast<std::size_t>(file.gcount()));
+    const auto sealed = file_.load(now);
+    if (!sealed) return std::nullopt;
     std::string fault;
-    auto kept = decode(bytes, fault);
-    if (kept && kept->site != site_) fault = "it is of another site";
-    if (kept && kept->at > now) fault = "it is from the future";
-    if (kept && now - kept->at > config_.mostAge) fault = "it is too old";
-    if (!fault.empty()) {
-        ++counters_.refused;
-        say_("the kept view is left aside: " + config_.file + ": " + fault);
-        return std::nullopt;
-    }
-    ++counters_.loaded;
+    auto kept = opened(*sealed, fault);
+    if (!kept) file_.refuse(fault);
     return kept;
 }
 
-void Keeper::save(Time now, const std::map<View::Scope, std::vector<Instance>>& scopes) {
-    if (!on()) return;
-    const std::string bytes = encode({site_, now, scopes}), beside = config_.file + ".new";
-    const auto failed = [&](const char* what) {
-        ++counters_.failed;
-        if (!std::exchange(told_, true))
-            say_("the view can't be kept: " + config_.file + ": " + what + ": " + std::strerror(errno));
-    };
-    if (bytes.size() > kMostKept) return errno = EFBIG, failed("size");
-    const int to = ::open(beside.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-    if (to < 0) return failed("open");
-    std::size_t done = 0;
-    while (done < bytes.size()) {
-        const ssize_t n = ::write(to, bytes.data() + done, bytes.size() - done);
-        if (n <= 0) break;
-        done += static_cast<std::size_t>(n);
-    }
-    // Not forced to the disk, which would hold up the loop: a file that a power cut tears has a wrong sum.
-    const bool whole = done == bytes.size();
-    if (::close(to) != 0 || !whole) return failed("write");
-    if (std::rename(beside.c_str(), config_.file.c_str()) != 0) return failed("rename");
-    ++counters_.saved, told_ = false;
+void Keeper::save(Time now, const Scopes& scopes) {
+    if (on()) file_.save(now, write(scopes));
 }
 
 }  // namespace amberswitch::consul
--- a/src/consul/keep.hpp
+++ b/src/consul/keep.hpp
@@ -1,18 +1,12 @@
-// The last good view on disk, so that a start needn't begin with nothing where Consul is away. Only where the
-// operator names a file; the platform has no disk that lasts.
-//
-// The file: eight bytes of mark, the XXH64 of the rest (little-endian), and the message of state.proto. It is
-// written beside its place and renamed, so a reader finds the old one or the new one, whole.
+// The last good view on disk, so that a start needn't begin with nothing where Consul is away: the message of
+// state.proto, sealed as src/store says.
 #pragma once
 
-#include <functional>
 #include <map>
-#include <optional>
-#include <string>
-#include <string_view>
 #include <vector>
 
 #include "consul/view.hpp"
+#include "store/keeper.hpp"
 
 namespace amberswitch::consul {
 
@@ -23,39 +17,25 @@
     bool operator==(const Kept&) const = default;
 };
 
-constexpr std::size_t kMostKept = 16 * 1024 * 1024;  // bytes of a file
-
 std::string encode(const Kept& kept);
 // None, and `fault` says why, if the bytes are not a whole file of this kind.
 std::optional<Kept> decode(std::string_view bytes, std::string& fault);
 
-struct KeepConfig {
-    std::string file;  // empty: nothing is kept
-    Nanos mostAge = std::chrono::hours(1);
-};
+using store::KeepConfig;
 
 class Keeper {
 public:
-    using Say = std::function<void(const std::string&)>;  // a line for the log
-    Keeper(KeepConfig config, std::uint64_t site, Say say)
-        : config_(std::move(config)), site_(site), say_(std::move(say)) {}
+    using Say = store::Keeper::Say;
+    Keeper(KeepConfig config, std::uint64_t site, Say say);
 
-    bool on() const { return !config_.file.empty(); }
+    bool on() const { return file_.on(); }
     // What was kept, unless it is torn, foreign, too old or from the future; then a line says which.
     std::optional<Kept> load(Time now);
     void save(Time now, const std::map<View::Scope, std::vector<Instance>>& scopes);
-
-    struct Counters {
-        std::uint64_t saved = 0, failed = 0, loaded = 0, refused = 0;
-    };
-    const Counters& counters() const { return counters_; }
+    const store::Keeper::Counters& counters() const { return file_.counters(); }
 
 private:
-    KeepConfig config_;
-    std::uint64_t site_;
-    Say say_;
-    Counters counters_;
-    bool told_ = false;  // that it can't be written
+    store::Keeper file_;
 };
 
 }  // namespace amberswitch::consul
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -64,13 +64,7 @@
     platform::Servers servers(core, loop.deadlines(), wiring);
     platform::Watch watch(core, servers, loop.deadlines(), wiring, config.discovery, own.start, config.seed);
     service::Service service;
-    using start::Gate;
-    const bool others = speaksGrpc || !own.gearman.listen.empty() || !own.consul.address.empty();
-    Gate gate(loop.deadlines(),
-              others         ? Gate::Has::otherSource
-              : config.known ? Gate::Has::oldList
-                             : Gate::Has::nothing,
-              own.start.waitForList, [&service](Time now) { service.begin(now); });
+    start::Gate gate(loop.deadlines(), own.start.waitForList, [&service](Time now) { service.begin(now); });
     watch.setFirst([&gate](Time now) { gate.listed(now); });
     platform::Front front(core, servers, loop.deadlines(), service);
     core.addFarmSource(watch);
@@ -100,9 +94,12 @@
     wiring.makeRoom = [&](Time now) { return roomBelow(now, most); };
 
     if (config.acceptFd) watch.keep();  // from its first list on
+    const auto say = [](const std::string& line) { std::fprintf(stderr, "amberswitch: %s\n", line.c_str()); };
+    store::Keeper keptList({own.start.keepFile, own.start.keepAge}, "ASWLIST1", settings::siteOf(config.site),
+                           "list", say);
+    if (keptList.on()) watch.keepIn(keptList);
     watch.begin(loop.now(), config.known);
 
-    const auto say = [](const std::string& line) { std::fprintf(stderr, "amberswitch: %s\n", line.c_str()); };
     platform::Consul consul(core, servers, loop.deadlines(), wiring, own.consul, say);
     if (!own.consul.address.empty()) {
         core.addFarmSource(consul);
@@ -202,6 +199,7 @@
         return report(core, servers, watch, front, gearman, reload) +
                (controlled ? report(control) : std::string()) +
                (config.acceptFd ? report(takeover) : std::string()) +
+               (keptList.on() ? report(keptList) : std::string()) +
                (own.consul.address.empty() ? std::string() : report(consul)) +
                (speaksGrpc ? report(grpcFront, grpcServers) : std::string());
     };
@@ -243,8 +241,11 @@
         std::fprintf(stderr, "amberswitch %s: operators on %s:%d\n", config.name.c_str(),
                      controlListener->address().address().to_string().c_str(),
                      controlListener->address().port());
+    const bool others = speaksGrpc || !own.gearman.listen.empty() || !own.consul.address.empty();
     if (!config.acceptFd)
-        gate.begin(loop.now());
+        gate.begin(loop.now(), others                   ? start::Gate::Has::otherSource
+                               : watch.begunWithAList() ? start::Gate::Has::oldList
+                                                        : start::Gate::Has::nothing);
     else
         meet(loop, takeover, config.meeting);
     service.listen([&](Time now, service::Standing) {
--- a/src/platform/consul.cpp
+++ b/src/platform/consul.cpp
@@ -17,16 +17,6 @@
     return static_cast<int>(std::find(names.begin(), names.end(), name) - names.begin());
 }
 
-// Zones and kinds are kept as numbers: they mean nothing where the names are others.
-std::uint64_t siteOf(const Site& site) {
-    std::string names;
-    for (const auto* list : {&site.zones, &site.kinds}) {
-        for (const auto& name : *list) names += name + '\n';
-        names += '\n';
-    }
-    return fingerprint(names);
-}
-
 std::string escaped(std::string_view text) {
     std::string out;
     constexpr char kDigits[] = "0123456789ABCDEF";
@@ -75,7 +65,7 @@
       config_(std::move(config)),
       view_(config_.hold),
       deadlines_(deadlines),
-      keeper_(config_.keep, siteOf(core.site()), std::move(say)) {}
+      keeper_(config_.keep, settings::siteOf(core.site()), std::move(say)) {}
 
 void Consul::begin(Time now) {
     const auto kept = keeper_.load(now);
--- a/src/platform/watch.cpp
+++ b/src/platform/watch.cpp
@@ -22,7 +22,9 @@
 
 Watch::Watch(Core& core, Servers& servers, Deadlines& deadlines, wire::Connector& connector,
              std::string address, const start::Pace& pace, std::uint64_t seed)
-    : LongPoll(core, deadlines, connector, std::move(address), paceOf(core.site())), servers_(servers) {
+    : LongPoll(core, deadlines, connector, std::move(address), paceOf(core.site())),
+      servers_(servers),
+      deadlines_(deadlines) {
     const heronmount::Settings& site = core.site().module;
     // What is new counts as told after askWithin, whether it was asked for or not: with a list in hand two
     // turns come in that time, without one all but one.
@@ -34,10 +36,23 @@
 
 void Watch::begin(Time now, const std::optional<object>& list) {
     if (list)
-        known(now, *list);
-    else  // Guards against a module that nobody wakes: it asks for lists from its first event on
+        known(now, *list), begunWithAList_ = true;
+    else if (!beginWithKept(now))
+        // Guards against a module that nobody wakes: it asks for lists from its first event on
         core_.farm(now, *this, servers_, RosterMode::stale, {});
-    turns_ ? LongPoll::begin(turns_->first(now, list.has_value())) : watch(now);
+    turns_ ? LongPoll::begin(turns_->first(now, begunWithAList_)) : watch(now);
+}
+
+bool Watch::beginWithKept(Time now) {
+    const auto kept = keeper_ ? keeper_->load(now) : std::nullopt;
+    if (!kept) return false;
+    try {
+        inherit(now, kept->body);
+    } catch (const BadField& bad) {
+        keeper_->refuse(bad.what());
+        return false;
+    }
+    return begunWithAList_ = !told_.empty();
 }
 
 std::optional<Time> Watch::nextTurn(Time now, start::Loss how, Time notBefore) {
@@ -110,6 +125,8 @@
         return false;
     }
     if (const auto first = std::exchange(first_, nullptr)) first(now);
+    if (keeper_ && keeper_->on() && !keep_.armed())
+        keep_.arm(deadlines_, now + kKeepEvery, [this](Time at) { keeper_->save(at, told()); });
     return true;
 }
 
--- a/src/platform/watch.hpp
+++ b/src/platform/watch.hpp
@@ -5,6 +5,7 @@
 
 #include "platform/long_poll.hpp"
 #include "platform/servers.hpp"
+#include "store/keeper.hpp"
 
 namespace amberswitch::platform {
 
@@ -21,6 +22,9 @@
     // watch is lost.
     std::string told() const;
     void keep() { keeps_ = true; }
+    // Each list is kept there, and without a known one the kept one begins. To be said before begin().
+    void keepIn(store::Keeper& keeper) { keeper_ = &keeper, keeps_ = true; }
+    bool begunWithAList() const { return begunWithAList_; }
     // Told once, with the first list that is not an old one.
     void setFirst(std::function<void(Time)> first) { first_ = std::move(first); }
     const std::optional<start::Turns>& turns() const { return turns_; }
@@ -28,6 +32,7 @@
     void inherit(Time now, std::string_view list);
 
 private:
+    bool beginWithKept(Time now);
     static Pace paceOf(const settings::Site& site);
     std::string target() const override;
     bool waits() const override { return version_.has_value(); }
@@ -49,6 +54,11 @@
     std::optional<std::int64_t> version_;                   // none: the whole list comes first
     std::optional<start::Turns> turns_;                     // where lists are asked for
     std::function<void(Time)> first_;
+    Deadlines& deadlines_;
+    store::Keeper* keeper_ = nullptr;
+    Deadlines::Ticket keep_;
+    bool begunWithAList_ = false;
+    static constexpr Nanos kKeepEvery = std::chrono::seconds(1);
 };
 
 }  // namespace amberswitch::platform
--- a/src/report.cpp
+++ b/src/report.cpp
@@ -36,6 +36,14 @@
     return out;
 }
 
+std::string report(const store::Keeper& keptList) {
+    Lines out;
+    const auto& k = keptList.counters();
+    out.add("kept_list.saved", k.saved), out.add("kept_list.failed", k.failed);
+    out.add("kept_list.loaded", k.loaded), out.add("kept_list.refused", k.refused);
+    return out.text;
+}
+
 std::string report(const start::Gate& gate, Time now) {
     if (!gate.waits()) return {};
     return std::string("router.start.waits_for=") + gate.waitsFor() +
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -22,6 +22,15 @@
     ++site.wires;
 }
 
+std::uint64_t siteOf(const Site& site) {
+    std::string names;
+    for (const auto* list : {&site.zones, &site.kinds}) {
+        for (const auto& name : *list) names += name + '\n';
+        names += '\n';
+    }
+    return fingerprint(names);
+}
+
 std::uint64_t classesOf(const Site& site, std::size_t wire, int kind) {
     std::uint64_t out = 0;
     for (std::size_t i = 0; i < site.classes.size(); ++i) {
--- a/src/start/gate.cpp
+++ b/src/start/gate.cpp
@@ -2,11 +2,11 @@
 
 namespace amberswitch::start {
 
-Gate::Gate(Deadlines& deadlines, Has has, Nanos mostWait, Open open)
-    : deadlines_(deadlines), has_(has), mostWait_(mostWait), open_(std::move(open)) {}
+Gate::Gate(Deadlines& deadlines, Nanos mostWait, Open open)
+    : deadlines_(deadlines), mostWait_(mostWait), open_(std::move(open)) {}
 
-void Gate::begin(Time now) {
-    begun_ = true, since_ = now;
+void Gate::begin(Time now, Has has) {
+    begun_ = true, since_ = now, has_ = has;
     if (listed_ || has_ == Has::otherSource || (has_ == Has::oldList && mostWait_.count() == 0))
         return open(now);
     if (has_ == Has::oldList) due_.arm(deadlines_, now + mostWait_, [this](Time at) { open(at); });
--- a/src/start/gate.hpp
+++ b/src/start/gate.hpp
@@ -16,9 +16,9 @@
 
     // `mostWait` counts where there is an old list. Without anything the list is waited for however long that
     // takes: a dispatcher that has no servers can only refuse.
-    Gate(Deadlines& deadlines, Has has, Nanos mostWait, Open open);
+    Gate(Deadlines& deadlines, Nanos mostWait, Open open);
 
-    void begin(Time now);
+    void begin(Time now, Has has);
     void listed(Time now);  // the service gave a list, an empty one too
 
     bool waits() const { return begun_ && !opened_; }
@@ -29,7 +29,7 @@
     void open(Time now);
 
     Deadlines& deadlines_;
-    Has has_;
+    Has has_ = Has::nothing;
     Nanos mostWait_;
     Open open_;
     Deadlines::Ticket due_;
--- a/src/start/turns.cpp
+++ b/src/start/turns.cpp
@@ -7,11 +7,14 @@
 using namespace std::chrono_literals;
 
 Pace readPace(const settings::Node& section) {
-    const auto from = section.table({"list_calls_per_s", "longest_round_ms", "wait_for_list_ms"});
+    const auto from = section.table(
+        {"list_calls_per_s", "longest_round_ms", "wait_for_list_ms", "keep_file", "keep_age_s"});
     Pace out;
     out.callsPerSecond = from.number("list_calls_per_s", out.callsPerSecond, 0.1, 100'000);
     out.longest = from.milliseconds("longest_round_ms", out.longest, 0, 600'000);
     out.waitForList = from.milliseconds("wait_for_list_ms", out.waitForList, 0, 600'000);
+    out.keepFile = from.text("keep_file", "");
+    out.keepAge = std::chrono::seconds(from.integer("keep_age_s", std::int64_t{3600}, 1, 31'536'000));
     return out;
 }
 
--- a/src/start/turns.hpp
+++ b/src/start/turns.hpp
@@ -13,7 +13,9 @@
 struct Pace {
     double callsPerSecond = 25;  // of the service, for the whole fleet, until it shows otherwise
     Nanos longest{0};            // a round of the fleet's turns takes no longer; 0: by the settings
-    Nanos waitForList{0};        // with a known or a kept list in hand: how long a start waits for a new one
+    std::string keepFile;        // the last list, for the next start; empty: none is kept
+    Nanos keepAge = std::chrono::hours(1);
+    Nanos waitForList{0};  // with a known or a kept list in hand: how long a start waits for a new one
 };
 Pace readPace(const settings::Node& section);  // throws settings::BadField
 
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -1,5 +1,7 @@
 // The program itself, started as the platform starts it: on an ephemeral loopback port, with a configuration
 // of its own, and ended with SIGTERM.
+#include <filesystem>
+
 #include "program.hpp"
 
 namespace amberswitch::program {
@@ -63,6 +65,29 @@
 
 // Guards against SIGHUP ending the process, and against a new file that can't be used taking the old settings
 // away.
+// As shipped, what a start decides has no file, thread or descriptor of its own; a kept list is a file, and
+// no descriptor is held for it.
+TEST(Program, AStartTakesNoDescriptorNorThread) {
+    const auto entries = [](const std::string& folder) {
+        return std::distance(std::filesystem::directory_iterator(folder),
+                             std::filesystem::directory_iterator());
+    };
+    const std::string place = testing::TempDir() + "amberswitch-list-" + std::to_string(::getpid());
+    std::vector<std::pair<long, long>> seen;
+    for (const std::string& own : {std::string("{}"), R"({"start":{"keep_file":")" + place + "\"}}"}) {
+        Program program(config(kSettings), own);
+        const unsigned short port = program.portOf("listening on");
+        const std::string of = "/proc/" + std::to_string(program.child);
+        Caller client(port);
+        client.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        EXPECT_EQ(client.answer().substr(9, 3), "200");
+        seen.emplace_back(entries(of + "/fd"), entries(of + "/task"));
+    }
+    EXPECT_EQ(seen[0].second, 1);
+    EXPECT_EQ(seen[0], seen[1]);
+    EXPECT_FALSE(std::filesystem::exists(place));  // no service ever gave a list
+}
+
 TEST(Program, RereadsItsFileOnSighupAndStaysUp) {
     Program program(config(kSettings));
     const std::string hello = program.line();
--- a/tests/start_test.cpp
+++ b/tests/start_test.cpp
@@ -95,8 +95,8 @@
     const auto open = [&opened](Time) { ++opened; };
     const auto opens = [&](Gate::Has has, Nanos wait, Time listed) {
         opened = 0;
-        Gate gate(deadlines, has, wait, open);
-        gate.begin(kNoon);
+        Gate gate(deadlines, wait, open);
+        gate.begin(kNoon, has);
         for (Time at = kNoon; at <= kNoon + 20s; at += 100ms) {
             deadlines.sweep(at);
             if (at == listed) gate.listed(at);
