--- a/lab/world.hpp
+++ b/lab/world.hpp
@@ -48,7 +48,7 @@
         return std::make_unique<net::Listener>(
             loop, at, [this, path, make](Time now) -> std::shared_ptr<wire::Machine> {
                 std::shared_ptr<wire::Machine> machine = path->refuse ? nullptr : make(now);
-                if (!machine) return std::make_shared<Closed>();
+                if (!machine) return nullptr;  // closed at once
                 return std::make_shared<Relay>(loop.deadlines(), path, std::move(machine), clock(), true);
             });
     }
@@ -64,11 +64,6 @@
     }
 
 private:
-    struct Closed : wire::Machine {  // is closed as soon as it is there
-        void received(Time) override {}
-        void ended(Time, End) override {}
-        bool finished() const override { return true; }
-    };
     std::function<Time()> clock() {
         return [this] { return loop.now(); };
     }
