Say in the watch's comments who decides when it begins again

Need: two comments still named the module, which has not decided it since the turns.

Change: comments alone; nothing is built differently.

--- a/src/platform/long_poll.cpp
+++ b/src/platform/long_poll.cpp
@@ -88,7 +88,7 @@
     due_.arm(deadlines_, now + pace_.gap, [this](Time at) { ask(at); });
 }
 
-// The old list still holds; where a call has its price, the module says when to ask again.
+// The old list still holds. When to ask again is for its turns to say, else for the pace or the module.
 void LongPoll::lost(Time now, start::Loss how, Time notBefore) {
     due_.disarm();
     out_ = false;
--- a/src/platform/watch.cpp
+++ b/src/platform/watch.cpp
@@ -9,8 +9,8 @@
 
 // A gap of 200 ms would end the watch.
 //
-// Where lists are asked for, calls have a price and wait for long; whether a watch that was lost begins again
-// is the module's to say. Where they are pushed, the agent on this machine answers at no cost, and what it
+// Where lists are asked for, calls have a price and wait for long; when a watch that was lost begins again is
+// for start::Turns to say. Where they are pushed, the agent on this machine answers at no cost, and what it
 // has counts as told: an agent that was silent must be heard again well inside the rule on drains, also over
 // a connection that died with it. Guards besides against an agent that answers each call at once making a
 // loop of it.
