Mend the door that stayed shut after servers had room again

A probe at each arrival told the terms apart: the wait (strain.mean) is at most 0.03 throughout; the share of attempts told 'full' (Strain::fulls) is 0.16 before the release, 0.42 to 0.49 in it and 0.27 to 0.32 ten seconds later. Lines at fault: take(AttemptEnded) moved that share by a twentieth for each answer. A dispatcher with two jobs a second hears twenty answers of a class in ten seconds or more, and with a shut door in minutes: what shut the door kept it shut. Besides, an attempt told 'full' is no lost job: with four attempts and bounded queues a fifth of picks meet a full server in quiet times, and the next one takes the job.

Change: the share is of jobs that every server tried was too full for, and each value weighs by the time since the last (ten seconds, as own rates are smoothed; at least a twentieth).

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -472,18 +472,18 @@
         const bool neverRan = full || e.outcome == Outcome::connectFailed || e.outcome == Outcome::moot;
         if (!neverRan) r.mayHaveRun = true;
         if (ok || full) w.sign = now_;
+        const bool unplaced = full && r.out == 0 && r.sends >= s_.maxAttempts;
+        if (ok || unplaced) strains_[a.klass].unplaced.add(now_, unplaced, kWindow, kFullWeight);
         if (ok) {
             served_.add(now_, sizeOf(r) / present_);                       // by what there was to serve it
             const double ran = less(seconds(now_ - a.startedAt), a.wait);  // waits are not the job's own
             ran_[r.in.klass].add(ran / std::clamp(slowness(w), 0.2, 5.0), 200);
             hinted_[r.in.klass].add(seconds(r.in.hint), 200);
-            strains_[a.klass].fulls -= strains_[a.klass].fulls * kFullWeight;
             learn(a.worker, less(seconds(now_ - a.sent), a.wait) / expectedOf(r.in));
             recover(w);
         } else if (e.outcome != Outcome::cancelled && e.outcome != Outcome::moot &&
                    e.outcome != Outcome::stale) {
             learn(a.worker, 2 * slowness(w));  // the design: as a job of twice the smoothed time
-            if (full) strains_[a.klass].fulls += (1 - strains_[a.klass].fulls) * kFullWeight;
             if (!full && e.outcome != Outcome::error) strike(w, e.outcome == Outcome::timeout);
         }
         if (e.settled && !r.done) r.done = true, callOff(r);
@@ -649,7 +649,7 @@
         asked_.add(now_, own.value * own.work);
         const double mean = asked_.at(now_) / std::max(1e-9, demand_.at(now_));
         r.ahead = s_.wholeGoal * own.value > (s_.wholeGoal + s_.worstClassGoal) * mean;
-        const double share = std::clamp(kShedding * (strain.mean + strain.fulls - kStrain), 0.0, kMostShed);
+        const double share = std::clamp(kShedding * (strain.mean + strain.unplaced.value - kStrain), 0.0, kMostShed);
         if (share < 0.01) return false;
         double below = 0, equal = 0, all = 0;
         for (const Offer& o : offers_) {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -52,6 +52,14 @@
     void add(Time now, double amount) { sum = at(now) + amount / kWindow, last = now; }
 };
 
+struct Recent {  // a mean over the time `over`, or over the last 1 / `least` values where that is longer
+    double value = 0;
+    Time last{0};
+    void add(Time now, double x, double over, double least) {
+        value += (x - value) * std::max(least, 1 - std::exp(-seconds(now - last) / over)), last = now;
+    }
+};
+
 struct Hot {                  // what the scan over all workers reads, apart so that a large fleet stays cheap
     double turn = kUnplaced;  // the own send count at which this worker last got a job
     double slope = -1;        // its cost by age: ln q over the size of its last job
@@ -92,8 +100,9 @@
 
 struct Strain {  // of work that waits to start
     Flow starts;
-    double mean = 0, fulls = 0, backlog = 0;
+    double mean = 0, backlog = 0;
     Time feltAt{0};
+    Recent unplaced;  // share of jobs that every server tried was too full for
 };
 
 struct Pool {   // all workers of one kind
