--- a/src/state.hpp
+++ b/src/state.hpp
@@ -52,7 +52,7 @@
     void add(Time now, double amount) { sum = at(now) + amount / kWindow, last = now; }
 };
 
-struct Recent {  // a mean over kWindow, or over the last 1 / `least` values where that is longer; fades without
+struct Recent {  // a mean over kWindow, or over the last 1 / `least` values if longer; fades by itself
     double value = 0;
     Time last{0};
     double kept(Time now) const { return std::exp(-seconds(now - last) / kWindow); }
