--- a/lab/books.cpp
+++ b/lab/books.cpp
@@ -94,7 +94,7 @@
     if (!repeats_ && mayHaveRun) wrong(now, id + " was sent again though it may have run");
     job.attempts.push_back({server, false, false});
     const auto off = offSince_.find({dispatcher, server});
-    if (off != offSince_.end() && now > off->second + kDrainGrace && !excused(dispatcher, off->second, now))
+    if (off != offSince_.end() && now > off->second + drainGrace_ && !excused(dispatcher, off->second, now))
         wrong(now, id + " came to s" + std::to_string(server) + " after n" + std::to_string(dispatcher) +
                        " was told of its end");
 }
--- a/lab/books.hpp
+++ b/lab/books.hpp
@@ -37,7 +37,8 @@
 
 class Books {
 public:
-    Books(Time began, bool repeats) : began_(began), repeats_(repeats) {}
+    Books(Time began, bool repeats, Nanos drain = std::chrono::milliseconds(2500))
+        : began_(began), repeats_(repeats), drainGrace_(drain + std::chrono::milliseconds(50)) {}
 
     void count(Time now, Count what) { ++second(now)[static_cast<std::size_t>(what)]; }
 
@@ -69,7 +70,6 @@
 private:
     static constexpr std::size_t kMostWrongs = 50;
     static constexpr Nanos kSlack = std::chrono::milliseconds(250);  // for the rig's own lateness
-    static constexpr Nanos kDrainGrace = std::chrono::milliseconds(2550);
     struct Attempt {
         int server = 0;
         bool over = false, never = false;
@@ -89,6 +89,7 @@
 
     Time began_;
     bool repeats_;  // a job that may have run may be sent again
+    Nanos drainGrace_;
     std::unordered_map<std::string, Job> jobs_;
     std::map<std::pair<int, int>, Time> offSince_;  // by dispatcher and server: when it was told
     std::multimap<int, Excuse> excuses_;
--- a/lab/clients.cpp
+++ b/lab/clients.cpp
@@ -18,12 +18,32 @@
 }
 
 void Clients::started(int dispatcher) {
+    std::erase(leaving_, dispatcher);
     lookAt(dispatcher, ++runs_[static_cast<std::size_t>(dispatcher)]);
 }
 
 void Clients::gone(int dispatcher) {
     ++runs_[static_cast<std::size_t>(dispatcher)];
     admitted_.erase(std::remove(admitted_.begin(), admitted_.end(), dispatcher), admitted_.end());
+    std::erase(leaving_, dispatcher);
+    if (world_.script.clients.keepOn) leaving_.push_back(dispatcher);
+}
+
+// Whoever is told nothing else sends on the connection that it has.
+int Clients::draw() {
+    const auto of = [this](const std::vector<int>& some) {
+        return some[static_cast<std::size_t>(world_.draw() * static_cast<double>(some.size()))];
+    };
+    const auto all = static_cast<double>(leaving_.size() + admitted_.size());
+    if (!leaving_.empty() && world_.draw() * all < static_cast<double>(leaving_.size())) {
+        const int one = of(leaving_);
+        const auto& idle = idle_[static_cast<std::size_t>(one)];
+        if (std::any_of(idle.begin(), idle.end(),
+                        [](const auto& c) { return c->state() == http::Client::State::idle; }))
+            return one;
+        std::erase(leaving_, one);
+    }
+    return admitted_.empty() ? -1 : of(admitted_);
 }
 
 void Clients::lookAt(int dispatcher, std::uint64_t run) {
@@ -69,9 +89,8 @@
 }
 
 void Clients::send(Time now, Task task) {
-    if (admitted_.empty()) return later(now, task, 0.1);
-    const int dispatcher =
-        admitted_[static_cast<std::size_t>(world_.draw() * static_cast<double>(admitted_.size()))];
+    const int dispatcher = draw();
+    if (dispatcher < 0) return later(now, task, 0.1);
     char id[32];
     std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(++ids_ * 0x9e3779b97f4a7c15u));
     pass(now, dispatcher, task, id, false);
--- a/lab/clients.hpp
+++ b/lab/clients.hpp
@@ -30,6 +30,7 @@
     void send(Time now, Task task);
     void pass(Time now, int dispatcher, Task task, const std::string& id, bool again);
     void later(Time now, Task task, double seconds);
+    int draw();  // a dispatcher, or -1
     void lookAt(int dispatcher, std::uint64_t run);
 
     World& world_;
@@ -38,6 +39,7 @@
     std::vector<std::uint64_t> runs_;  // counts its starts
     std::set<int> ever_;
     std::vector<int> admitted_;
+    std::vector<int> leaving_;  // the front has noticed, and connections to them are open
     Time lastReady_{0};
     double factor_ = 1;
     std::uint64_t ids_ = 0;
--- a/lab/ends.hpp
+++ b/lab/ends.hpp
@@ -14,7 +14,12 @@
     using Take = std::function<void(Time, const std::shared_ptr<Answering>&, http::Message)>;
     Answering(Deadlines& deadlines, Time now, Take take, std::function<void()> gone = {})
         : http::Server(deadlines, now), take_(std::move(take)), gone_(std::move(gone)) {}
-    std::string job;  // what is answered here, for who needs to know
+    std::string job;                      // what is answered here, for who needs to know
+    void blurt(std::string_view bytes) {  // whatever was asked
+        if (state() == State::ended) return;
+        out().put(bytes);
+        wake();
+    }
 
 private:
     void request(Time now, http::Message message) override {
--- a/lab/farm.cpp
+++ b/lab/farm.cpp
@@ -99,6 +99,10 @@
         world_.books.neverRan(*id, s);
         return from->reply(now, 503, "full\n", "X-Never-Ran: 1\r\n");
     }
+    if (world_.draw() < script.endless) {  // it may have run, and nobody will ever say
+        from->blurt("HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\n");
+        return goOn(now, from);
+    }
     Job job;
     job.id = *id, job.dispatcher = dispatcher;
     job.takes =
@@ -106,9 +110,20 @@
         (fresh ? script.handshake : Nanos(0));
     server.jobs.push_back(std::move(job));
     from->reply(now, 202, "");
+    if (world_.draw() < script.secondAnswers)
+        world_.deadlines().once(now + 4ms, [again = std::weak_ptr<Answering>(from)](Time) {
+            if (const auto to = again.lock()) to->blurt("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+        });
     begin(now, s);
 }
 
+void Farm::goOn(Time now, const std::weak_ptr<Answering>& to) {
+    const auto from = to.lock();
+    if (!from || from->state() == http::Server::State::ended) return;
+    from->blurt("1\r\n \r\n");
+    world_.deadlines().once(now + 20ms, [this, to](Time at) { goOn(at, to); });
+}
+
 void Farm::begin(Time now, int s) {
     Server& server = at(s);
     for (Job& job : server.jobs) {
--- a/lab/farm.hpp
+++ b/lab/farm.hpp
@@ -51,6 +51,7 @@
     void take(Time now, int s, int dispatcher, const std::shared_ptr<Answering>& from,
               const http::Message& message, bool fresh);
     void begin(Time now, int s);
+    void goOn(Time now, const std::weak_ptr<Answering>& to);  // with an answer that never ends
     void over(Time now, int s, const std::string& id);
     void tell(int s, int dispatcher, std::string body);
     void next(int s, int dispatcher);
--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -55,8 +55,9 @@
            std::to_string(dispatcher) + R"(,"rules":{"askWithin":10000000000,"cold":)" +
            nanos(script.servers.cold.count() ? script.servers.cold : std::chrono::seconds(1)) +
            R"(,"coldFrom":)" + std::to_string(script.servers.coldFrom) + R"(,"fallMultiple":)" +
-           std::to_string(script.servers.fallMultiple) +
-           R"(,"overloadFor":1000000000,"stopSendingWithin":2500000000},"tick":4000000,"weights":"nominal",)"
+           std::to_string(script.servers.fallMultiple) + R"(,"overloadFor":1000000000,"stopSendingWithin":)" +
+           nanos(script.list.drain) +
+           R"(},"tick":4000000,"weights":"nominal",)"
            R"("zone":0,"zones":["z0"]})";
 }
 
--- a/lab/fleet.hpp
+++ b/lab/fleet.hpp
@@ -23,6 +23,7 @@
     }
     void start(Time now, int dispatcher, bool emptied = false);
     void signal(int dispatcher, int number);
+    void reload(int dispatcher) { configure(dispatcher), signal(dispatcher, 1); }  // SIGHUP
     std::size_t starts(int dispatcher) const { return nodes_[static_cast<std::size_t>(dispatcher)].starts; }
     bool running(int dispatcher) const { return nodes_[static_cast<std::size_t>(dispatcher)].pid > 0; }
     void reap(Time now);  // after SIGCHLD
--- a/lab/lists.cpp
+++ b/lab/lists.cpp
@@ -12,18 +12,22 @@
       entries_(world.script.servers.count),
       callsOf_(world.script.dispatchers),
       pace_(world.script.list.callsPerSecond) {
-    for (std::size_t d = 0; d < world.script.dispatchers; ++d) {
-        const int dispatcher = static_cast<int>(d);
-        listeners_.push_back(world_.listen(world_.path(dispatcher, Side::list), [this, dispatcher](Time now) {
+    listeners_.resize(world.script.dispatchers), deafUntil_.resize(world.script.dispatchers);
+    failed_.resize(world.script.dispatchers);
+    for (std::size_t d = 0; d < world.script.dispatchers; ++d) open(static_cast<int>(d));
+    world_.deadlines().once(world_.loop.now(), [this](Time at) { sweep(at); });
+}
+
+void Lists::open(int dispatcher) {
+    listeners_[static_cast<std::size_t>(dispatcher)] =
+        world_.listen(world_.path(dispatcher, Side::list), [this, dispatcher](Time now) {
             world_.books.count(now, Count::listConnections);
             return std::make_shared<Answering>(
                 world_.deadlines(), now,
                 [this, dispatcher](Time at, const auto& from, http::Message message) {
                     take(at, dispatcher, from, message);
                 });
-        }));
-    }
-    world_.deadlines().once(world_.loop.now(), [this](Time at) { sweep(at); });
+        });
 }
 
 std::string Lists::address(int dispatcher) const {
@@ -52,10 +56,48 @@
     changes_[++version_] = server;
     for (const Watch& watch : std::exchange(watches_, {}))
         if (const auto from = watch.from.lock()) tell(now, from, watch.dispatcher, watch.index);
+    for (std::size_t d = 0; d < listeners_.size(); ++d) owe(now, static_cast<int>(d), now);
+}
+
+void Lists::counts(Time now, int dispatcher) {
+    for (std::size_t s = 0; s < entries_.size(); ++s)
+        world_.books.told(now, dispatcher, static_cast<int>(s), entries_[s].status == "Ready");
+}
+
+// An agent's list counts at once, but for one that is silent; one that is asked has its time from the change,
+// or from the service's return, and four times as long after a call that failed.
+void Lists::owe(Time now, int dispatcher, Time made) {
+    const auto d = static_cast<std::size_t>(dispatcher);
+    const bool ask = world_.script.list.ask;
+    const Time asked = std::max(made, back_) + kAskWithin * (failed_[d] ? 4 : 1);
+    const Time due = std::max(ask ? asked : made, deafUntil_[d]);
+    if (!down_ && due <= now) return counts(now, dispatcher);
+    world_.deadlines().once(std::max(due, now + 50ms),
+                            [this, dispatcher, made](Time at) { owe(at, dispatcher, made); });
+}
+
+// One clock for silence: 6 s, or 2 s after the wait of a call that may wait.
+void Lists::silence(Time now) {
+    for (const Watch& watch : std::exchange(watches_, {})) {
+        const Time told = std::max(now + 6s, watch.until + 2s);
+        deafUntil_[static_cast<std::size_t>(watch.dispatcher)] = told;
+        world_.deadlines().once(told, [this, d = watch.dispatcher](Time at) { counts(at, d); });
+    }
+}
+
+void Lists::move(Time now) {
+    for (std::size_t d = 0; d < listeners_.size(); ++d) {
+        listeners_[d]->close();
+        world_.path(static_cast<int>(d), Side::list)->breakAll(now);
+        open(static_cast<int>(d));
+        deafUntil_[d] = now + 4s;
+    }
+    watches_.clear(), queue_.clear();
 }
 
 void Lists::down(Time now, bool yes) {
     down_ = yes;
+    if (!yes) back_ = now;
     for (int d = 0; d < static_cast<int>(listeners_.size()); ++d) {
         const auto path = world_.path(d, Side::list);
         path->refuse = yes;
@@ -80,6 +122,29 @@
     if (std::exchange(old_, yes) != yes && yes) frozen_ = entries_;
 }
 
+namespace {
+// The same list as a person would write it.
+std::string indented(const std::string& json) {
+    std::string out;
+    int depth = 0;
+    bool quoted = false;
+    for (const char c : json) {
+        if (c == '"') quoted = !quoted;
+        if (quoted) {
+            out += c;
+            continue;
+        }
+        if (c == '}' || c == ']') out += '\n' + std::string(static_cast<std::size_t>(--depth) * 2, ' ');
+        out += c;
+        if (c == '{' || c == '[') ++depth;
+        if (c == ':') out += ' ';
+        if (c == '{' || c == '[' || c == ',')
+            out += "\n" + std::string(static_cast<std::size_t>(depth) * 2, ' ');
+    }
+    return out + "\n";
+}
+}  // namespace
+
 void Lists::turnAway(Time now, const std::shared_ptr<Answering>& from) {
     world_.books.count(now, Count::turnedAway);
     char later[48] = "";
@@ -101,6 +166,7 @@
     call.wait = std::chrono::milliseconds(std::max<std::int64_t>(0, number("wait=")));
     if (call.index < 0) world_.books.count(now, Count::wholeLists);
     if (heard_) heard_(now);
+    failed_[static_cast<std::size_t>(dispatcher)] = true;  // until it is answered
     if (busy_ > 0 && world_.draw() < busy_) return turnAway(now, from);
     // Where lists are pushed, an agent on the dispatcher's own machine answers at no cost.
     if (!world_.script.list.ask && !stalled_) return answer(now, call);
@@ -129,7 +195,8 @@
     if (now - call.came > world_.script.list.mostWait) return turnAway(now, from);
     // A version this service has not reached is another's count: it tells all it has.
     if (call.index >= floor_ && call.index == version_ && call.wait > Nanos(0))
-        watches_.push_back({call.from, call.dispatcher, call.index, now + call.wait});
+        watches_.push_back({call.from, call.dispatcher, call.index, now + call.wait}),
+            failed_[static_cast<std::size_t>(call.dispatcher)] = false;
     else
         tell(now, from, call.dispatcher, call.index);
 }
@@ -150,7 +217,9 @@
     const auto& entries = whole && old_ ? frozen_ : entries_;
     for (std::size_t s = 0; s < entries.size(); ++s)
         world_.books.told(now, dispatcher, static_cast<int>(s), entries[s].status == "Ready");
-    to->reply(now, 200, body, "Content-Type: application/json\r\n");
+    failed_[static_cast<std::size_t>(dispatcher)] = false;
+    to->reply(now, 200, world_.script.list.indented ? indented(body) : body,
+              "Content-Type: application/json\r\n");
 }
 
 void Lists::sweep(Time now) {
--- a/lab/lists.hpp
+++ b/lab/lists.hpp
@@ -11,6 +11,7 @@
 
 class Lists {
 public:
+    static constexpr Nanos kAskWithin = std::chrono::seconds(10);  // as the settings say
     struct Entry {
         std::string status = "Ready";  // Terminating, Gone
         std::int64_t sinceMs = 0;
@@ -26,8 +27,10 @@
     void busy(double share) { busy_ = share; }  // answers 503 to so many at once
     void stall(Time now, bool yes);             // takes calls and answers none
     void pace(double callsPerSecond) { pace_ = callsPerSecond; }
-    void anew(Time now);  // starts again and counts from 1
-    void old(bool yes);   // whole lists are as they were now
+    void silence(Time now);  // the watches that are open hear nothing more
+    void move(Time now);     // to another port; who is to call there has to be told
+    void anew(Time now);     // starts again and counts from 1
+    void old(bool yes);      // whole lists are as they were now
     std::size_t calls() const { return calls_; }
     std::size_t callsOf(int dispatcher) const { return callsOf_[static_cast<std::size_t>(dispatcher)]; }
     void onCall(std::function<void(Time)> hear) { heard_ = std::move(hear); }
@@ -51,6 +54,9 @@
     void work(Time now);
     void answer(Time now, const Call& call);
     void sweep(Time now);
+    void open(int dispatcher);
+    void owe(Time now, int dispatcher, Time made);  // when a change counts as told, whoever heard of it
+    void counts(Time now, int dispatcher);
     void tell(Time now, const std::shared_ptr<Answering>& to, int dispatcher, std::int64_t from);
     std::string entry(int dispatcher, int server, const Entry& entry) const;
 
@@ -63,6 +69,9 @@
     std::deque<Call> queue_;
     std::vector<Watch> watches_;
     std::vector<std::size_t> callsOf_;
+    std::vector<Time> deafUntil_;  // by dispatcher: what its agent learns counts as told then
+    std::vector<bool> failed_;     // by dispatcher: its last call
+    Time back_{0};                 // since when the service is there again
     std::size_t calls_ = 0;
     bool working_ = false, down_ = false, stalled_ = false, old_ = false;
     double busy_ = 0, pace_;
--- a/lab/rig.cpp
+++ b/lab/rig.cpp
@@ -138,6 +138,13 @@
     if (act == "list_anew") return on ? lists_->anew(now) : void();
     if (act == "list_pace")
         return lists_->pace(on ? std::max(0.1, fault.amount) : script_.list.callsPerSecond);
+    if (act == "list_silent") return on ? lists_->silence(now) : void();
+    if (act == "list_move") {
+        if (!on) return;
+        lists_->move(now);
+        for (int d = 0; d < static_cast<int>(script_.dispatchers); ++d) fleet_->reload(d);
+        return;
+    }
     if (act == "list_old") return lists_->old(on);
     if (act == "burst") return clients_->burst(on ? std::max(0.01, fault.amount) : 1);
     std::size_t place = 0;
@@ -154,7 +161,8 @@
             const Time due =
                 now + Nanos(static_cast<std::int64_t>(1e6 * fault.amount * static_cast<double>(place++)));
             const int number = act == "kill" ? SIGKILL : SIGTERM;
-            if (number == SIGTERM) world_.books.excuse(one, due + 700ms, due + 3s + script_.clients.giveUp);
+            if (number == SIGTERM && !script_.clients.keepOn)
+                world_.books.excuse(one, due + 700ms, due + 3s + script_.clients.giveUp);
             world_.deadlines().once(due, [this, one, number](Time) { fleet_->signal(one, number); });
             world_.deadlines().once(due + (number == SIGKILL ? 1s : 100ms),
                                     [this, one](Time) { clients_->gone(one); });
--- a/lab/script.cpp
+++ b/lab/script.cpp
@@ -17,19 +17,22 @@
 constexpr std::size_t kMostText = 1024 * 1024;
 
 ListScript readList(const Node& node) {
-    const auto from = node.table({"mode", "calls_per_s", "room", "most_wait_ms", "retry_after_s"});
+    const auto from =
+        node.table({"mode", "calls_per_s", "room", "most_wait_ms", "retry_after_s", "indented", "drain_ms"});
     ListScript out;
     if (const Node* const mode = from.find("mode")) out.ask = mode->place({"push", "ask"}, "mode") == 1;
     out.callsPerSecond = from.number("calls_per_s", out.callsPerSecond, 0.1, 1e5);
     out.room = from.integer("room", out.room, 1, 100'000);
     out.mostWait = from.milliseconds("most_wait_ms", out.mostWait, 1, kMostMs);
     out.retryAfter = from.number("retry_after_s", out.retryAfter, 0, 60);
+    out.indented = from.flag("indented", false);
+    out.drain = from.milliseconds("drain_ms", out.drain, 100, kMostMs);
     return out;
 }
 
 ServersScript readServers(const Node& node) {
     const auto from = node.table({"count", "slots", "queue", "connections", "job_ms", "cold_ms",
-                                  "handshake_ms", "cold_from", "fall_multiple"});
+                                  "handshake_ms", "cold_from", "fall_multiple", "second_answers", "endless"});
     ServersScript out;
     out.count = from.integer("count", out.count, 1, 64);
     out.slots = from.integer("slots", out.slots, 1, 1000);
@@ -40,16 +43,19 @@
     out.handshake = from.milliseconds("handshake_ms", out.handshake, 0, 1000);
     out.coldFrom = from.number("cold_from", out.coldFrom, 0.01, 1);
     out.fallMultiple = from.number("fall_multiple", out.fallMultiple, 1, 100);
+    out.secondAnswers = from.number("second_answers", 0, 0, 1);
+    out.endless = from.number("endless", 0, 0, 1);
     return out;
 }
 
 ClientsScript readClients(const Node& node) {
-    const auto from = node.table({"per_s", "give_up_ms", "effect", "retries", "from_ms"});
+    const auto from = node.table({"per_s", "give_up_ms", "effect", "retries", "from_ms", "keep_on"});
     ClientsScript out;
     out.perSecond = from.number("per_s", out.perSecond, 0, 5000);
     out.giveUp = from.milliseconds("give_up_ms", out.giveUp, 100, kMostMs);
     out.retries = from.integer("retries", out.retries, 0, 20);
     out.from = from.milliseconds("from_ms", out.from, 0, kMostMs);
+    out.keepOn = from.flag("keep_on", false);
     if (const Node* const effect = from.find("effect"))
         effect->place({"read_like", "non_idempotent"}, "effect"), out.effect = effect->text();
     return out;
@@ -69,10 +75,10 @@
 Fault readFault(const Node& node, const Script& script) {
     const auto from = node.table({"name", "do", "when", "for_ms", "share", "whom", "side", "way", "amount"});
     const std::vector<std::string> acts{
-        "kill",         "stop",         "term",      "roll",      "start",    "cut",
-        "delay",        "throttle",     "split",     "reset",     "refuse",   "list_down",
-        "list_busy",    "list_stall",   "list_anew", "list_pace", "list_old", "server_kill",
-        "server_stall", "server_error", "drain",     "burst"};
+        "kill",      "stop",        "term",         "roll",         "start",    "cut",
+        "delay",     "throttle",    "split",        "reset",        "refuse",   "list_down",
+        "list_busy", "list_stall",  "list_anew",    "list_pace",    "list_old", "list_silent",
+        "list_move", "server_kill", "server_stall", "server_error", "drain",    "burst"};
     Fault out;
     from.need("do").place(acts, "act");
     out.act = from.need("do").text();
--- a/lab/script.hpp
+++ b/lab/script.hpp
@@ -10,17 +10,21 @@
 namespace amberswitch::lab {
 
 struct ListScript {
-    bool ask = true;                           // else a list is pushed: each machine has its own agent
-    double callsPerSecond = 100;               // one call at a time
-    std::size_t room = 1000;                   // calls that wait; who comes beyond gets 503
-    Nanos mostWait = std::chrono::seconds(6);  // a call that waited longer gets 503
-    double retryAfter = 0;                     // seconds, told with each 503; 0: not told
+    bool ask = true;                               // else a list is pushed: each machine has its own agent
+    double callsPerSecond = 100;                   // one call at a time
+    std::size_t room = 1000;                       // calls that wait; who comes beyond gets 503
+    Nanos mostWait = std::chrono::seconds(6);      // a call that waited longer gets 503
+    double retryAfter = 0;                         // seconds, told with each 503; 0: not told
+    bool indented = false;                         // as a person would write it
+    Nanos drain{std::chrono::milliseconds(2500)};  // from then on after the word: nothing new
 };
 
 struct ServersScript {
     std::size_t count = 8, slots = 8, queue = 16, connections = 4000;
     Nanos job{std::chrono::milliseconds(40)}, cold{0}, handshake{0};
     double coldFrom = 0.12, fallMultiple = 3;
+    double secondAnswers = 0,
+           endless = 0;  // shares: a second 202 some milliseconds later; one without an end
 };
 
 struct ClientsScript {
@@ -28,7 +32,8 @@
     Nanos giveUp = std::chrono::seconds(3);
     std::string effect = "read_like";  // as the settings name what a repeat does
     std::size_t retries = 2;
-    Nanos from{0};  // the first comes then
+    Nanos from{0};        // the first comes then
+    bool keepOn = false;  // after SIGTERM they send on every connection that stays open
 };
 
 // When a fault sets in. All that is given must hold; the time counts from when the rest does.
--- a/lab/world.hpp
+++ b/lab/world.hpp
@@ -17,7 +17,10 @@
 class World {
 public:
     World(const Script& s, net::Loop& l)
-        : script(s), loop(l), books(l.now(), s.clients.effect == "read_like"), random_(s.seed) {}
+        : script(s),
+          loop(l),
+          books(l.now(), s.clients.effect == "read_like", s.list.drain),
+          random_(s.seed) {}
 
     const Script& script;
     net::Loop& loop;
