Keep work inside its home: the placement policy, its allowance and the core's check

Need: a partner's contract says that certain of its work is done inside its home jurisdiction, whatever one dispatcher knows or fails to know.

Change: src/placement without I/O. The document (section placement of the operator file: numbered, schema, digest, strict) names jurisdictions, partners and rules home, home_first with an allowance, anywhere, never; what has no entry is said, too. Each set of places is a regime, and the module sees a regime as classes of its own, as it does for wires: it picks among what is allowed, a full home makes nobody else's door stricter, and not one line of the module changes. Servers of another jurisdiction are pools of their own. Core::legal checks each send by the labels' own books. Fail closed: unknown places and labels that changed under a running server count for nothing bound. Refused for want of home at once, with a time from home's own waits, counted by that reason. The allowance holds over the fleet without talk: whole shares, seats that move on with a silent span between, a start that begins with an empty purse. With no section it is off. Reload of the section waits for the next start.

--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -34,7 +34,7 @@
         settings::element root;
         if (const auto error = parser.parse(text).get(root); error != simdjson::SUCCESS)
             throw BadField(std::string("the file: is not valid JSON: ") + simdjson::error_message(error));
-        const auto from = Node(root, "").table({"gearman", "consul", "grpc", "log", "start"});
+        const auto from = Node(root, "").table({"gearman", "consul", "grpc", "log", "start", "placement"});
         Operator out;
         if (const Node* const section = from.find("gearman"))
             out.gearman = gearman::readConfig(*section, site), needAddress(*section, "listen");
@@ -52,6 +52,8 @@
             out.log.linesPerSecond = log.integer("lines_per_s", std::uint32_t{200}, 1, 100'000);
         }
         if (const Node* const section = from.find("start")) out.start = start::readPace(*section);
+        if (const Node* const section = from.find("placement"))
+            out.placement = placement::readPolicy(*section, site);
         return out;
     } catch (const BadField& bad) {
         throw BadField(path + ": " + bad.what());
--- a/src/config/operator.hpp
+++ b/src/config/operator.hpp
@@ -4,6 +4,7 @@
 
 #include "gearman/config.hpp"
 #include "grpc/config.hpp"
+#include "placement/policy.hpp"
 #include "platform/consul.hpp"
 #include "start/turns.hpp"
 
@@ -21,6 +22,7 @@
     platform::ConsulConfig consul;
     grpc::Config grpc;
     start::Pace start;
+    placement::Policy placement;
 };
 
 // Throws settings::BadField with one line: the file, the path in it and the reason.
--- a/src/config/reload.cpp
+++ b/src/config/reload.cpp
@@ -11,6 +11,7 @@
       gearmanListen_(own.gearman.listen),
       grpcListen_(own.grpc.listen),
       consulAddress_(own.consul.address),
+      placement_(own.placement.digest),
       watch_(watch),
       say_(std::move(say)),
       take_(std::move(take)) {}
@@ -38,6 +39,7 @@
     changed("gearman.listen", gearmanListen_, own.gearman.listen);
     changed("grpc.listen", grpcListen_, own.grpc.listen);
     changed("consul.address", consulAddress_, own.consul.address);
+    changed("placement", std::to_string(placement_), std::to_string(own.placement.digest));
     say_("reloaded: discovery at " + next.discovery + waits);
 }
 
--- a/src/config/reload.hpp
+++ b/src/config/reload.hpp
@@ -29,6 +29,7 @@
     Reader& reader_;
     const settings::Site site_;  // of the start: classes, tenants and zones stay
     const std::string listen_, control_, gearmanListen_, grpcListen_, consulAddress_;
+    std::uint64_t placement_;
     platform::Watch& watch_;
     Say say_;
     Take take_;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -7,8 +7,9 @@
 
 using namespace heronmount;
 
-Core::Core(const settings::Site& site, std::uint64_t seed, Deadlines& deadlines)
-    : site_(site), dispatcher_(site.module, seed), deadlines_(deadlines) {
+Core::Core(const settings::Site& site, std::uint64_t seed, Deadlines& deadlines,
+           const placement::Policy& policy, Time start)
+    : site_(site), placement_(policy, site_, start), dispatcher_(site_.module, seed), deadlines_(deadlines) {
     counters_.byClass.resize(std::max<std::size_t>(1, site.classes.size()));
 }
 
@@ -44,6 +45,7 @@
 void Core::answer(Transaction& t, Answer&& say) {
     if (t.answered) return;
     t.answered = true;
+    if (t.ticket.widened && !t.wentOut) placement_.returned(t.ticket);
     --open_;
     const std::shared_ptr<ClientEnd> client = std::exchange(t.client, nullptr);
     if (client) say(*client);
@@ -62,6 +64,7 @@
     const ClassSettings& klass = site_.module.classes[t.klass];
     const bool harmless = (!t.mayHaveRun && t.out == 0) || klass.effect == Effect::safe ||
                           (klass.effect == Effect::keyed && klass.group == Group::all);
+    if (placement_.on()) retryIn = placement_.refused(now, t.ticket, retryIn, site_.module.maxRetryAfter);
     if (harmless) {
         trace_(now, "refused t=%llu passes=%zu", static_cast<unsigned long long>(t.id), t.passes.size());
         answer(t, [&](ClientEnd& client) {
@@ -119,11 +122,42 @@
     arrival.request.id = id;
     // Guards against a transaction the module would still hold when the client gives up.
     deadlines_.once(t.deadline, [this, id](Time at) { due(at, id); });
+    if (placement_.on()) {
+        t.ticket = placement_.take(arrival.request.tenant, t.klass);
+        if (t.ticket.entry) t.klass = placement_.classIn(t.ticket, t.klass);
+        arrival.request.klass = t.klass, t.request = arrival.request;
+        // Guards against a job that the module would keep for a server of its place to come.
+        if (!t.ticket.entry || !anyFor(t)) {
+            if (!widened(now, t)) refuse(now, t, advice());
+            forget(id);
+            return id;
+        }
+    }
     tell(now, arrival.request);
     forget(id);
     return id;
 }
 
+bool Core::anyFor(const Transaction& t) const {
+    for (Worker server = 0; server < farm_.size(); ++server)
+        if (farm_[server].on && (farm_[server].entry.classes >> t.klass & 1)) return true;
+    return false;
+}
+
+// Home can't start it in time: it goes elsewhere if nothing of it ran, it is allowed to, and the allowance
+// has something left.
+bool Core::widened(Time now, Transaction& t) {
+    if (!placement_.on() || t.answered || t.mayHaveRun || t.out > 0 || t.sealed || t.committed ||
+        t.passes.size() >= site_.module.maxAttempts || now >= t.deadline || !placement_.widens(now, t.ticket))
+        return false;
+    t.klass = placement_.classIn(t.ticket, t.request.klass % placement_.wireClasses());
+    t.request.klass = t.klass, t.request.timeLeft = t.deadline - now;
+    t.since = static_cast<std::uint32_t>(t.passes.size());
+    if (!anyFor(t)) return placement_.returned(t.ticket), false;
+    tell(now, t.request);
+    return true;
+}
+
 void Core::due(Time now, TransactionId id) {
     Transaction* const t = find(id);
     if (!t) return;
@@ -157,6 +191,7 @@
     const ClassSettings& klass = site_.module.classes[t.klass];
     if (t.answered || t.sealed || t.committed || !to.on || !to.side || now >= t.deadline) return false;
     if (t.passes.size() >= site_.module.maxAttempts) return false;
+    if (placement_.on() && !placement_.allows(t.ticket, to.entry.worker)) return false;
     if (t.out > 0 && !site_.module.mayDuplicate) return false;
     if (to.entry.classes ? !(to.entry.classes >> t.klass & 1)
                          : klass.kind >= 0 && klass.kind != to.entry.kind)
@@ -183,6 +218,7 @@
         return endPass(now, *t, number, End::unsent, {}, {});
     }
     ++counters_.passes;
+    if (placement_.on()) t->wentOut = t->wentOut || placement_.outside(t->ticket, order.worker);
     const Nanos age = to.entry.since.count() > 0 ? now - to.entry.since : Nanos(-1'000'000);
     trace_(now, "sent t=%llu pass=%u server=%s zone=%d kind=%d cell=%d age=%lld",
            static_cast<unsigned long long>(t->id), number, to.name.c_str(), to.entry.zone, to.entry.kind,
@@ -197,10 +233,12 @@
     if (const auto* a = std::get_if<Send>(&action)) return send(now, *a);
     if (const auto* a = std::get_if<Cancel>(&action)) {
         Transaction* const t = find(a->id);
-        if (t && a->attempt < t->passes.size() && t->passes[a->attempt].open)
-            ++counters_.cancels, endPass(now, *t, a->attempt, End::withdrawn, {}, {});
+        const std::uint32_t number = t ? a->attempt + t->since : 0;
+        if (t && number < t->passes.size() && t->passes[number].open)
+            ++counters_.cancels, endPass(now, *t, number, End::withdrawn, {}, {});
     } else if (const auto* refusal = std::get_if<Refuse>(&action)) {
-        if (Transaction* const t = find(refusal->id)) refuse(now, *t, refusal->retryIn);
+        if (Transaction* const t = find(refusal->id); t && !widened(now, *t))
+            refuse(now, *t, refusal->retryIn);
     } else if (const auto* failure = std::get_if<Fail>(&action)) {
         if (Transaction* const t = find(failure->id)) fail(now, *t);
     } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
@@ -219,16 +257,18 @@
 
 void Core::passStarted(Time now, TransactionId id, std::uint32_t pass) {
     if (!openPass(id, pass)) return;
-    if (Transaction* const t = find(id); t->client) t->client->started(now);
+    Transaction& t = *find(id);
+    if (t.client) t.client->started(now);
     ++counters_.started;
     trace_(now, "started t=%llu pass=%u", static_cast<unsigned long long>(id), pass);
-    tell(now, AttemptNote{id, pass, true, 0});
+    if (placement_.on()) placement_.began(now, t.passes[pass].server, now - t.passes[pass].sent);
+    tell(now, AttemptNote{id, pass - t.since, true, 0});
 }
 
 void Core::passProgress(Time now, TransactionId id, std::uint32_t pass, double share) {
     if (!openPass(id, pass)) return;
     if (Transaction* const t = find(id); t->client) t->client->progress(now, share);
-    tell(now, AttemptNote{id, pass, false, share});
+    tell(now, AttemptNote{id, pass - find(id)->since, false, share});
 }
 
 void Core::passPartial(Time now, TransactionId id, std::uint32_t pass, Partial kind, std::string_view bytes) {
@@ -245,7 +285,7 @@
     for (std::uint32_t other = 0; other < t.passes.size(); ++other)
         if (other != pass && t.passes[other].open)
             ++counters_.cancels, endPass(now, t, other, End::withdrawn, {}, {});
-    tell(now, StreamStarted{id, pass});
+    tell(now, StreamStarted{id, pass - t.since});
 }
 
 void Core::seal(TransactionId id) {
@@ -291,7 +331,7 @@
         });
     }
     settle(now, t, number, how);
-    tell(now, AttemptEnded{t.id, number, outcomeOf(how), now - pass.sent, t.answered, load});
+    tell(now, AttemptEnded{t.id, number - t.since, outcomeOf(how), now - pass.sent, t.answered, load});
 }
 
 void Core::probeAnswered(Time now, Worker server, bool ok, const LoadReport& load) {
@@ -326,10 +366,19 @@
         server.entry.id = settings::fingerprint(told.name);
         // Guards against calls of one wire at servers of another: who names no classes takes those of the
         // plain wire, by its kind.
-        if (site_.wires > 1 && server.entry.classes == 0)
+        if ((site_.wires > 1 || placement_.on()) && server.entry.classes == 0)
             server.entry.classes = settings::classesOf(site_, 0, server.entry.kind);
+        bool nothing = false;
+        if (placement_.on()) {
+            const auto& standing =
+                placement_.listed(now, handle, told.name, told.entry.zone, told.entry.since);
+            server.entry.classes = placement_.widen(server.entry.classes, standing);
+            server.entry.kind = placement_.kindOf(server.entry.kind, standing);
+            nothing = server.entry.classes == 0;  // which would mean: by its kind
+            if (nothing && server.entry.standing == Standing::on) server.entry.standing = Standing::draining;
+        }
         server.listed = told.entry.standing != Standing::off;
-        server.on = told.entry.standing == Standing::on;
+        server.on = told.entry.standing == Standing::on && !nothing;
         update.entries.push_back(server.entry);
     }
     // The module takes a whole list as all there is: what other sources told goes in again.
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -8,13 +8,16 @@
 
 #include "core/trace.hpp"
 #include "core/transaction.hpp"
+#include "placement/placement.hpp"
 #include "settings/settings.hpp"
 
 namespace amberswitch {
 
 class Core {
 public:
-    Core(const settings::Site& site, std::uint64_t seed, Deadlines& deadlines);
+    // With a placement policy the module gets the classes once for each set of places that it names.
+    Core(const settings::Site& site, std::uint64_t seed, Deadlines& deadlines,
+         const placement::Policy& policy = {}, Time start = Time(0));
 
     // A source that is to watch its list when the module wants that.
     void addFarmSource(FarmSource& source) { sources_.push_back(&source); }
@@ -57,6 +60,7 @@
     std::size_t avoided() const { return dispatcher_.avoided(); }  // of the listed: see the module
     std::size_t listed() const;  // application servers in the list, those that drain too
     const Counters& counters() const { return counters_; }
+    const placement::Placement& placement() const { return placement_; }
     Trace& trace() { return trace_; }
     const Trace& trace() const { return trace_; }
     const settings::Site& site() const { return site_; }
@@ -83,6 +87,11 @@
         Time anchoredAt{0};
         std::uint32_t out = 0;
         std::string lastFailure;
+        // Where it may go. After it was widened the module counts its passes from `since` on.
+        placement::Placement::Ticket ticket;
+        heronmount::RequestArrived request;  // kept where it may be widened
+        std::uint32_t since = 0;
+        bool wentOut = false;
     };
     struct Server {
         std::string name;
@@ -99,6 +108,8 @@
     void endPass(Time now, Transaction& t, std::uint32_t number, End how, std::string result,
                  const LoadReport& load);
     bool legal(Time now, const Transaction& t, const Server& to) const;
+    bool widened(Time now, Transaction& t);
+    bool anyFor(const Transaction& t) const;
     void due(Time now, TransactionId id);
     void forget(TransactionId id);
     Transaction* find(TransactionId id);
@@ -110,6 +121,7 @@
     void answer(Transaction& t, Answer&& say);
 
     settings::Site site_;
+    placement::Placement placement_;
     heronmount::Dispatcher dispatcher_;
     Deadlines& deadlines_;
     std::vector<FarmSource*> sources_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -55,7 +55,7 @@
         throw BadField("ROUTER_ACCEPT_FD: the listeners of gearman and grpc can't be inherited");
     net::Loop loop;
     Wiring wiring(loop);
-    Core core(config.site, config.seed, loop.deadlines());
+    Core core(config.site, config.seed, loop.deadlines(), own.placement, loop.now());
     if (own.log.trace)
         core.trace().open([](const std::string& line) { std::fprintf(stderr, "%s\n", line.c_str()); },
                           own.log.linesPerSecond);
@@ -200,6 +200,7 @@
                (controlled ? report(control) : std::string()) +
                (config.acceptFd ? report(takeover) : std::string()) +
                (keptList.on() ? report(keptList) : std::string()) +
+               (core.placement().on() ? report(core.placement()) : std::string()) +
                (own.consul.address.empty() ? std::string() : report(consul)) +
                (speaksGrpc ? report(grpcFront, grpcServers) : std::string());
     };
--- a/src/report.cpp
+++ b/src/report.cpp
@@ -44,6 +44,18 @@
     return out.text;
 }
 
+std::string report(const placement::Placement& placement) {
+    Lines out;
+    const auto& c = placement.counters();
+    out.add("placement.number", static_cast<std::uint64_t>(placement.policy().number));
+    out.add("placement.digest", placement.policy().digest);
+    out.add("placement.bound", c.bound), out.add("placement.spilled", c.spilled);
+    out.add("placement.spill_returned", c.returned), out.add("placement.allowance_spent", c.nothingLeft);
+    out.add("placement.refused_home", c.forWantOfHome), out.add("placement.nowhere", c.nowhere);
+    out.add("placement.label_changed", c.moved), out.add("placement.place_unknown", c.unknownPlace);
+    return out.text;
+}
+
 std::string report(const start::Gate& gate, Time now) {
     if (!gate.waits()) return {};
     return std::string("router.start.waits_for=") + gate.waitsFor() +
--- a/src/settings/strict.hpp
+++ b/src/settings/strict.hpp
@@ -50,6 +50,7 @@
         }
         return out;
     }
+    std::string plain() const { return simdjson::minify(value_); }  // as JSON without spaces
     std::string text() const { return std::string(get<std::string_view>("a string")); }
     bool flag() const { return get<bool>("true or false"); }
     std::int64_t integer(std::int64_t least, std::int64_t most) const {
