Play home placement with real processes: zones, a bound customer, labels that change

Need: outside books have to see whether bound work leaves its home, with processes killed, cut off and told wrong labels.

Change: job servers stand in zones of their own, whatever a list says; a share of the tasks is of a customer whose home is the first zone; books count each of its tasks that reaches a server elsewhere, most in any span; a label can be told anew under a running server.

--- a/lab/books.cpp
+++ b/lab/books.cpp
@@ -6,10 +6,10 @@
 
 const char* nameOf(Count count) {
     constexpr const char* kNames[] = {
-        "list_calls", "whole_lists", "turned_away", "list_connections", "server_connections",
-        "handshakes", "probes",      "attempts",    "served",           "refused",
-        "failed",     "ready",       "falls",       "over_limit",       "unserved",
-        "tasks",      "tasks_served"};
+        "list_calls", "whole_lists",  "turned_away", "list_connections", "server_connections",
+        "handshakes", "probes",       "attempts",    "served",           "refused",
+        "failed",     "ready",        "falls",       "over_limit",       "unserved",
+        "tasks",      "tasks_served", "home_tasks",  "home_served",      "outside"};
     return kNames[static_cast<std::size_t>(count)];
 }
 
@@ -42,8 +42,9 @@
                        [&](const auto& one) { return one.second.from <= until && from <= one.second.until; });
 }
 
-void Books::asked(Time now, const std::string& id, int dispatcher, Time giveUp) {
+void Books::asked(Time now, const std::string& id, int dispatcher, Time giveUp, bool home) {
     Job& job = jobs_[id];
+    job.home = home;
     job.dispatcher = dispatcher, job.asked = now, job.giveUp = giveUp;
 }
 
@@ -66,6 +67,15 @@
         wrong(now, id + " was served with what no job server made for it");
 }
 
+std::size_t Books::mostOutside(Nanos span) const {
+    std::size_t most = 0;
+    for (std::size_t first = 0, last = 0; last < outside_.size(); ++last) {
+        while (outside_[first] <= outside_[last] - span) ++first;
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
 void Books::broke(Time now, const std::string& id) {
     const auto at = jobs_.find(id);
     if (at == jobs_.end()) return;
@@ -84,11 +94,13 @@
     return nullptr;
 }
 
-void Books::attempted(Time now, const std::string& id, int dispatcher, int server) {
+void Books::attempted(Time now, const std::string& id, int dispatcher, int server, bool atHome) {
     count(now, Count::attempts);
     const auto at = jobs_.find(id);
     if (at == jobs_.end()) return wrong(now, id + " was sent to a job server, and nobody had asked");
     Job& job = at->second;
+    if (job.home && !atHome && !std::exchange(job.outside, true))
+        outside_.push_back(now), count(now, Count::outside);
     const bool mayHaveRun =
         std::any_of(job.attempts.begin(), job.attempts.end(), [](const Attempt& one) { return !one.never; });
     if (!repeats_ && mayHaveRun) wrong(now, id + " was sent again though it may have run");
--- a/lab/books.hpp
+++ b/lab/books.hpp
@@ -30,6 +30,9 @@
     unserved,
     tasks,
     tasksServed,
+    homeTasks,
+    homeServed,
+    outside,
     kCount
 };
 constexpr std::size_t kCounts = static_cast<std::size_t>(Count::kCount);
@@ -43,12 +46,12 @@
     void count(Time now, Count what) { ++second(now)[static_cast<std::size_t>(what)]; }
 
     // Clients' side.
-    void asked(Time now, const std::string& id, int dispatcher, Time giveUp);
+    void asked(Time now, const std::string& id, int dispatcher, Time giveUp, bool home = false);
     void answered(Time now, const std::string& id, int status, const std::string& result);
     void unread(const std::string& id);  // its connection closed between two requests: it was sent anew
     void broke(Time now, const std::string& id);  // the connection ended without an answer
     // Job servers' side.
-    void attempted(Time now, const std::string& id, int dispatcher, int server);
+    void attempted(Time now, const std::string& id, int dispatcher, int server, bool atHome = true);
     void neverRan(const std::string& id, int server);  // turned away, or called off before its start
     void ended(const std::string& id, int server, const std::string& result);
     void fell(Time now, int server);
@@ -61,6 +64,8 @@
     void close(Time now, Time takenBefore);  // who is still owed an answer by now has not had one
 
     const std::vector<std::array<std::uint32_t, kCounts>>& seconds() const { return seconds_; }
+    // Tasks of home that came to servers elsewhere, most in any such span.
+    std::size_t mostOutside(Nanos span) const;
     std::uint64_t sum(Count what, Time from = Time(0)) const;
     const std::vector<std::string>& wrongs() const { return wrongs_; }
     std::size_t wrongCount() const { return wrongCount_; }
@@ -76,6 +81,7 @@
     };
     struct Job {
         int dispatcher = 0, answers = 0;
+        bool home = false, outside = false;
         Time asked{0}, giveUp{0};
         std::vector<Attempt> attempts;
         std::vector<std::string> results;
@@ -94,6 +100,7 @@
     std::map<std::pair<int, int>, Time> offSince_;  // by dispatcher and server: when it was told
     std::multimap<int, Excuse> excuses_;
     std::vector<std::array<std::uint32_t, kCounts>> seconds_;
+    std::vector<Time> outside_;
     std::vector<std::string> wrongs_;
     std::size_t wrongCount_ = 0;
 };
--- a/lab/clients.cpp
+++ b/lab/clients.cpp
@@ -71,8 +71,10 @@
 
 void Clients::arrive(Time now) {
     if (stopped_) return;
+    const bool home = world_.script.clients.homeShare > 0 && world_.draw() < world_.script.clients.homeShare;
     world_.books.count(now, Count::tasks);
-    send(now, {now, now + world_.script.clients.giveUp, 0});
+    if (home) world_.books.count(now, Count::homeTasks);
+    send(now, {now, now + world_.script.clients.giveUp, 0, home});
     const double gap = -std::log(1 - world_.draw()) / (world_.script.clients.perSecond * factor_);
     const Nanos wait(static_cast<std::int64_t>(1e9 * gap));
     world_.deadlines().once(now + wait, [this](Time at) { arrive(at); });
@@ -107,16 +109,19 @@
     if (fresh) one = std::make_shared<Asking>();
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(task.giveUp - now).count();
     if (left <= 0) return world_.books.count(now, Count::unserved);
-    world_.books.asked(now, id, dispatcher, task.giveUp);
+    world_.books.asked(now, id, dispatcher, task.giveUp, task.home);
     one->ask(
         "POST /job HTTP/1.1\r\nHost: fleet\r\nX-Trace-Id: " + id +
-            "\r\nX-Qos: job\r\nX-Customer: one\r\nX-Expires-In-Ms: " + std::to_string(left) +
-            "\r\nContent-Length: 2\r\n\r\n{}",
+            "\r\nX-Qos: job\r\nX-Customer: " + (task.home ? "home" : "one") +
+            "\r\nX-Expires-In-Ms: " + std::to_string(left) + "\r\nContent-Length: 2\r\n\r\n{}",
         [this, dispatcher, task, id, one](Time at, const http::Message& answer) {
             world_.books.answered(at, id, answer.status, answer.body);
             if (one->state() == http::Client::State::idle)
                 idle_[static_cast<std::size_t>(dispatcher)].push_back(one);
-            if (answer.status == 200) return world_.books.count(task.came, Count::tasksServed);
+            if (answer.status == 200) {
+                if (task.home) world_.books.count(task.came, Count::homeServed);
+                return world_.books.count(task.came, Count::tasksServed);
+            }
             const std::string* const wait = answer.header("retry-after");
             if (answer.status == 503 || answer.status == 429)
                 return later(at, task, wait ? std::atof(wait->c_str()) : 0.1);
--- a/lab/clients.hpp
+++ b/lab/clients.hpp
@@ -25,6 +25,7 @@
     struct Task {
         Time came{0}, giveUp{0};
         std::size_t tries = 0;
+        bool home = false;
     };
     void arrive(Time now);
     void send(Time now, Task task);
--- a/lab/farm.cpp
+++ b/lab/farm.cpp
@@ -77,7 +77,7 @@
     }
     const std::string* const id = message.header("x-trace-id");
     if (!id) return from->reply(now, 404, "");
-    world_.books.attempted(now, *id, dispatcher, s);
+    world_.books.attempted(now, *id, dispatcher, s, static_cast<std::size_t>(s) % script.zones == 0);
     if (fresh) world_.books.count(now, Count::handshakes);
     const double pace = speed(server, now);
     if (pace < 1) {  // all that reaches it weighs, what it turns away too
--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -42,14 +42,18 @@
 
 std::string Fleet::settings(int dispatcher) const {
     const Script& script = world_.script;
+    std::string zones;
+    for (std::size_t z = 0; z < script.servers.zones; ++z)
+        zones += (z ? ",\"z" : "\"z") + std::to_string(z) + '"';
     const auto nanos = [](Nanos value) { return std::to_string(value.count()); };
     return R"({"allowed":{"cancelling":true,"connectTimeout":250000000,"idleClose":5000000000,"maxAttempts":3,)"
            R"("maxRetryAfter":2000000000,"mayDuplicate":false,"probing":true,"retryAfter":true},)"
            R"("classes":[{"credit":1.0,"effect":")" +
            script.clients.effect + R"(","giveUp":)" + nanos(script.clients.giveUp) +
            R"(,"goalTime":400000000,"group":"all","name":"job"}],)"
-           R"("customers":[{"name":"one","portion":1,"quotaPerS":100000.0}],"discovery":")" +
-           (script.list.ask ? "ask" : "push") +
+           R"("customers":[{"name":"one","portion":1,"quotaPerS":100000.0})" +
+           (script.clients.homeShare > 0 ? R"(,{"name":"home","portion":1,"quotaPerS":100000.0})" : "") +
+           R"(],"discovery":")" + (script.list.ask ? "ask" : "push") +
            R"(","familyInfo":{"classKind":[-1],"progress":1000000000,"tellsStart":true},"fleetSize":)" +
            std::to_string(script.dispatchers) + R"(,"machineTypes":["std"],"me":)" +
            std::to_string(dispatcher) + R"(,"rules":{"askWithin":10000000000,"cold":)" +
@@ -58,7 +62,9 @@
            std::to_string(script.servers.fallMultiple) + R"(,"overloadFor":1000000000,"stopSendingWithin":)" +
            nanos(script.list.drain) +
            R"(},"tick":4000000,"weights":"nominal",)"
-           R"("zone":0,"zones":["z0"]})";
+           R"("zone":)" +
+           std::to_string(static_cast<std::size_t>(dispatcher) % script.servers.zones) + R"(,"zones":[)" +
+           zones + "]}";
 }
 
 void Fleet::configure(int dispatcher) {
--- a/lab/lists.cpp
+++ b/lab/lists.cpp
@@ -12,6 +12,8 @@
       entries_(world.script.servers.count),
       callsOf_(world.script.dispatchers),
       pace_(world.script.list.callsPerSecond) {
+    for (std::size_t s = 0; s < entries_.size(); ++s)
+        entries_[s].zone = static_cast<int>(s % world.script.servers.zones);
     listeners_.resize(world.script.dispatchers), deafUntil_.resize(world.script.dispatchers);
     failed_.resize(world.script.dispatchers);
     for (std::size_t d = 0; d < world.script.dispatchers; ++d) open(static_cast<int>(d));
@@ -36,8 +38,8 @@
 
 std::string Lists::entry(int dispatcher, int server, const Entry& entry) const {
     return "{\"name\":\"s" + std::to_string(server) + "\",\"address\":\"" + addressOf_(dispatcher, server) +
-           "\",\"zone\":\"z0\",\"type\":\"std\",\"group\":0,\"status\":\"" + entry.status +
-           "\",\"weight\":1.0,\"since_ms\":" + std::to_string(entry.sinceMs) + "}";
+           "\",\"zone\":\"z" + std::to_string(entry.zone) + "\",\"type\":\"std\",\"group\":0,\"status\":\"" +
+           entry.status + "\",\"weight\":1.0,\"since_ms\":" + std::to_string(entry.sinceMs) + "}";
 }
 
 std::string Lists::whole(int dispatcher, bool ofNow) const {
@@ -52,13 +54,21 @@
 }
 
 void Lists::change(Time now, int server, Entry entry) {
-    entries_[static_cast<std::size_t>(server)] = std::move(entry);
+    Entry& known = entries_[static_cast<std::size_t>(server)];
+    if (entry.zone < 0) entry.zone = known.zone;
+    known = std::move(entry);
     changes_[++version_] = server;
     for (const Watch& watch : std::exchange(watches_, {}))
         if (const auto from = watch.from.lock()) tell(now, from, watch.dispatcher, watch.index);
     for (std::size_t d = 0; d < listeners_.size(); ++d) owe(now, static_cast<int>(d), now);
 }
 
+void Lists::relabel(Time now, int server, int zone) {
+    Entry entry = entries_[static_cast<std::size_t>(server)];
+    entry.zone = zone;
+    change(now, server, entry);
+}
+
 void Lists::counts(Time now, int dispatcher) {
     for (std::size_t s = 0; s < entries_.size(); ++s)
         world_.books.told(now, dispatcher, static_cast<int>(s), entries_[s].status == "Ready");
--- a/lab/lists.hpp
+++ b/lab/lists.hpp
@@ -15,11 +15,13 @@
     struct Entry {
         std::string status = "Ready";  // Terminating, Gone
         std::int64_t sinceMs = 0;
+        int zone = -1;  // as it is labelled; -1: as it was
     };
     using AddressOf = std::function<std::string(int dispatcher, int server)>;
     Lists(World& world, AddressOf addressOf);
 
     std::string address(int dispatcher) const;
+    void relabel(Time now, int server, int zone);
     void change(Time now, int server, Entry entry);  // told to all who watch
     std::string whole(int dispatcher, bool ofNow = true) const;
 
--- a/lab/rig.cpp
+++ b/lab/rig.cpp
@@ -46,7 +46,8 @@
 
 std::vector<int> Rig::draw(const Fault& fault) {
     if (!fault.whom.empty()) return fault.whom;
-    const bool ofServers = fault.act.rfind("server_", 0) == 0 || fault.act == "drain";
+    const bool ofServers =
+        fault.act.rfind("server_", 0) == 0 || fault.act == "drain" || fault.act == "relabel";
     std::vector<int> all(ofServers ? script_.servers.count : script_.dispatchers);
     std::iota(all.begin(), all.end(), 0);
     for (std::size_t i = all.size(); i > 1; --i)
@@ -192,6 +193,9 @@
             farm_->stall(one, on);
         } else if (act == "server_error") {
             farm_->err(one, on);
+        } else if (act == "relabel") {
+            const int own = one % static_cast<int>(script_.servers.zones);
+            lists_->relabel(now, one, on ? static_cast<int>(fault.amount) : own);
         } else if (act == "drain") {
             lists_->change(now, one, {on ? "Terminating" : "Ready", 0});
         } else {
@@ -283,6 +287,17 @@
     atMost("list calls in a second, of the pace", out.overPace, expect.overPace);
     atMost("whole lists after the first fault", static_cast<double>(out.wholeAfter), expect.wholeAfter);
     atMost("connections over the limit", static_cast<double>(books.sum(Count::overLimit)), expect.overLimit);
+    if (expect.outsideMost >= 0)
+        atMost("home's tasks outside in a span", static_cast<double>(books.mostOutside(expect.outsideSpan)),
+               expect.outsideMost);
+    if (expect.homeServed >= 0) {
+        double asked = 0, done = 0;
+        for (std::size_t i = out.seconds.size() > 4 ? out.seconds.size() - 4 : 0; i + 1 < out.seconds.size();
+             ++i)
+            asked += of(i, Count::homeTasks), done += of(i, Count::homeServed);
+        atMost("share of home's tasks not served at the end", asked > 0 ? 1 - done / asked : 1,
+               1 - expect.homeServed);
+    }
     const double bound = std::chrono::duration<double>(expect.ready).count();
     if (expect.ready.count() >= 0)
         atMost("seconds until all were ready", out.ready < 0 ? 1e9 : out.ready, bound);
--- a/lab/script.cpp
+++ b/lab/script.cpp
@@ -31,8 +31,9 @@
 }
 
 ServersScript readServers(const Node& node) {
-    const auto from = node.table({"count", "slots", "queue", "connections", "job_ms", "cold_ms",
-                                  "handshake_ms", "cold_from", "fall_multiple", "second_answers", "endless"});
+    const auto from =
+        node.table({"count", "slots", "queue", "connections", "job_ms", "cold_ms", "handshake_ms",
+                    "cold_from", "fall_multiple", "second_answers", "endless", "zones"});
     ServersScript out;
     out.count = from.integer("count", out.count, 1, 64);
     out.slots = from.integer("slots", out.slots, 1, 1000);
@@ -43,18 +44,21 @@
     out.handshake = from.milliseconds("handshake_ms", out.handshake, 0, 1000);
     out.coldFrom = from.number("cold_from", out.coldFrom, 0.01, 1);
     out.fallMultiple = from.number("fall_multiple", out.fallMultiple, 1, 100);
+    out.zones = from.integer("zones", out.zones, 1, 8);
     out.secondAnswers = from.number("second_answers", 0, 0, 1);
     out.endless = from.number("endless", 0, 0, 1);
     return out;
 }
 
 ClientsScript readClients(const Node& node) {
-    const auto from = node.table({"per_s", "give_up_ms", "effect", "retries", "from_ms", "keep_on"});
+    const auto from =
+        node.table({"per_s", "give_up_ms", "effect", "retries", "from_ms", "keep_on", "home_share"});
     ClientsScript out;
     out.perSecond = from.number("per_s", out.perSecond, 0, 5000);
     out.giveUp = from.milliseconds("give_up_ms", out.giveUp, 100, kMostMs);
     out.retries = from.integer("retries", out.retries, 0, 20);
     out.from = from.milliseconds("from_ms", out.from, 0, kMostMs);
+    out.homeShare = from.number("home_share", 0, 0, 1);
     out.keepOn = from.flag("keep_on", false);
     if (const Node* const effect = from.find("effect"))
         effect->place({"read_like", "non_idempotent"}, "effect"), out.effect = effect->text();
@@ -75,10 +79,10 @@
 Fault readFault(const Node& node, const Script& script) {
     const auto from = node.table({"name", "do", "when", "for_ms", "share", "whom", "side", "way", "amount"});
     const std::vector<std::string> acts{
-        "kill",      "stop",        "term",         "roll",         "start",    "cut",
-        "delay",     "throttle",    "split",        "reset",        "refuse",   "list_down",
-        "list_busy", "list_stall",  "list_anew",    "list_pace",    "list_old", "list_silent",
-        "list_move", "server_kill", "server_stall", "server_error", "drain",    "burst"};
+        "kill",         "stop",      "term",     "roll",        "start",     "cut",         "delay",
+        "throttle",     "split",     "reset",    "refuse",      "list_down", "list_busy",   "list_stall",
+        "list_anew",    "list_pace", "list_old", "list_silent", "list_move", "server_kill", "server_stall",
+        "server_error", "drain",     "burst",    "relabel"};
     Fault out;
     from.need("do").place(acts, "act");
     out.act = from.need("do").text();
@@ -91,7 +95,7 @@
         side->place({"list", "servers", "clients"}, "side"), out.side = side->text();
     if (const Node* const way = from.find("way"))
         way->place({"to", "from", "both"}, "way"), out.way = way->text();
-    const bool ofServers = out.act.rfind("server_", 0) == 0 || out.act == "drain";
+    const bool ofServers = out.act.rfind("server_", 0) == 0 || out.act == "drain" || out.act == "relabel";
     const std::size_t most = ofServers ? script.servers.count : script.dispatchers;
     if (const Node* const whom = from.find("whom"))
         for (const Node& one : whom->list(1000))
@@ -103,7 +107,8 @@
 
 Expect readExpect(const Node& node) {
     const auto from = node.table({"whole_lists_each", "turned_away", "over_pace", "ready_ms", "served_share",
-                                  "whole_lists_after", "over_limit"});
+                                  "whole_lists_after", "over_limit", "outside_most", "outside_span_ms",
+                                  "home_served_share"});
     Expect out;
     out.wholeLists = from.number("whole_lists_each", -1, 0, 1000);
     out.turnedAway = from.number("turned_away", -1, 0, 1);
@@ -111,6 +116,9 @@
     out.ready = from.milliseconds("ready_ms", out.ready, 1, kMostMs);
     out.servedShare = from.number("served_share", -1, 0, 1);
     out.wholeAfter = from.number("whole_lists_after", -1, 0, 1e6);
+    out.outsideMost = from.number("outside_most", -1, 0, 1e6);
+    out.outsideSpan = from.milliseconds("outside_span_ms", out.outsideSpan, 1, kMostMs);
+    out.homeServed = from.number("home_served_share", -1, 0, 1);
     out.overLimit = from.number("over_limit", -1, 0, 1e6);
     return out;
 }
--- a/lab/script.hpp
+++ b/lab/script.hpp
@@ -23,6 +23,7 @@
     std::size_t count = 8, slots = 8, queue = 16, connections = 4000;
     Nanos job{std::chrono::milliseconds(40)}, cold{0}, handshake{0};
     double coldFrom = 0.12, fallMultiple = 3;
+    std::size_t zones = 1;  // server s stands in zone s % zones, whatever a list says
     double secondAnswers = 0,
            endless = 0;  // shares: a second 202 some milliseconds later; one without an end
 };
@@ -32,8 +33,9 @@
     Nanos giveUp = std::chrono::seconds(3);
     std::string effect = "read_like";  // as the settings name what a repeat does
     std::size_t retries = 2;
-    Nanos from{0};        // the first comes then
-    bool keepOn = false;  // after SIGTERM they send on every connection that stays open
+    Nanos from{0};         // the first comes then
+    double homeShare = 0;  // of the tasks: of the customer `home`, whose home is zone z0
+    bool keepOn = false;   // after SIGTERM they send on every connection that stays open
 };
 
 // When a fault sets in. All that is given must hold; the time counts from when the rest does.
@@ -63,7 +65,10 @@
     Nanos ready{-1};          // until all have said yes once
     double servedShare = -1;  // least, of the jobs of the last three seconds
     double wholeAfter = -1;   // whole lists asked for once the first fault has set in
-    double overLimit = -1;    // connections that job servers had no place for
+    double outsideMost = -1;  // tasks of `home` that went to servers outside z0, in any `outsideSpan`
+    Nanos outsideSpan{std::chrono::seconds(1)};
+    double homeServed = -1;  // least share, of home's tasks of the last three seconds
+    double overLimit = -1;   // connections that job servers had no place for
 };
 
 struct Script {
