Keep standings over a restart, so a wrong label is not believed by who starts later

The rig's part: a kill whose process was back within a second was taken for gone by the front, for good (rig.cpp, the delayed Clients::gone), so restarted ones were never asked: it looks now whether it is the same run.

Change: standings are written to the file that the policy names, whenever one changes and before any job is sent by it; a start reads them.

Placed.StandingsOutliveTheProcess.

--- a/lab/rig.cpp
+++ b/lab/rig.cpp
@@ -166,7 +166,10 @@
                 world_.books.excuse(one, due + 700ms, due + 3s + script_.clients.giveUp);
             world_.deadlines().once(due, [this, one, number](Time) { fleet_->signal(one, number); });
             world_.deadlines().once(due + (number == SIGKILL ? 1s : 100ms),
-                                    [this, one](Time) { clients_->gone(one); });
+                                    [this, one, run = fleet_->starts(one)](Time) {
+                                        // Not of the process that has come in its place.
+                                        if (fleet_->starts(one) == run) clients_->gone(one);
+                                    });
             // Of this run of it alone.
             if (number == SIGTERM)
                 world_.deadlines().once(due + script_.clients.giveUp + 700ms,
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -381,6 +381,7 @@
         server.on = told.entry.standing == Standing::on && !nothing;
         update.entries.push_back(server.entry);
     }
+    if (placement_.on() && placement_.changed() && standingsChanged_) standingsChanged_(now);
     // The module takes a whole list as all there is: what other sources told goes in again.
     if (mode != RosterMode::changes)
         for (const Server& server : farm_)
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <optional>
 #include <unordered_map>
 
@@ -61,6 +62,9 @@
     std::size_t listed() const;  // application servers in the list, those that drain too
     const Counters& counters() const { return counters_; }
     const placement::Placement& placement() const { return placement_; }
+    placement::Placement& placement() { return placement_; }
+    // Told where servers stand, as soon as that has changed and before any job is sent by it.
+    void setStandingsChanged(std::function<void(Time)> tell) { standingsChanged_ = std::move(tell); }
     Trace& trace() { return trace_; }
     const Trace& trace() const { return trace_; }
     const settings::Site& site() const { return site_; }
@@ -133,6 +137,7 @@
     bool turning_ = false;
     TransactionId last_ = 0;
     std::size_t open_ = 0;
+    std::function<void(Time)> standingsChanged_;
     Counters counters_;
     Trace trace_;
 };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,6 +10,7 @@
 #include "grpc/front.hpp"
 #include "grpc/servers.hpp"
 #include "net/loop.hpp"
+#include "placement/keep.hpp"
 #include "platform/front.hpp"
 #include "report.hpp"
 #include "start/gate.hpp"
@@ -98,6 +99,9 @@
     store::Keeper keptList({own.start.keepFile, own.start.keepAge}, "ASWLIST1", settings::siteOf(config.site),
                            "list", say);
     if (keptList.on()) watch.keepIn(keptList);
+    store::Keeper keptPlaces({own.placement.keepFile, placement::kKeepAge}, "ASWPLCE1",
+                             settings::siteOf(config.site), "standings", say);
+    placement::keepStandings(core, keptPlaces, loop.now());
     watch.begin(loop.now(), config.known);
 
     platform::Consul consul(core, servers, loop.deadlines(), wiring, own.consul, say);
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <bit>
 #include <cmath>
+#include <sstream>
+#include <utility>
 
 namespace amberswitch::placement {
 
@@ -47,19 +49,51 @@
                                   Time start) {
     if (server >= standings_.size()) standings_.resize(server + 1);
     Standing& s = standings_[server];
+    if (const auto kept = recalled_.find(name); s.why == Why::none && kept != recalled_.end())
+        s = std::move(kept->second), recalled_.erase(kept);
     const bool anew = s.why == Why::none || start > s.start;
     if (!anew && (zone == s.zone || s.why == Why::moved)) return s;
+    changed_ = true;
     if (!anew) {
-        s = {0, Why::moved, now, zone, s.start};
+        s = {0, Why::moved, now, zone, s.start, name};
         ++counters_.moved;
         return s;
     }
     const std::uint32_t jurisdictions = policy_.of(zone, name);
-    s = {jurisdictions, jurisdictions ? Why::known : Why::unknownPlace, now, zone, start};
+    s = {jurisdictions, jurisdictions ? Why::known : Why::unknownPlace, now, zone, start, name};
     counters_.unknownPlace += jurisdictions == 0;
     return s;
 }
 
+std::string Placement::standings() const {
+    std::string out;
+    const auto line = [&out](const Standing& s) {
+        out += s.name + '\t' + std::to_string(s.zone) + '\t' + std::to_string(s.start.count()) + '\t' +
+               (s.why == Why::moved ? '1' : '0') + '\n';
+    };
+    for (const Standing& s : standings_)
+        if (s.why != Why::none) line(s);
+    for (const auto& [name, s] : recalled_) line(s);
+    return out;
+}
+
+void Placement::recall(const std::string& kept) {
+    std::map<std::string, Standing> found;
+    std::istringstream lines(kept);
+    for (std::string line; std::getline(lines, line);) {
+        std::istringstream fields(line);
+        Standing s;
+        std::int64_t start = 0;
+        int moved = 0;
+        if (!std::getline(fields, s.name, '\t') || !(fields >> s.zone >> start >> moved) || s.name.empty())
+            throw settings::BadField("a line is no standing");
+        s.start = Time(start), s.jurisdictions = moved ? 0 : policy_.of(s.zone, s.name);
+        s.why = moved ? Why::moved : s.jurisdictions ? Why::known : Why::unknownPlace;
+        found.emplace(s.name, s);
+    }
+    recalled_ = std::move(found);
+}
+
 std::uint64_t Placement::widen(std::uint64_t classes, const Standing& standing) const {
     std::uint64_t out = 0;
     for (std::size_t r = 0; r < regimes_.size(); ++r)
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -24,6 +24,7 @@
     Time since{0};
     int zone = -1;
     Time start{0};  // the server's own
+    std::string name;
 };
 
 struct Counters {
@@ -43,6 +44,11 @@
     // From the farm: the label that was told. A label that is another one than before counts for nothing
     // bound until the server has started anew: it may be the hardware that is elsewhere, or the label.
     const Standing& listed(Time now, std::size_t server, const std::string& name, int zone, Time start);
+    // What a process that comes after has to know: it would take the newer label for the only one. A line a
+    // server. What can't be read throws BadField, and nothing of it is taken.
+    std::string standings() const;
+    void recall(const std::string& kept);
+    bool changed() { return std::exchange(changed_, false); }  // since last asked
     // A bit for each class of each regime that such a server may take. 0: none, it must get nothing.
     std::uint64_t widen(std::uint64_t classes, const Standing& standing) const;
     int kindOf(int kind, const Standing& standing) const;
@@ -80,6 +86,8 @@
     std::size_t classes_, wireClasses_;
     std::vector<Reach> regimes_{Reach{}};
     std::vector<Standing> standings_;
+    std::map<std::string, Standing> recalled_;  // of servers that were not listed yet
+    bool changed_ = false;
     std::map<const Entry*, Ledger> ledgers_;
     std::vector<Wait> waits_;  // by jurisdiction
     Counters counters_;
--- a/src/placement/policy.cpp
+++ b/src/placement/policy.cpp
@@ -74,7 +74,8 @@
 }  // namespace
 
 Policy readPolicy(const Node& section, const settings::Site& site) {
-    const auto from = section.table({"schema", "number", "jurisdictions", "partners", "otherwise"});
+    const auto from =
+        section.table({"schema", "number", "jurisdictions", "partners", "otherwise", "keep_file"});
     Policy out;
     out.on = true;
     if (const Node& schema = from.need("schema"); schema.integer(0, INT64_MAX) != kSchema)
@@ -122,6 +123,7 @@
             }
         out.partners[static_cast<std::size_t>(tenant - site.tenants.begin())] = std::move(entries);
     }
+    out.keepFile = from.text("keep_file", "");
     out.othersGo = from.need("otherwise").place({"refused", "anywhere"}, "rule") == 1;
     return out;
 }
--- a/src/placement/policy.hpp
+++ b/src/placement/policy.hpp
@@ -52,6 +52,7 @@
     };
     std::vector<Place> places;                 // by jurisdiction
     std::vector<std::vector<Entry>> partners;  // by the site's tenant and class
+    std::string keepFile;                      // where standings are kept over a restart; empty: nowhere
     bool othersGo = false;                     // who is no partner: anywhere, else refused
 
     std::uint32_t of(int zone, const std::string& server) const;  // the jurisdictions' bits
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -341,6 +341,24 @@
     EXPECT_EQ(places(kMaritsa, kMatch), (std::set<std::string>{"s"}));
 }
 
+// A process that comes after knows the label that was there first.
+TEST_F(Placed, StandingsOutliveTheProcess) {
+    list(RosterMode::whole, {at("s", 0), at("p", 1)});
+    list(RosterMode::changes, {at("s", 1)});
+    Core next{site(), 6, deadlines, read(kDocument).placement, now};
+    next.placement().recall(core.placement().standings());
+    int told = 0;
+    next.setStandingsChanged([&told](Time) { ++told; });
+    next.farm(now, fleet, fleet, RosterMode::whole, {at("s", 0), at("p", 0), at("x", 2)});
+    EXPECT_EQ(next.placement().listed(now, next.handleOf("s"), "s", 0, Time(0)).why, Why::moved);
+    EXPECT_EQ(next.placement().listed(now, next.handleOf("p"), "p", 0, Time(0)).why, Why::moved);
+    EXPECT_EQ(next.placement().listed(now, next.handleOf("x"), "x", 2, Time(0)).why, Why::known);
+    EXPECT_EQ(told, 1);
+    next.farm(now, fleet, fleet, RosterMode::whole, {at("s", 0), at("p", 0), at("x", 2)});
+    EXPECT_EQ(told, 1);  // nothing new
+    EXPECT_THROW(next.placement().recall("s\tzero\n"), settings::BadField);
+}
+
 // Against the core's own books: random lists, labels, drains and jobs, whatever the module would do.
 TEST_F(Placed, NoBoundJobGoesOutsideInRandomRuns) {
     boost::random::mt19937_64 random(7);
