Send home-first work elsewhere once home has turned it away, under a number of its own

Cause: a job that every home server handed back had used up its attempts and was refused, where its allowance had room; and one that was widened kept its number in the module, whose timers of the first try would have met the second (check() looks at attempts[sends - 1] with none sent).

Change: the last attempt is left for elsewhere; a widened job is another request to the module, under the number with bit 51 set. What some listed server takes is kept with each list, not looked for with each job.

Result: Placed.AJobThatHomeHandedBackGoesElsewhereAndIsServedOnce: three passes at home, one elsewhere, served; it fails with the old number.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -13,6 +13,16 @@
     counters_.byClass.resize(std::max<std::size_t>(1, site.classes.size()));
 }
 
+// As the module numbers it: one that was widened is another request there.
+heronmount::RequestId Core::idOf(const Transaction& t) const {
+    return t.second ? t.id | kSecond : t.id;
+}
+
+Core::Transaction* Core::asked(heronmount::RequestId id) {
+    Transaction* const t = find(id & ~kSecond);
+    return t && idOf(*t) == id ? t : nullptr;
+}
+
 Core::Transaction* Core::find(TransactionId id) {
     const auto at = transactions_.find(id);
     return at == transactions_.end() ? nullptr : &at->second;
@@ -102,7 +112,7 @@
         if (!t.answered) ids.push_back(id);
     for (const TransactionId id : ids) {
         refuse(now, *find(id), advice());
-        tell(now, ClientLeft{id});  // calls off what is out
+        tell(now, ClientLeft{idOf(*find(id))});  // calls off what is out
         forget(id);
     }
 }
@@ -138,12 +148,6 @@
     return id;
 }
 
-bool Core::anyFor(const Transaction& t) const {
-    for (Worker server = 0; server < farm_.size(); ++server)
-        if (farm_[server].on && (farm_[server].entry.classes >> t.klass & 1)) return true;
-    return false;
-}
-
 // Home can't start it in time: it goes elsewhere if nothing of it ran, it is allowed to, and the allowance
 // has something left.
 bool Core::widened(Time now, Transaction& t) {
@@ -151,9 +155,10 @@
         t.passes.size() >= site_.module.maxAttempts || now >= t.deadline || !placement_.widens(now, t.ticket))
         return false;
     t.klass = placement_.classIn(t.ticket, t.request.klass % placement_.wireClasses());
-    t.request.klass = t.klass, t.request.timeLeft = t.deadline - now;
-    t.since = static_cast<std::uint32_t>(t.passes.size());
     if (!anyFor(t)) return placement_.returned(t.ticket), false;
+    // Under another number: what the module set out for the first one (its timers) must not meet this one.
+    t.second = true, t.since = static_cast<std::uint32_t>(t.passes.size());
+    t.request.klass = t.klass, t.request.timeLeft = t.deadline - now, t.request.id = idOf(t);
     tell(now, t.request);
     return true;
 }
@@ -166,7 +171,7 @@
         if (t->passes[number].open) endPass(now, *t, number, End::timedOut, {}, {});
     if (!t->answered) {
         fail(now, *t);
-        tell(now, ClientLeft{id});
+        tell(now, ClientLeft{idOf(*t)});
     }
     forget(id);
 }
@@ -177,7 +182,7 @@
     t->answered = true;
     t->client = nullptr;
     --open_, ++counters_.left;
-    tell(now, ClientLeft{id});
+    tell(now, ClientLeft{idOf(*t)});
     forget(id);
 }
 
@@ -203,7 +208,7 @@
 }
 
 void Core::send(Time now, const Send& order) {
-    Transaction* const t = find(order.id);
+    Transaction* const t = asked(order.id);
     if (!t || order.worker >= farm_.size()) return;
     Server& to = farm_[order.worker];
     const bool allowed = legal(now, *t, to);
@@ -232,15 +237,15 @@
 void Core::carryOut(Time now, const Action& action) {
     if (const auto* a = std::get_if<Send>(&action)) return send(now, *a);
     if (const auto* a = std::get_if<Cancel>(&action)) {
-        Transaction* const t = find(a->id);
+        Transaction* const t = asked(a->id);
         const std::uint32_t number = t ? a->attempt + t->since : 0;
         if (t && number < t->passes.size() && t->passes[number].open)
             ++counters_.cancels, endPass(now, *t, number, End::withdrawn, {}, {});
     } else if (const auto* refusal = std::get_if<Refuse>(&action)) {
-        if (Transaction* const t = find(refusal->id); t && !widened(now, *t))
+        if (Transaction* const t = asked(refusal->id); t && !widened(now, *t))
             refuse(now, *t, refusal->retryIn);
     } else if (const auto* failure = std::get_if<Fail>(&action)) {
-        if (Transaction* const t = find(failure->id)) fail(now, *t);
+        if (Transaction* const t = asked(failure->id)) fail(now, *t);
     } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
         const std::uint64_t tag = timer->tag;
         deadlines_.once(now + timer->delay, [this, tag](Time at) { tell(at, TimerFired{tag}); });
@@ -262,13 +267,14 @@
     ++counters_.started;
     trace_(now, "started t=%llu pass=%u", static_cast<unsigned long long>(id), pass);
     if (placement_.on()) placement_.began(now, t.passes[pass].server, now - t.passes[pass].sent);
-    tell(now, AttemptNote{id, pass - t.since, true, 0});
+    tell(now, AttemptNote{idOf(t), pass - t.since, true, 0});
 }
 
 void Core::passProgress(Time now, TransactionId id, std::uint32_t pass, double share) {
     if (!openPass(id, pass)) return;
-    if (Transaction* const t = find(id); t->client) t->client->progress(now, share);
-    tell(now, AttemptNote{id, pass - find(id)->since, false, share});
+    const Transaction& t = *find(id);
+    if (t.client) t.client->progress(now, share);
+    tell(now, AttemptNote{idOf(t), pass - t.since, false, share});
 }
 
 void Core::passPartial(Time now, TransactionId id, std::uint32_t pass, Partial kind, std::string_view bytes) {
@@ -285,7 +291,7 @@
     for (std::uint32_t other = 0; other < t.passes.size(); ++other)
         if (other != pass && t.passes[other].open)
             ++counters_.cancels, endPass(now, t, other, End::withdrawn, {}, {});
-    tell(now, StreamStarted{id, pass - t.since});
+    tell(now, StreamStarted{idOf(t), pass - t.since});
 }
 
 void Core::seal(TransactionId id) {
@@ -331,7 +337,12 @@
         });
     }
     settle(now, t, number, how);
-    tell(now, AttemptEnded{t.id, number - t.since, outcomeOf(how), now - pass.sent, t.answered, load});
+    const heronmount::RequestId as = idOf(t);
+    const std::uint32_t first = t.since;
+    // One attempt is left for elsewhere: home has turned it away with all others.
+    if (t.passes.size() + 1 >= site_.module.maxAttempts && provesNeverRan(how) && widened(now, t))
+        tell(now, ClientLeft{as});
+    tell(now, AttemptEnded{as, number - first, outcomeOf(how), now - pass.sent, t.answered, load});
 }
 
 void Core::probeAnswered(Time now, Worker server, bool ok, const LoadReport& load) {
@@ -382,6 +393,11 @@
         update.entries.push_back(server.entry);
     }
     if (placement_.on() && placement_.changed() && standingsChanged_) standingsChanged_(now);
+    if (placement_.on()) {
+        taken_ = 0;
+        for (const Server& server : farm_)
+            if (server.on) taken_ |= server.entry.classes;
+    }
     // The module takes a whole list as all there is: what other sources told goes in again.
     if (mode != RosterMode::changes)
         for (const Server& server : farm_)
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -95,6 +95,7 @@
         placement::Placement::Ticket ticket;
         heronmount::RequestArrived request;  // kept where it may be widened
         std::uint32_t since = 0;
+        bool second = false;
         bool wentOut = false;
     };
     struct Server {
@@ -113,9 +114,12 @@
                  const LoadReport& load);
     bool legal(Time now, const Transaction& t, const Server& to) const;
     bool widened(Time now, Transaction& t);
-    bool anyFor(const Transaction& t) const;
+    bool anyFor(const Transaction& t) const { return taken_ >> t.klass & 1; }
     void due(Time now, TransactionId id);
     void forget(TransactionId id);
+    static constexpr heronmount::RequestId kSecond = heronmount::RequestId{1} << 51;
+    heronmount::RequestId idOf(const Transaction& t) const;
+    Transaction* asked(heronmount::RequestId id);
     Transaction* find(TransactionId id);
     void fail(Time now, Transaction& t);
     void refuse(Time now, Transaction& t, Nanos retryIn);
@@ -137,6 +141,7 @@
     bool turning_ = false;
     TransactionId last_ = 0;
     std::size_t open_ = 0;
+    std::uint64_t taken_ = 0;  // with a placement: the classes that some listed server takes
     std::function<void(Time)> standingsChanged_;
     Counters counters_;
     Trace trace_;
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -319,8 +319,10 @@
         if (!home) own.passStarted(now, mine, fleet.started[pass].number);
         own.passEnded(now, mine, fleet.started[pass].number, home ? End::handedBack : End::served, "r");
     }
-    EXPECT_LE(fleet.started.size(), 4u);
+    EXPECT_EQ(fleet.started.size(), 4u);  // three at home
     EXPECT_EQ(client->answers, 1);
+    EXPECT_EQ(client->last, "served");
+    EXPECT_EQ(own.placement().counters().spilled, 1u);
     EXPECT_EQ(own.open(), 0u);
 }
 
