Take no zone that is only assumed for a place that bound work may go to

Cause, found on reading the change: Gearman workers, and gRPC servers whose entry names no zone, are listed in the dispatcher's own zone so that no crossing is counted for them (gearman/front.cpp, grpc/config.cpp). Placement would have taken that guess for a label, and bound work would have gone there.

Change: such entries are marked as not placed, and stand nowhere for placement.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -381,8 +381,8 @@
             server.entry.classes = settings::classesOf(site_, 0, server.entry.kind);
         bool nothing = false;
         if (placement_.on()) {
-            const auto& standing =
-                placement_.listed(now, handle, told.name, told.entry.zone, told.entry.since);
+            const auto& standing = placement_.listed(now, handle, told.name,
+                                                     told.placed ? told.entry.zone : -1, told.entry.since);
             server.entry.classes = placement_.widen(server.entry.classes, standing);
             server.entry.kind = placement_.kindOf(server.entry.kind, standing);
             nothing = server.entry.classes == 0;  // which would mean: by its kind
--- a/src/core/transaction.hpp
+++ b/src/core/transaction.hpp
@@ -87,6 +87,7 @@
 struct FarmEntry {
     std::string name;
     heronmount::RosterEntry entry;  // worker and id are filled in by the core
+    bool placed = true;             // its zone was told; else it is only taken to be near
 };
 
 // How the jobs of one class ended. Each job that a front could read is counted once: served with a result;
--- a/src/gearman/front.cpp
+++ b/src/gearman/front.cpp
@@ -443,7 +443,7 @@
     }
     FarmEntry told;
     told.name = serverName();
-    told.entry.zone = owner_.core_.site().module.zone;
+    told.entry.zone = owner_.core_.site().module.zone, told.placed = false;
     told.entry.cell = 1'000'000 + static_cast<int>(*slot_);  // no other worker is known to drop its repeats
     told.entry.units = static_cast<double>(owner_.config_.workerSlots);
     told.entry.since = since_;
@@ -463,7 +463,7 @@
         FarmEntry told;
         told.name = serverName();
         told.entry.standing = Standing::off;
-        told.entry.zone = owner_.core_.site().module.zone;
+        told.entry.zone = owner_.core_.site().module.zone, told.placed = false;
         told.entry.since = since_;
         functions_.clear();
         owner_.workers_.erase(server_);
--- a/src/grpc/config.cpp
+++ b/src/grpc/config.cpp
@@ -39,7 +39,8 @@
         const Node* const given = from.find(field);
         return given ? static_cast<int>(given->place(names, field)) : 0;
     };
-    server.zone = from.find("zone") ? place("zone", site.zones) : site.module.zone;
+    server.placed = from.find("zone") != nullptr;
+    server.zone = server.placed ? place("zone", site.zones) : site.module.zone;
     server.kind = place("type", site.kinds);
     server.cell = from.integer("group", 0, 0, 1'000'000);
     server.weight = from.number("weight", 1, 0.001, 1e6);
--- a/src/grpc/config.hpp
+++ b/src/grpc/config.hpp
@@ -24,6 +24,7 @@
     int zone = 0, kind = 0, cell = 0;
     double weight = 1;
     std::size_t slots = 0;  // calls that it may have from here at once; 0: as many as its connections take
+    bool placed = false;    // its zone is named; else it is only taken to be near
     bool drain = false;
     bool pushbackMeansUnrun = false;  // UNAVAILABLE with a pushback is said before anything ran
 };
--- a/src/grpc/servers.cpp
+++ b/src/grpc/servers.cpp
@@ -219,7 +219,7 @@
 FarmEntry Servers::told(const Server& server) const {
     const settings::Site& site = core_.site();
     FarmEntry out;
-    out.name = server.entry.name;
+    out.name = server.entry.name, out.placed = server.entry.placed;
     auto& entry = out.entry;
     entry.zone = server.entry.zone, entry.kind = server.entry.kind, entry.cell = server.entry.cell;
     entry.units = server.entry.weight;
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -343,6 +343,17 @@
     EXPECT_EQ(places(kMaritsa, kMatch), (std::set<std::string>{"s"}));
 }
 
+// A Gearman worker, or a server whose entry names no zone, is taken to be near for crossings, and for nothing
+// else.
+TEST_F(Placed, WhoseZoneIsOnlyTakenToBeNearIsNowhere) {
+    FarmEntry near = at("r", 0);
+    near.placed = false;
+    list(RosterMode::whole, {near});
+    EXPECT_EQ(ask(kMaritsa, kMatch)->last, "unavailable");
+    EXPECT_EQ(places(kTrakia, kAssign), (std::set<std::string>{"r"}));
+    EXPECT_EQ(places(kTrakia, kMatch), (std::set<std::string>{}));  // it may be where this work must not go
+}
+
 // A process that comes after knows the label that was there first.
 TEST_F(Placed, StandingsOutliveTheProcess) {
     list(RosterMode::whole, {at("s", 0), at("p", 1)});
