Take the label of a server that is gone for no change of it

Cause, found on reading the change: an entry that says Gone may lack its zone, and Core::farm gave it to the standings like any other: a server that came back under the same start would have been put aside for good as one whose label changed.

Change: entries that are off leave the standing as it was. A comment of the report's that had slipped a line is back at its place.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -381,8 +381,12 @@
             server.entry.classes = settings::classesOf(site_, 0, server.entry.kind);
         bool nothing = false;
         if (placement_.on()) {
-            const auto& standing = placement_.listed(now, handle, told.name,
-                                                     told.placed ? told.entry.zone : -1, told.entry.since);
+            // Who is gone has no label any more: one that is missing there is no change.
+            const auto& standing =
+                told.entry.standing == Standing::off
+                    ? placement_.standing(handle)
+                    : placement_.listed(now, handle, told.name, told.placed ? told.entry.zone : -1,
+                                        told.entry.since);
             server.entry.classes = placement_.widen(server.entry.classes, standing);
             server.entry.kind = placement_.kindOf(server.entry.kind, standing);
             nothing = server.entry.classes == 0;  // which would mean: by its kind
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -44,6 +44,10 @@
     // From the farm: the label that was told. A label that is another one than before counts for nothing
     // bound until the server has started anew: it may be the hardware that is elsewhere, or the label.
     const Standing& listed(Time now, std::size_t server, const std::string& name, int zone, Time start);
+    const placement::Standing& standing(std::size_t server) const {
+        static const placement::Standing kNowhere;
+        return server < standings_.size() ? standings_[server] : kNowhere;
+    }
     // What a process that comes after has to know: it would take the newer label for the only one. A line a
     // server. What can't be read throws BadField, and nothing of it is taken.
     std::string standings() const;
--- a/src/report.hpp
+++ b/src/report.hpp
@@ -24,8 +24,8 @@
 
 // What the start waits for and since when, on the operators' address; nothing once it is over.
 std::string report(const start::Gate& gate, Time now);
-std::string report(const store::Keeper& keptList);
-std::string report(const placement::Placement& placement);  // where the list is kept
+std::string report(const store::Keeper& keptList);          // where the list is kept
+std::string report(const placement::Placement& placement);  // where there is a policy
 std::string report(const control::Control& control);        // where operators have an address
 std::string report(const takeover::Takeover& takeover);
 std::string report(const platform::Consul& consul);                          // where Consul is on
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -343,6 +343,14 @@
     EXPECT_EQ(places(kMaritsa, kMatch), (std::set<std::string>{"s"}));
 }
 
+TEST_F(Placed, WhoIsGoneWithoutALabelComesBackAsWhatItWas) {
+    list(RosterMode::whole, all);
+    list(RosterMode::changes, {at("s", 3, Standing::off)});
+    list(RosterMode::changes, {at("s", 0)});
+    EXPECT_EQ(core.placement().counters().moved, 0u);
+    EXPECT_EQ(places(kMaritsa, kMatch), (std::set<std::string>{"s"}));
+}
+
 // A Gearman worker, or a server whose entry names no zone, is taken to be near for crossings, and for nothing
 // else.
 TEST_F(Placed, WhoseZoneIsOnlyTakenToBeNearIsNowhere) {
