Hear what the list service has within its clock, whatever became of the calls before

Lines at fault: Watch::paceOf and LongPoll::ask (a wait of 20 s and 2 s more, which is the moment from which news count as told: only the site's grace of 1 s was left to call and be answered), Turns::after (rounds of half of askWithin, and a Retry-After obeyed up to 60 s).

Change: a watch waits 3 to 4 s where the believed cost of all watches stays under a quarter of the service's time, 20 s at the most; it is silent a second after its wait; the first call after a loss waits 1 s, the next turns come within 2 s (the grace after a silence, if that is less); advice may not carry past the clock of 6 s.

--- a/src/platform/long_poll.cpp
+++ b/src/platform/long_poll.cpp
@@ -60,8 +60,8 @@
 void LongPoll::ask(Time now) {
     ++calls_;
     asked_ = now, out_ = true;
-    due_.arm(deadlines_, now + (waits() ? pace_.wait : Nanos(0)) + grace(),
-             [this](Time at) { lost(at, start::Loss::silent); });
+    wait_ = waits() ? mostWait() : Nanos(0);
+    due_.arm(deadlines_, now + wait_ + grace(), [this](Time at) { lost(at, start::Loss::silent); });
     const bool fresh = !connection_ || connection_->state() != http::Client::State::idle;
     if (fresh) connection_ = std::make_shared<Connection>(*this);
     const auto connection = connection_;
--- a/src/platform/long_poll.hpp
+++ b/src/platform/long_poll.hpp
@@ -38,7 +38,8 @@
     virtual bool take(Time now, const http::Message& message) = 0;  // false: it can't be used
     // The watch is lost, or its source is at another address: where it begins anew, it does from here.
     virtual void forgotten(bool /* moved */) {}
-    virtual bool waits() const { return true; }  // the next call may wait there
+    virtual bool waits() const { return true; }      // the next call may wait there
+    virtual Nanos mostWait() { return pace_.wait; }  // and so long
     // A call failed: when the next is to come, where that is not the pace's or the module's to say.
     virtual std::optional<Time> nextTurn(Time, start::Loss, Time /* notBefore */) { return std::nullopt; }
     // A call was answered with a list. When the next is to come, if not by the pace.
@@ -49,6 +50,7 @@
 
     static constexpr Nanos kGrace = std::chrono::seconds(2);
     const Pace& pace() const { return pace_; }
+    Nanos wait() const { return wait_; }  // of the call that is put together or out
     Core& core_;
 
 private:
@@ -73,6 +75,7 @@
     Time hurryUntil_{0};
     std::size_t calls_ = 0;
     Time asked_{0};
+    Nanos wait_{0};
     bool running_ = false;
     bool out_ = false;  // a call is
 };
--- a/src/platform/watch.cpp
+++ b/src/platform/watch.cpp
@@ -15,7 +15,7 @@
 // a connection that died with it. Guards besides against an agent that answers each call at once making a
 // loop of it.
 LongPoll::Pace Watch::paceOf(const settings::Site& site) {
-    if (site.module.askRoster) return {20s, kGrace, 0s, 0s};
+    if (site.module.askRoster) return {20s, start::Turns::kSilence, 0s, 0s};
     const Nanos grace = site.drainGrace.count() > 0 ? std::min<Nanos>(site.drainGrace, 4s) : 2s;
     return {grace / 4, grace / 8, std::min<Nanos>(grace / 40, 50ms), std::min<Nanos>(grace / 20, 100ms)};
 }
@@ -29,9 +29,9 @@
     // What is new counts as told after askWithin, whether it was asked for or not: with a list in hand two
     // turns come in that time, without one all but one.
     if (site.askRoster)
-        turns_.emplace(
-            start::Turns::Terms{site.fleetSize, site.me, pace, site.askWithin / 2, site.askWithin / 40 * 39},
-            seed);
+        turns_.emplace(start::Turns::Terms{site.fleetSize, site.me, pace, site.askWithin / 2,
+                                           site.askWithin / 40 * 39, core.site().drainGrace},
+                       seed);
 }
 
 void Watch::begin(Time now, const std::optional<object>& list) {
@@ -108,7 +108,7 @@
 // or a discovery at a new address: the version of the old one might never be reached there.
 std::string Watch::target() const {
     if (!version_) return "/api/targets";
-    return "/api/targets?index=" + std::to_string(*version_) + "&wait=" + std::to_string(pace().wait / 1ms);
+    return "/api/targets?index=" + std::to_string(*version_) + "&wait=" + std::to_string(wait() / 1ms);
 }
 
 bool Watch::take(Time now, const http::Message& message) {
--- a/src/platform/watch.hpp
+++ b/src/platform/watch.hpp
@@ -36,6 +36,7 @@
     static Pace paceOf(const settings::Site& site);
     std::string target() const override;
     bool waits() const override { return version_.has_value(); }
+    Nanos mostWait() override { return turns_ ? turns_->wait() : pace().wait; }
     void forgotten(bool moved) override {
         if (moved || !turns_) version_.reset();
     }
--- a/src/start/turns.cpp
+++ b/src/start/turns.cpp
@@ -37,14 +37,35 @@
 }
 
 // In steps of two: dispatchers whose beliefs differ a little have the same round.
-Nanos Turns::round() const {
+Nanos Turns::believed() const {
     Nanos each = first_;
     while (each < each_) each *= 2;
     while (each / 2 >= each_) each /= 2;
-    return std::clamp<Nanos>(each * terms_.fleet, 1ms, longest());
+    return std::max<Nanos>(each * terms_.fleet, 1ms);
+}
+
+Nanos Turns::round() const {
+    return std::min(believed(), longest());
+}
+
+// With a list in hand, which may be wrong by now. A silent watch is found out kSilence after its wait, which
+// is kTold - kWait - kSilence before its news count as told. After other failures there may be a call in vain
+// (kConfirm + kSilence) and half a round more before the one that is answered.
+Nanos Turns::longestAfter(Loss how) const {
+    if (!listed_) return longest();
+    constexpr Nanos most = (kTold - kConfirm - kSilence - kAnswer) * 2 / 3;
+    return how == Loss::silent ? std::clamp<Nanos>(terms_.drainGrace, 500ms, most) : most;
+}
+
+Nanos Turns::wait() {
+    if (failed_ > 0) return kConfirm;
+    const Nanos most = std::clamp<Nanos>(believed() * kWatchRounds, kTold - 2s, kMostWait);
+    // Guards against a whole fleet that heard of the same change asking anew in the same moment ever after.
+    return most - Nanos(static_cast<std::int64_t>(0.25 * draw() * static_cast<double>(most.count())));
 }
 
 Nanos Turns::patience() const {
+    if (listed_) return kConfirm + kSilence;
     return std::min<Nanos>(std::clamp<Nanos>(round(), 2s, 6s) * (1 << std::min(silent_, 2u)), 8s);
 }
 
@@ -71,16 +92,20 @@
 }
 
 Time Turns::after(Time now, Loss how, Time notBefore) {
-    ++failed_;
+    if (failed_++ == 0) vouched_ = now;
     if (how == Loss::busy) each_ = std::min<Nanos>(each_ * 2, first_ * kSlowest);
     silent_ = how == Loss::silent ? silent_ + 1 : 0;
-    Nanos round = this->round();
+    const Nanos bound = longestAfter(how);
+    Nanos round = std::min(this->round(), bound);
     // Guards against a few dispatchers that call a service which is away many times a second: their round
     // doubles with each call that fails, up to a second.
-    const Nanos most = std::min(std::max(round, kAlone), longest());
+    const Nanos most = std::min(std::max(round, kAlone), bound);
     for (unsigned i = 1; i < failed_ && round < most; ++i) round = std::min(round * 2, most);
+    // Guards against advice, or a clock set back, that would carry past the moment from which news count.
+    const Time latest = std::max(now + bound / 2, vouched_ + kTold - kAnswer - bound);
+    if (listed_) notBefore = std::min(notBefore, latest);
     // Guards against a turn that was used coming again: one call a round.
-    return next(std::max({now, notBefore, last_ + round / 2}), round);
+    return next(std::max({now, notBefore, std::min(last_ + round / 2, now + bound / 2)}), round);
 }
 
 void Turns::answered(Nanos took) {
--- a/src/start/turns.hpp
+++ b/src/start/turns.hpp
@@ -37,6 +37,7 @@
         // The longest round where `pace` does not say: with a list in hand, which is to be kept up to date,
         // and without, where there is nothing to be wrong with.
         Nanos longest = std::chrono::seconds(5), longestWithout = std::chrono::seconds(10);
+        Nanos drainGrace = std::chrono::seconds(2);  // of the rule on drains
     };
     Turns(const Terms& terms, std::uint64_t seed);
 
@@ -54,12 +55,25 @@
     // With a call that is to be answered at once: others may stand before it. Longer after each that was in
     // vain, as a service that is behind works through calls that nobody waits for any more.
     Nanos patience() const;
+    // How long a call may wait there for something new. Its answer shows that the watch lives: where the
+    // service can bear it, often enough for the clock below, and soon after a call that failed.
+    Nanos wait();
+    // What the service has counts as told so long after it had it and could be reached, whatever became of
+    // the calls meanwhile.
+    static constexpr Nanos kTold = std::chrono::seconds(6);
+    static constexpr Nanos kSilence = std::chrono::seconds(1);  // beyond a call's wait: then it is silent
 
 private:
     static constexpr Nanos kLeast = std::chrono::milliseconds(2);
     static constexpr int kSlowest = 4;  // of the first belief: where that is not enough the service says when
-    static constexpr Nanos kAlone = std::chrono::seconds(1);  // a small fleet's failed calls, in the end
+    static constexpr Nanos kAlone = std::chrono::seconds(1);    // a small fleet's failed calls, in the end
+    static constexpr Nanos kAnswer = std::chrono::seconds(1);   // that an answer may take
+    static constexpr Nanos kConfirm = std::chrono::seconds(1);  // the wait of the first call after a loss
+    static constexpr Nanos kMostWait = std::chrono::seconds(20);
+    static constexpr int kWatchRounds = 4;  // watches take a quarter of the service's time at the most
     Nanos longest() const { return listed_ ? terms_.longest : terms_.longestWithout; }
+    Nanos longestAfter(Loss how) const;
+    Nanos believed() const;  // a round by what a call takes alone
     Time next(Time from, Nanos round);
     double draw();
 
@@ -68,6 +82,7 @@
     bool listed_ = false;
     unsigned failed_ = 0, silent_ = 0;  // calls in a row
     Time last_{-1};                     // the turn that was given last
+    Time vouched_{0};                   // when the list was last known to be up to date, before it was lost
     std::uint64_t state_;
 };
 
