Answer a job at once when no further send of it is legal any more

Seen: a keyed job whose window had ended after a reset was kept until its deadline (8 s) and answered then; found by the test of repeats with real connections (Repeats.OneThatWouldArriveAfterItsWindowIsNotWritten took 7,980 ms). Line at fault: Rules::again asked for unsafe classes alone; others went to dispatch, found nobody, and set the timer of 50 ms again and again. Change: one judge (stuck) for both, asked before each pick.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -306,17 +306,19 @@
     // Whether some effect may have happened, or may still.
     bool tainted(const Request& r) const { return r.mayHaveRun || r.out > 0; }
 
+    bool stuck(const Request& r) const {  // no further send is legal any more
+        return tainted(r) && r.klass->effect != Effect::safe &&
+               (r.klass->effect == Effect::unsafe || now_ + 2 * s_.tick > r.anchoredAt + r.klass->window);
+    }
+
     // The one judge of whether a send is legal, for first tries, further tries and copies alike.
     bool maySend(const Request& r, const WorkerState& w) const {
-        if (r.done || r.streaming || !w.listed) return false;
+        if (r.done || r.streaming || !w.listed || stuck(r) || (r.out > 0 && !s_.mayDuplicate)) return false;
         if (w.entry.classes ? !(w.entry.classes >> r.in.klass & 1)
                             : r.klass->kind >= 0 && r.klass->kind != w.entry.kind)
             return false;
         if (r.sends >= std::min<std::uint32_t>(s_.maxAttempts, kMostAttempts)) return false;
-        if (r.out > 0 && !s_.mayDuplicate) return false;
         if (!tainted(r) || r.klass->effect == Effect::safe) return true;
-        if (r.klass->effect == Effect::unsafe) return false;
-        if (now_ + 2 * s_.tick > r.anchoredAt + r.klass->window) return false;
         if (r.klass->group == Group::zone) return w.entry.zone == r.zone;
         return r.klass->group == Group::all || w.entry.cell == r.cell;
     }
@@ -355,10 +357,10 @@
     }
 
     void dispatch(Request& r, int rankBelow = kAnyRank) {
+        if (r.out == 0 && stuck(r)) return finish(r);
         const Worker h = pick(r, rankBelow);
-        if (h == kNone && r.out > 0) return;
         if (h == kNone)  // none can start it in time, or it is held
-            return live_ && !active_.empty() ? finish(r) : timer(kRetry, r.in.id, 0.05);
+            return r.out > 0 ? void() : live_ && !active_.empty() ? finish(r) : timer(kRetry, r.in.id, 0.05);
         WorkerState& w = workers_[h];
         if (!tainted(r)) r.zone = w.entry.zone, r.cell = w.entry.cell, r.anchoredAt = now_;
         Attempt& a = r.attempts[r.sends++];
@@ -496,7 +498,6 @@
     // Nothing of this request is out any more and it has no answer yet.
     void again(Request& r) {
         if (now_ + s_.tick >= r.deadline || r.sends >= s_.maxAttempts) return finish(r);
-        if (tainted(r) && r.klass->effect == Effect::unsafe) return finish(r);
         dispatch(r);
     }
 
