Begin nothing for a client that left, and shut connections down before they are closed

Faults and lines: Core::send began attempts for a client whose close waited in the kernel behind the event that sends; Link::read stopped at a full ring of 4 KiB, so a close behind that was never read; where running work can't be called off a pass that waited for its connection went out after its client had gone; a connection that came up late was written to without asking again (after the window of a keyed class, or after a drain); Server::closeIdle closed at once, so a request that crossed it was answered by a reset; the exit left half messages without an answer and closed over what had just come; a signal before the handlers ended the process; the list service was refused a descriptor when passes had taken all.

Change: ClientEnd::hasLeft (poll for the peer's close) is asked before each send, Core::mayBegin before the first byte of what waited, by all three fronts' sides; Core::settled is the one place where a transaction stops being owed an answer (an allowance of home placement is given back on a client's leaving too); more than a ring behind a request is read and thrown away, and that answer is the last; connections are shut down, read to the end for a second, then closed; a drop reads what has come first; signals are held until somebody hears them.

Three tests expected a close at once and expect the shutdown, and the close after it, now.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -51,14 +51,32 @@
     turning_ = false;
 }
 
-template <class Answer>
-void Core::answer(Transaction& t, Answer&& say) {
-    if (t.answered) return;
-    t.answered = true;
+// The one place where a transaction stops being owed an answer: it has one, or its client has gone.
+std::shared_ptr<ClientEnd> Core::settled(Transaction& t) {
+    if (std::exchange(t.answered, true)) return nullptr;
     if (t.ticket.widened && !t.wentOut) placement_.returned(t.ticket);
     --open_;
-    const std::shared_ptr<ClientEnd> client = std::exchange(t.client, nullptr);
-    if (client) say(*client);
+    return std::exchange(t.client, nullptr);
+}
+
+template <class Answer>
+void Core::answer(Transaction& t, Answer&& say) {
+    if (const std::shared_ptr<ClientEnd> client = settled(t)) say(*client);
+}
+
+// Guards against work for a client whose leaving has come but waits to be read, behind others' events or
+// behind bytes of its own.
+bool Core::wanted(Transaction& t) {
+    if (t.answered) return false;
+    if (!t.client || !t.client->hasLeft()) return true;
+    settled(t);
+    ++counters_.left, ++counters_.leftUnheard;
+    return false;
+}
+
+ProxyPass Core::passOf(const Transaction& t, std::uint32_t number) const {
+    const PassState& pass = t.passes[number];
+    return {t.id, number, pass.server, pass.until, &t.job, t.klass, t.priority};
 }
 
 void Core::fail(Time now, Transaction& t) {
@@ -179,9 +197,13 @@
 void Core::clientLeft(Time now, TransactionId id) {
     Transaction* const t = find(id);
     if (!t || t->answered) return;
-    t->answered = true;
-    t->client = nullptr;
-    --open_, ++counters_.left;
+    settled(*t);
+    ++counters_.left;
+    // Guards against a pass that begins after its client has gone, where what runs can't be called off: one
+    // that waits for its connection is not running.
+    for (std::uint32_t number = 0; number < t->passes.size(); ++number)
+        if (t->passes[number].open && !t->passes[number].side->begun(passOf(*t, number)))
+            endPass(now, *t, number, End::withdrawn, {}, {});
     tell(now, ClientLeft{idOf(*t)});
     forget(id);
 }
@@ -193,16 +215,22 @@
 
 // What the rules forbid, whatever asked for it.
 bool Core::legal(Time now, const Transaction& t, const Server& to) const {
+    return t.passes.size() < site_.module.maxAttempts && permitted(now, t, to, t.out);
+}
+
+// `others`: its passes that are out beside the one in question.
+bool Core::permitted(Time now, const Transaction& t, const Server& to, std::uint32_t others) const {
     const ClassSettings& klass = site_.module.classes[t.klass];
     if (t.answered || t.sealed || t.committed || !to.on || !to.side || now >= t.deadline) return false;
-    if (t.passes.size() >= site_.module.maxAttempts) return false;
     if (placement_.on() && !placement_.allows(t.ticket, to.entry.worker)) return false;
-    if (t.out > 0 && !site_.module.mayDuplicate) return false;
+    if (others > 0 && !site_.module.mayDuplicate) return false;
     if (to.entry.classes ? !(to.entry.classes >> t.klass & 1)
                          : klass.kind >= 0 && klass.kind != to.entry.kind)
         return false;
-    if ((!t.mayHaveRun && t.out == 0) || klass.effect == Effect::safe) return true;
-    if (klass.effect == Effect::unsafe || now > t.anchoredAt + klass.window) return false;
+    if ((!t.mayHaveRun && others == 0) || klass.effect == Effect::safe) return true;
+    // Guards against a repeat that arrives after the window: ways differ by less than two ticks.
+    if (klass.effect == Effect::unsafe || now + 2 * site_.module.tick > t.anchoredAt + klass.window)
+        return false;
     return klass.group == Group::all || (klass.group == Group::zone && to.entry.zone == t.zone) ||
            (klass.group == Group::cell && to.entry.cell == t.cell);
 }
@@ -211,7 +239,7 @@
     Transaction* const t = asked(order.id);
     if (!t || order.worker >= farm_.size()) return;
     Server& to = farm_[order.worker];
-    const bool allowed = legal(now, *t, to);
+    const bool allowed = wanted(*t) && legal(now, *t, to);
     const Time until = order.stopAt.count() > 0 ? std::min(order.stopAt, t->deadline) : t->deadline;
     const auto number = static_cast<std::uint32_t>(t->passes.size());
     if (allowed && !t->mayHaveRun && t->out == 0)
@@ -219,7 +247,7 @@
     t->passes.push_back({order.worker, now, true, to.side, until});
     ++t->out;
     if (!allowed) {
-        ++counters_.withheld;
+        counters_.withheld += !t->answered;
         return endPass(now, *t, number, End::unsent, {}, {});
     }
     ++counters_.passes;
@@ -231,7 +259,15 @@
     const TransactionId id = t->id;
     if (until < t->deadline)
         deadlines_.once(until, [this, id, number](Time at) { passEnded(at, id, number, End::timedOut); });
-    to.side->start(now, ProxyPass{id, number, order.worker, until, &t->job, t->klass, t->priority});
+    to.side->start(now, passOf(*t, number));
+}
+
+bool Core::mayBegin(Time now, TransactionId id, std::uint32_t pass) {
+    if (!openPass(id, pass)) return false;
+    Transaction& t = *find(id);
+    if (wanted(t) && permitted(now, t, farm_[t.passes[pass].server], t.out - 1)) return true;
+    counters_.withheld += !t.answered;
+    return false;
 }
 
 void Core::carryOut(Time now, const Action& action) {
@@ -325,9 +361,7 @@
            static_cast<long long>((now - pass.sent) / std::chrono::milliseconds(1)), load.queued, load.held);
     if (!provesNeverRan(how)) t.mayHaveRun = true;
     counters_.loadReports += load.held >= 0 || load.queued >= 0 || load.busy >= 0 || load.freeSlots >= 0;
-    if (how == End::withdrawn || how == End::timedOut)
-        pass.side->abandon(now,
-                           ProxyPass{t.id, number, pass.server, pass.until, &t.job, t.klass, t.priority});
+    if (how == End::withdrawn || how == End::timedOut) pass.side->abandon(now, passOf(t, number));
     if (how == End::failed) t.lastFailure = std::move(result);
     if (how == End::served) {
         if (t.answered) ++counters_.lateResults;
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -34,6 +34,9 @@
     // Its last byte was written. Told once a pass, also after its end.
     void passWritten() { ++counters_.forwards; }
     void passStarted(Time now, TransactionId id, std::uint32_t pass);
+    // Asked before the first byte of a pass that had to wait (for a connection, for a worker): whether it
+    // would still be begun. If not it is to end as unsent.
+    bool mayBegin(Time now, TransactionId id, std::uint32_t pass);
     void passProgress(Time now, TransactionId id, std::uint32_t pass, double share);
     void passPartial(Time now, TransactionId id, std::uint32_t pass, Partial kind, std::string_view bytes);
     void passEnded(Time now, TransactionId id, std::uint32_t pass, End how, std::string result = {},
@@ -113,6 +116,10 @@
     void endPass(Time now, Transaction& t, std::uint32_t number, End how, std::string result,
                  const LoadReport& load);
     bool legal(Time now, const Transaction& t, const Server& to) const;
+    bool permitted(Time now, const Transaction& t, const Server& to, std::uint32_t others) const;
+    bool wanted(Transaction& t);
+    std::shared_ptr<ClientEnd> settled(Transaction& t);
+    ProxyPass passOf(const Transaction& t, std::uint32_t number) const;
     bool widened(Time now, Transaction& t);
     bool anyFor(const Transaction& t) const { return taken_ >> t.klass & 1; }
     void due(Time now, TransactionId id);
--- a/src/core/hand_over.hpp
+++ b/src/core/hand_over.hpp
@@ -21,13 +21,14 @@
 struct HandOver {
     heronmount::Nanos turnAway;  // from then on no job is taken, and connections are closed between messages
     heronmount::Nanos giveUp;    // what is still open then is answered as given up
+    heronmount::Nanos exit;      // no connection is waited for any longer: the kill is near
 
     static HandOver of(const settings::Site& site) {
         using namespace std::chrono_literals;
         heronmount::Nanos longest{0};
         for (const auto& klass : site.module.classes) longest = std::max(longest, klass.giveUp);
         const heronmount::Nanos kill = std::min<heronmount::Nanos>(longest, 3s) + 700ms;
-        return {std::max<heronmount::Nanos>(700ms, kill - 900ms), kill - 150ms};
+        return {std::max<heronmount::Nanos>(700ms, kill - 900ms), kill - 150ms, kill - 60ms};
     }
 };
 
--- a/src/core/transaction.hpp
+++ b/src/core/transaction.hpp
@@ -47,6 +47,8 @@
     virtual void started(Time) {}
     virtual void progress(Time, double) {}
     virtual void partial(Time, Partial, std::string_view) {}
+    // Asked before anything is begun for it: it has gone, though its front was not told of that yet.
+    virtual bool hasLeft() { return false; }
 };
 
 struct Arrival {
@@ -73,6 +75,8 @@
     virtual ~ApplicationServers() = default;
     virtual void start(Time now, const ProxyPass& pass) = 0;
     virtual void abandon(Time now, const ProxyPass& pass) = 0;  // it has ended for the core already
+    // Whether any of it was given to the wire. What wasn't asks Core::mayBegin before it is.
+    virtual bool begun(const ProxyPass&) const { return true; }
     virtual void closeIdle(Time now, Worker server) = 0;
     virtual void probe(Time now, Worker server) = 0;
 };
@@ -100,6 +104,7 @@
 struct Counters {
     std::vector<Ended> byClass;  // by the site's class
     std::uint64_t taken = 0, served = 0, unavailable = 0, failed = 0, left = 0;
+    std::uint64_t leftUnheard = 0;  // of those, found gone when something was to be begun for them
     // Attempts whose last byte was written to an application server, whatever became of them.
     std::uint64_t forwards = 0;
     std::uint64_t passes = 0, started = 0, cancels = 0, withheld = 0, softened = 0, lateResults = 0;
--- a/src/gearman/front.cpp
+++ b/src/gearman/front.cpp
@@ -54,6 +54,7 @@
     void progress(Time now, double done) override;
     void partial(Time now, Partial kind, std::string_view bytes) override;
     void listenerLeft(Time now);
+    bool hasLeft() override;
 
 private:
     template <class Say>
@@ -91,6 +92,7 @@
     const std::set<std::size_t>& functions() const { return functions_; }
     void offer(Time now, const ProxyPass& pass, int priority);
     void abandon(const ProxyPass& pass);
+    bool offers(const ProxyPass& pass) const;
 
     void received(Time now) override;
     void ended(Time now, End how) override { over(now, how); }
@@ -205,6 +207,15 @@
     if (transaction) owner_.core_.clientLeft(now, transaction);
 }
 
+// Whoever waits for it is told of its creation first: until then there is one, and it was heard just now.
+bool Front::Submission::hasLeft() {
+    return created && !background && !listeners.empty() &&
+           std::all_of(listeners.begin(), listeners.end(), [](const auto& listener) {
+               const auto one = listener.lock();
+               return !one || one->peerGone();
+           });
+}
+
 // --- connection ---
 void Front::Connection::received(Time now) {
     const auto self = shared_from_this();
@@ -496,6 +507,12 @@
     if (sleeping_ && assigned_.size() < owner_.config_.workerSlots) say(Type::noop, {}), sleeping_ = false;
 }
 
+bool Front::Connection::offers(const ProxyPass& pass) const {
+    return std::any_of(offered_.begin(), offered_.end(), [&](const Offered& one) {
+        return one.pass.transaction == pass.transaction && one.pass.number == pass.number;
+    });
+}
+
 void Front::Connection::abandon(const ProxyPass& pass) {
     std::erase_if(offered_, [&](const Offered& one) {
         return one.pass.transaction == pass.transaction && one.pass.number == pass.number;
@@ -506,8 +523,17 @@
 
 void Front::Connection::grab(Time now, Grab how) {
     sleeping_ = false;
-    if (offered_.empty() || assigned_.size() >= owner_.config_.workerSlots) return say(Type::noJob, {});
-    const ProxyPass pass = offered_.front().pass;
+    const auto full = [this] { return offered_.empty() || assigned_.size() >= owner_.config_.workerSlots; };
+    if (full()) return say(Type::noJob, {});
+    ProxyPass pass = offered_.front().pass;
+    // Guards against a job that waited here until nobody wants it, or it may not run any more.
+    while (!owner_.core_.mayBegin(now, pass.transaction, pass.number)) {
+        const auto self = shared_from_this();
+        abandon(pass);
+        owner_.core_.passEnded(now, pass.transaction, pass.number, End::unsent);
+        if (full()) return say(Type::noJob, {});
+        pass = offered_.front().pass;
+    }
     offered_.pop_front();
     ++owner_.counters_.assigned;
     const Handle handle = "H:" + owner_.config_.name + ":j" + std::to_string(pass.transaction) + '.' +
@@ -650,6 +676,11 @@
     worker->offer(now, pass, pass.priority);
 }
 
+bool Front::begun(const ProxyPass& pass) const {
+    const Connection* const worker = workerOf(pass.server);
+    return !worker || !worker->offers(pass);
+}
+
 void Front::abandon(Time, const ProxyPass& pass) {
     if (Connection* const worker = workerOf(pass.server)) worker->abandon(pass);
 }
--- a/src/gearman/front.hpp
+++ b/src/gearman/front.hpp
@@ -28,6 +28,7 @@
 
     void start(Time now, const ProxyPass& pass) override;
     void abandon(Time now, const ProxyPass& pass) override;
+    bool begun(const ProxyPass& pass) const override;
     void closeIdle(Time, Worker) override {}  // a worker's connection is its own
     void probe(Time now, Worker server) override;
 
--- a/src/grpc/call.cpp
+++ b/src/grpc/call.cpp
@@ -45,6 +45,12 @@
     transaction_ = core_.arrive(now, std::move(arrival));
 }
 
+// A call has its connection for as long as it is owed anything.
+bool Call::hasLeft() {
+    const auto session = session_.lock();
+    return !session || session->peerGone();
+}
+
 void Call::refuse(Time now, Status status, std::string_view why, std::optional<long> pushback) {
     finish(now, status, grpc::trailers(status, why, pushback));
 }
--- a/src/grpc/call.hpp
+++ b/src/grpc/call.hpp
@@ -72,6 +72,7 @@
     void served(Time now, std::string result) override;
     void unavailable(Time now, Nanos retryIn) override;
     void failed(Time now, std::string_view why) override;
+    bool hasLeft() override;
 
 private:
     struct Reader {
--- a/src/grpc/servers.cpp
+++ b/src/grpc/servers.cpp
@@ -42,6 +42,7 @@
 
     void opened(Time now) override {
         connect_.disarm();
+        owner_.sift(now, *this);
         how_ = End::brokeSent;
         Session::opened(now);
     }
@@ -96,6 +97,17 @@
         return session ? session->heard() : Time(0);
     }
     TransactionId transaction() const { return transaction_; }
+    bool on(const Connection& connection) const { return session_.lock().get() == &connection; }
+    bool begun() const {
+        const auto session = session_.lock();
+        return !session || session->connected();
+    }
+    bool mayBegin(Time now) { return owner_.core_.mayBegin(now, transaction_, number_); }
+    void giveBack(Time now) {
+        const auto self = shared_from_this();
+        abandon(now);
+        owner_.core_.passEnded(now, transaction_, number_, End::unsent);
+    }
 
     // Call::Carrier
     void more(Time now) override {
@@ -334,6 +346,20 @@
     if (!carried->begin(now, connection, head)) carried->closed(now, {.unseen = true, .goneAway = true});
 }
 
+bool Servers::begun(const ProxyPass& pass) const {
+    const auto at = passes_.find({pass.transaction, pass.number});
+    return at == passes_.end() || at->second->begun();
+}
+
+// Guards against calls that waited for their connection until nobody wants them, or they may not run.
+void Servers::sift(Time now, const Connection& opened) {
+    std::vector<std::shared_ptr<Pass>> waited;
+    for (const auto& [id, pass] : passes_)
+        if (pass->on(opened)) waited.push_back(pass);
+    for (const auto& pass : waited)
+        if (!pass->mayBegin(now)) pass->giveBack(now);
+}
+
 void Servers::abandon(Time now, const ProxyPass& pass) {
     const auto at = passes_.find({pass.transaction, pass.number});
     if (at == passes_.end()) return;
--- a/src/grpc/servers.hpp
+++ b/src/grpc/servers.hpp
@@ -23,6 +23,7 @@
 
     void start(Time now, const ProxyPass& pass) override;
     void abandon(Time now, const ProxyPass& pass) override;
+    bool begun(const ProxyPass& pass) const override;
     void closeIdle(Time now, Worker server) override;
     void probe(Time now, Worker server) override;
 
@@ -52,6 +53,7 @@
     Server* serverOf(Worker handle);
     std::shared_ptr<Connection> connectionFor(Time now, Worker handle, Server& server, End& otherwise);
     void connected(Time now, Worker handle);
+    void sift(Time now, const Connection& opened);
     void notConnected(Time now, Worker handle);
     void tick(Time now);
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -14,12 +14,13 @@
     const Time whole = (asked_ ? now : born_) + kWhole;
     if (to == State::idle)
         watchdog_.arm(deadlines_, asked_ ? now + kIdle : whole,
-                      [this](Time at) { over(at, asked_ ? End::idle : End::silent); });
+                      [this](Time at) { asked_ || unread() ? shutdown(at) : over(at, End::silent); });
     else if (to == State::reading)
         watchdog_.arm(deadlines_, whole,
                       [this](Time at) { cutOff(at, 408, "the request did not come to its end\n"); });
     else if (to == State::closing)
-        watchdog_.arm(deadlines_, now + kTake, [this](Time at) { over(at, End::silent); });
+        watchdog_.arm(deadlines_, now + (shut_ ? kLinger : kTake),
+                      [this](Time at) { over(at, End::silent); });
     stateChanged(now, to);
 }
 
@@ -36,16 +37,28 @@
     change(now, State::ended);
     drop();
     if (owed) left(now);
-    gone(now, how);
+    gone(now, shut_.value_or(how));
 }
 
 void Server::closeIdle(Time now, End how) {
-    if (state_ != State::idle || unread()) return lastOne();
-    if (!out().empty()) return change(now, State::closing), wake();
+    if (state_ != State::idle || unread() || !out().empty()) return shutdown(now);
     over(now, how);
 }
 
+void Server::shutdown(Time now, End how) {
+    if (state_ != State::idle || unread()) return lastOne();
+    shut_ = how;
+    change(now, State::closing), wake();
+}
+
 void Server::received(Time now) {
+    // Guards against a close that is never read, as it comes behind a full buffer: whoever sends that much
+    // before the answer gets this answer as the last one, and the rest is read for the close's sake alone.
+    if (state_ == State::waiting && (overrun_ || in().space().empty())) {
+        overrun_ = true, last_ = true;
+        while (!in().empty()) in().taken(in().front().size());
+        return;
+    }
     pump(now);
 }
 
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -1,6 +1,8 @@
 // The answering side of one HTTP/1.1 connection.
 #pragma once
 
+#include <optional>
+
 #include "http/message.hpp"
 #include "wire/machine.hpp"
 
@@ -18,8 +20,12 @@
     // Ends a message that is being read with an answer, as when there is no room for it.
     void cutOff(Time now, int status, std::string_view body, std::string_view extra = {});
     void reply(Time now, int status, std::string_view body, std::string_view extra = {});
-    void lastOne() { last_ = true; }                   // the next answer says that the connection closes
-    void closeIdle(Time now, End how = End::idle);     // only between messages; otherwise after the answer
+    void lastOne() { last_ = true; }                // the next answer says that the connection closes
+    void closeIdle(Time now, End how = End::idle);  // only between messages; otherwise after the answer
+    // The same, but the other side is let finish: what it sends meanwhile is read and not served, for
+    // kLinger at the most.
+    void shutdown(Time now, End how = End::idle);
+    static constexpr Nanos kLinger = std::chrono::seconds(1);
     void close(Time now, End how) { over(now, how); }  // at once, whatever is owed
     // Nothing is read of it, owed to it or written to it: it can be closed without anybody's loss.
     bool rests() const { return state_ == State::idle && out().empty() && !unread(); }
@@ -53,6 +59,8 @@
     Time born_;
     bool asked_ = false;  // a whole message has come
     bool pumping_ = false, last_ = false, keepAlive_ = true;
+    std::optional<End> shut_;  // this side has shut it down, between messages
+    bool overrun_ = false;     // more came behind a request than is kept: nothing more of it is served
 };
 
 }  // namespace amberswitch::http
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -47,7 +47,24 @@
     net::Link::connect(loop, takeover.begin(loop.now()), net::asio::local::stream_protocol::endpoint(at));
 }
 
-int run(config::Reader& reader) {
+// Guards against a signal that comes before there is anybody to hear it: it waits, and ends nothing.
+class HeldSignals {
+public:
+    HeldSignals() {
+        sigemptyset(&set_);
+        for (const int one : {SIGTERM, SIGINT, SIGHUP, SIGUSR1}) sigaddset(&set_, one);
+        sigprocmask(SIG_BLOCK, &set_, nullptr);
+    }
+    ~HeldSignals() { release(); }
+    HeldSignals(const HeldSignals&) = delete;
+    HeldSignals& operator=(const HeldSignals&) = delete;
+    void release() { sigprocmask(SIG_UNBLOCK, &set_, nullptr); }
+
+private:
+    sigset_t set_;
+};
+
+int run(config::Reader& reader, HeldSignals& signals) {
     config::Platform config = reader.read();
     const config::Operator own = config::readOperator(config.site);
     const bool speaksGrpc = !own.grpc.listen.empty();
@@ -56,6 +73,9 @@
         throw BadField("ROUTER_ACCEPT_FD: the listeners of gearman and grpc can't be inherited");
     net::Loop loop;
     Wiring wiring(loop);
+    // Guards against a list service that can't be called for want of a descriptor: clients and passes may
+    // have taken all others. It is one connection, of the process's own share.
+    Wiring unbounded(loop);
     Core core(config.site, config.seed, loop.deadlines(), own.placement, loop.now());
     if (own.log.trace)
         core.trace().open([](const std::string& line) { std::fprintf(stderr, "%s\n", line.c_str()); },
@@ -63,7 +83,8 @@
     core.trace()(loop.now(), "begin me=%u fleet=%u zone=%d known=%d", config.site.module.me,
                  config.site.module.fleetSize, config.site.module.zone, config.known ? 1 : 0);
     platform::Servers servers(core, loop.deadlines(), wiring);
-    platform::Watch watch(core, servers, loop.deadlines(), wiring, config.discovery, own.start, config.seed);
+    platform::Watch watch(core, servers, loop.deadlines(), unbounded, config.discovery, own.start,
+                          config.seed);
     service::Service service;
     start::Gate gate(loop.deadlines(), own.start.waitForList, [&service](Time now) { service.begin(now); });
     watch.setFirst([&gate](Time now) { gate.listed(now); });
@@ -104,7 +125,7 @@
     placement::keepStandings(core, keptPlaces, loop.now());
     watch.begin(loop.now(), config.known);
 
-    platform::Consul consul(core, servers, loop.deadlines(), wiring, own.consul, say);
+    platform::Consul consul(core, servers, loop.deadlines(), unbounded, own.consul, say);
     if (!own.consul.address.empty()) {
         core.addFarmSource(consul);
         consul.begin(loop.now());
@@ -213,14 +234,18 @@
 
     Deadlines::Ticket leaving;
     bool closing = false;
+    const HandOver times = HandOver::of(config.site);
     std::function<void(Time)> leave = [&](Time now) {
         if (front.handedOver(now) && core.open() == 0 && front.quiet() && gearman.quiet() &&
             grpcFront.quiet() && control.quiet()) {
-            // No callback is waited for any more. Those who came last have one more round to be answered in.
-            if (std::exchange(closing, true)) return loop.stop();
+            // No callback is waited for any more. Guards against an exit over what has just come: a close by
+            // the exit would reset it. Those who are connected see this side shut down and close theirs.
+            const bool left = front.open() == 0 || now >= service.since() + times.exit;
+            if (std::exchange(closing, true) && left) return loop.stop();
             listener.close();
             if (gearmanListener) gearmanListener->close();
             if (grpcListener) grpcListener->close();
+            front.shutdown(now);
         }
         leaving.arm(loop.deadlines(), now + std::chrono::milliseconds(20), leave);
     };
@@ -230,7 +255,7 @@
         gearman.drain(now);
         // With a successor nobody new comes.
         leaving.arm(loop.deadlines(), now + std::chrono::milliseconds(service.succeeded() ? 20 : 750), leave);
-        loop.deadlines().once(now + HandOver::of(config.site).giveUp, [&](Time at) { core.giveUpAll(at); });
+        loop.deadlines().once(now + times.giveUp, [&](Time at) { core.giveUpAll(at); });
         std::fputs("amberswitch: ending; clients are served until the hand-over's end\n", stderr);
     };
     loop.onSignal(SIGHUP, [&](Time now) { reload(now); });
@@ -258,6 +283,7 @@
         service.ready() ? grpcFront.resume() : grpcFront.drain(now);
         if (!service.ending()) say(std::string("now ") + service::nameOf(service.standing()));
     });
+    signals.release();
     loop.run();
     listener.close();
     if (!own.consul.address.empty()) consul.end(loop.now());
@@ -270,11 +296,12 @@
 
 int main() {
     std::signal(SIGPIPE, SIG_IGN);
+    HeldSignals signals;
     try {
         const char* const path = std::getenv("ROUTER_CONFIG");
         if (!path) throw BadField("ROUTER_CONFIG is not set");
         config::Reader reader(path);
-        return run(reader);
+        return run(reader, signals);
     } catch (const BadField& bad) {
         std::fprintf(stderr, "amberswitch: %s\n", bad.what());
         return 2;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,6 +1,7 @@
 #include "net/loop.hpp"
 
 #include <fcntl.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -135,16 +136,34 @@
     if (std::exchange(closed_, true)) return;
     --open_;
     lingerTicket_.disarm();
+    discard();
     error_code ignored;
     socket_.close(ignored);
     // The machine may be in the middle of a call: it goes with the link, and that only in a later turn.
     loop_.release(shared_from_this());
 }
 
+// Guards against a reset: a close over bytes that were not read sends one, and what was written last may go
+// with it.
+void Link::discard() {
+    constexpr int kMostReads = 4;  // of what a peer sends without end nothing can be saved
+    const std::span<char> scrap = loop_.scrap();
+    for (int i = 0;
+         i<kMostReads&& ::recv(socket_.native_handle(), scrap.data(), scrap.size(), MSG_DONTWAIT)> 0; ++i) {
+    }
+}
+
 void Link::drop() {
     close();
 }
 
+// Asked before work is begun for the other side. Guards against a close that waits behind unread bytes, or
+// behind others' events: reading would tell of it too late.
+bool Link::peerGone() {
+    pollfd look{socket_.native_handle(), POLLRDHUP, 0};
+    return closed_ || (::poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0);
+}
+
 bool Link::unread() const {
     error_code failed;
     return !closed_ && socket_.available(failed) > 0 && !failed;
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -86,6 +86,7 @@
     void wake() override;
     void drop() override;
     bool unread() const override;
+    bool peerGone() override;
 
     static std::size_t open() { return open_; }
 
@@ -95,6 +96,7 @@
     void write(error_code error = {}, std::size_t n = 0);
     void end(const error_code& error);
     void linger(error_code error = {}, std::size_t n = 0);
+    void discard();
     void close();
 
     Loop& loop_;
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -24,6 +24,7 @@
     void failed(Time now, std::string_view why) override {
         final(now, 502, why.empty() ? "the job failed\n" : why);
     }
+    bool hasLeft() override { return peerGone(); }
     void unavailable(Time now, Nanos retryIn) override {
         final(now, 503, "unavailable, try again\n", advice(retryIn));
     }
@@ -38,6 +39,14 @@
         cutOff(now, 503, "no room, try again\n", advice(kComeBack));
     }
 
+    std::string advice(Nanos retryIn) const {
+        char text[48] = "";
+        if (retryIn.count() > 0 && owner_.core_.site().module.retryAdvice)
+            std::snprintf(text, sizeof text, "Retry-After: %.3f\r\n",
+                          static_cast<double>(retryIn.count()) * 1e-9);
+        return text;
+    }
+
 private:
     static constexpr Nanos kComeBack = std::chrono::milliseconds(500);
 
@@ -48,14 +57,6 @@
         reply(now, status, body, extra);
     }
 
-    std::string advice(Nanos retryIn) const {
-        char text[48] = "";
-        if (retryIn.count() > 0 && owner_.core_.site().module.retryAdvice)
-            std::snprintf(text, sizeof text, "Retry-After: %.3f\r\n",
-                          static_cast<double>(retryIn.count()) * 1e-9);
-        return text;
-    }
-
     void hold(std::size_t bytes) {
         owner_.held_ += bytes - holds_;
         holds_ = bytes;
@@ -221,10 +222,19 @@
             if (theirs && connection->rests() && now - connection->born() > kPatience)
                 rested.push_back(connection);
         }
-    for (const auto& connection : rested) connection->closeIdle(now);
+    for (const auto& connection : rested) connection->shutdown(now);
     sweep_.arm(deadlines_, now + Drain::lookAgain, [this](Time at) { sweep(at); });
 }
 
+void Front::shutdown(Time now) {
+    for (const Connections& peers : resting_)
+        for (const auto& connection : Connections(peers)) connection->shutdown(now, End::shutDown);
+    const Nanos retryIn = std::chrono::milliseconds(100);
+    for (const auto& connection : Connections(busy_))
+        if (connection->state() == http::Server::State::reading)
+            connection->cutOff(now, 503, "this dispatcher ends, try again\n", connection->advice(retryIn));
+}
+
 bool Front::relieve(Time now, Standing most) {
     for (std::size_t standing = 0; standing <= most; ++standing)
         for (const auto& connection : resting_[standing]) {
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -32,6 +32,9 @@
     bool quiet() const;    // nothing is owed or waits to be written
     std::size_t open() const;
     std::size_t clients() const;  // of those, who are not known for job servers or the platform
+    // Nobody new comes, and nothing is owed: who rests is shut down, and who has sent half a message is told
+    // to come again. To be said again for those who had bytes unread.
+    void shutdown(Time now);
     void setRoom(std::size_t bytes) { room_ = bytes; }  // for messages that are not whole and for open jobs
     // Asked for calls that are for no job of this process: the status to answer with is to be said once, at
     // any time. Without it they are answered as taken.
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -43,6 +43,10 @@
     void letGo() { task_ = Task::none; }  // what becomes of the exchange matters to nobody
 
     void opened(Time now) override {
+        // Guards against a connection that comes up late: what it was made for may not be wanted any more, or
+        // not be allowed.
+        if (task_ == Task::pass && !owner_.core_.mayBegin(now, transaction_, number_))
+            return close(now, End::unsent);
         if (task_ == Task::pass || task_ == Task::none) watchdog_.disarm();
         Client::opened(now);
     }
@@ -189,6 +193,11 @@
         connector_.connect(now, connection, servers_[pass.server].address);
 }
 
+bool Servers::begun(const ProxyPass& pass) const {
+    const Active* const active = find(pass.job->traceId, pass.transaction, pass.number);
+    return !active || !active->carrier || active->carrier->state() != http::Client::State::connecting;
+}
+
 void Servers::probe(Time now, Worker server) {
     const auto connection = connectionTo(now, server);
     connection->probe(now, "GET /-/load HTTP/1.1\r\nHost: " + servers_[server].address + "\r\n\r\n");
@@ -233,14 +242,19 @@
     return oldest != nullptr;
 }
 
-Servers::Active* Servers::find(const std::string& traceId, TransactionId id, std::uint32_t number) {
+const Servers::Active* Servers::find(const std::string& traceId, TransactionId id,
+                                     std::uint32_t number) const {
     const auto at = active_.find(traceId);
     if (at == active_.end()) return nullptr;
-    for (Active& active : at->second)
+    for (const Active& active : at->second)
         if (active.transaction == id && active.number == number) return &active;
     return nullptr;
 }
 
+Servers::Active* Servers::find(const std::string& traceId, TransactionId id, std::uint32_t number) {
+    return const_cast<Active*>(std::as_const(*this).find(traceId, id, number));
+}
+
 void Servers::erase(const std::string& traceId, TransactionId id, std::uint32_t number) {
     const auto at = active_.find(traceId);
     if (at == active_.end()) return;
--- a/src/platform/servers.hpp
+++ b/src/platform/servers.hpp
@@ -20,6 +20,7 @@
 
     void start(Time now, const ProxyPass& pass) override;
     void abandon(Time now, const ProxyPass& pass) override;
+    bool begun(const ProxyPass& pass) const override;
     void closeIdle(Time now, Worker server) override;
     void probe(Time now, Worker server) override;
 
@@ -53,6 +54,7 @@
     void ended(Time now, const std::string& traceId, TransactionId id, std::uint32_t number, End how,
                std::string result = {}, const LoadReport& load = {});
     Active* find(const std::string& traceId, TransactionId id, std::uint32_t number);
+    const Active* find(const std::string& traceId, TransactionId id, std::uint32_t number) const;
     void erase(const std::string& traceId, TransactionId id, std::uint32_t number);
 
     Core& core_;
--- a/src/report.cpp
+++ b/src/report.cpp
@@ -78,6 +78,7 @@
     line("transactions.unavailable", c.unavailable);
     line("transactions.failed", c.failed);
     line("transactions.left", c.left);
+    line("transactions.left_unheard", c.leftUnheard);
     line("passes.sent", c.passes);
     line("passes.forwards", c.forwards);
     line("passes.started", c.started);
--- a/src/wire/machine.hpp
+++ b/src/wire/machine.hpp
@@ -18,6 +18,8 @@
     virtual void wake() = 0;  // there is something to write, or room to read again, or it has finished
     virtual void drop() = 0;  // close at once; the machine hears nothing more
     virtual bool unread() const { return false; }  // bytes have come that the machine was not given yet
+    // The other side has closed its end, or broken the connection, whether or not that was read yet.
+    virtual bool peerGone() { return false; }
 };
 
 class Machine;
@@ -45,6 +47,7 @@
     void attach(Driver* driver) { driver_ = driver; }
     bool attached() const { return driver_ != nullptr; }
     bool unread() const { return !in_.empty() || (driver_ && driver_->unread()); }
+    bool peerGone() const { return driver_ && driver_->peerGone(); }
 
 protected:
     void wake() {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -602,10 +602,16 @@
     busy->in().put("POST /car-match HTTP/1.1\r\nX-Trace-Id: 1\r\n\r\n");
     busy->received(now);
     say("GET /-/ready HTTP/1.1\r\n\r\n");  // idle now
+    const auto rests = network.made.back();
     service.end(now);
     pass(2790ms);
     EXPECT_EQ(front.open(), 2u);
+    EXPECT_FALSE(rests->finished());
     pass(20ms);
+    EXPECT_TRUE(rests->finished());  // shut down: what comes now is not served, so it may be repeated
+    rests->in().put("POST /car-match HTTP/1.1\r\nX-Trace-Id: 2\r\n\r\n"), rests->received(now);
+    EXPECT_EQ(core.counters().taken, 1u);
+    pass(http::Server::kLinger);
     EXPECT_EQ(front.open(), 1u);  // the one that is owed an answer stays
     EXPECT_FALSE(front.quiet());
 }
@@ -664,11 +670,12 @@
     EXPECT_NE(tell(*client, unreadable).find("Connection: close"), std::string::npos);
     EXPECT_EQ(tell(*server, callback).find("Connection: close"), std::string::npos);
     pass(1690ms);
-    EXPECT_FALSE(idle->dropped);
+    EXPECT_FALSE(idle->dropped || idle->machine->finished());
     crossing->crossing = true;  // a request has come that was not read yet
     pass(20ms);
-    EXPECT_TRUE(idle->dropped);
-    EXPECT_FALSE(prober->dropped || server->dropped || crossing->dropped);
+    EXPECT_TRUE(idle->machine->finished());
+    for (const auto* other : {&prober, &server, &crossing})
+        EXPECT_FALSE((*other)->dropped || (*other)->machine->finished());
     crossing->crossing = false;
     EXPECT_EQ(tell(*crossing, job("1")), "");  // taken
     EXPECT_EQ(core.open(), 1u);
@@ -688,7 +695,7 @@
     EXPECT_EQ(tell(*client, unreadable).find("Connection: close"), std::string::npos);
     EXPECT_EQ(tell(*client, ready).substr(9, 3), "200");
     pass(5s);
-    EXPECT_FALSE(client->dropped || other->dropped);
+    for (const auto* one : {&client, &other}) EXPECT_FALSE((*one)->dropped || (*one)->machine->finished());
     EXPECT_EQ(tell(*other, job("1")), "");
     EXPECT_EQ(core.open(), 1u);
 }
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -156,6 +156,10 @@
     deadlines.sweep(74s);
     EXPECT_EQ(idle.ends, 0);
     deadlines.sweep(76s);
+    EXPECT_TRUE(idle.finished());  // this side is shut down; what still comes is not served
+    give(idle, 76s, kJob);
+    EXPECT_EQ(idle.requests, 1);
+    deadlines.sweep(76s + Server::kLinger);
     EXPECT_EQ(idle.end, End::idle);
     Answering bad(deadlines, 0s);
     give(bad, 0s, "nonsense\r\n\r\n" + kJob);
