Take any settings that make sense, and name file, field and reason of the others

By reading: a negative or endless length of time wrapped around, maxAttempts -1 became four thousand million, limits.sockets -1 passed the check of its least, classKind could name no machine; lines said the field but no file. Change: lengths of time from 0 to 10^15 ns, maxAttempts 1 to 1000, classes at most 64, the others named as wrong; each line begins with the file's path, at the start and on a reload. The tests on such lines now want the whole line's beginning, path included.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -44,7 +44,19 @@
 
 }  // namespace
 
+// Each fault is told with the file that it is in.
 Platform Reader::read() {
+    try {
+        return readFile();
+    } catch (const BadField& bad) {
+        const std::string what = bad.what();
+        const bool ofEnvironment =
+            what.rfind("ROUTER_ACCEPT_FD", 0) == 0 || what.rfind("ROUTER_OPERATOR", 0) == 0;
+        throw BadField(ofEnvironment ? what : path_ + ": " + what);
+    }
+}
+
+Platform Reader::readFile() {
     std::ifstream file(path_);
     if (!file) throw BadField("ROUTER_CONFIG: can't read " + path_);
     const settings::object from = parseFile(file, parser_, "ROUTER_CONFIG");
@@ -80,6 +92,7 @@
     if (config.memoryMb < 16 || config.memoryMb > 1024 * 1024)
         throw BadField("field 'limits.memory_mb' is out of range");
     if (config.sockets < 64) throw BadField("field 'limits.sockets' is under 64");
+    if (config.sockets > 10'000'000) throw BadField("field 'limits.sockets' is out of range");
     config.site = settings::readSite(settings::table(from, "settings"));
     try {  // what the module can't work with is a fault of the file, at the start and on a reload
         heronmount::Dispatcher tried(config.site.module, config.seed);
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -25,9 +25,10 @@
 class Reader {
 public:
     explicit Reader(std::string path) : path_(std::move(path)) {}
-    Platform read();  // throws settings::BadField, naming the field
+    Platform read();  // throws settings::BadField, naming the file and the field
 
 private:
+    Platform readFile();
     std::string path_;
     simdjson::dom::parser parser_;
 };
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -421,7 +421,7 @@
     }
 
     void checkLater(const Request& r, const Attempt& a) {
-        const double goal = seconds(r.klass->goal);
+        const double goal = std::max(0.08, seconds(r.klass->goal));  // 0: it would never stop looking
         if (!a.started) timer(kCheck, r.in.id, mayCopy(r) ? goal * kPatience : goal / 3 + 0.02);
         if (a.started && s_.progress.count() > 0) timer(kCheck, r.in.id, 2.3 * seconds(s_.progress));
     }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -40,6 +40,17 @@
     return out;
 }
 
+namespace {
+// A length of time. Guards against one that is negative, or so long that a sum with the clock wraps around.
+Nanos duration(const object& from, const char* key, std::optional<std::int64_t> otherwise = {}) {
+    constexpr std::int64_t most = 1'000'000'000'000'000;  // eleven days
+    const std::int64_t value = otherwise ? integer(from, key, *otherwise) : integer(from, key);
+    if (value < 0 || value > most)
+        throw BadField("field '" + std::string(key) + "' is not from 0 to 10^15 ns");
+    return Nanos(value);
+}
+}  // namespace
+
 Settings readSettings(const object& info) {
     Settings s;
     const object family = table(info, "familyInfo"), rules = table(info, "rules"),
@@ -57,9 +68,9 @@
         const object from = asObject(entry, "classes");
         const std::size_t i = s.classes.size();
         ClassSettings c;
-        c.goal = Nanos(integer(from, "goalTime"));
-        c.giveUp = Nanos(integer(from, "giveUp"));
-        c.window = Nanos(integer(from, "window", 0));
+        c.goal = duration(from, "goalTime");
+        c.giveUp = duration(from, "giveUp");
+        c.window = duration(from, "window", 0);
         c.effect = choice<Effect>(text(from, "effect"), "effect",
                                   {{"read_like", Effect::safe},
                                    {"idempotency_key", Effect::keyed},
@@ -72,8 +83,11 @@
         c.kind = i < kind.size() ? static_cast<int>(kind[i]) : -1;
         c.priority = i < priority.size() ? static_cast<int>(priority[i]) : 0;
         c.stream = flag(from, "stream", false);
+        if (c.kind < -1 || c.kind >= std::max(1, static_cast<int>(listSize(info, "machineTypes"))))
+            throw BadField("field 'classKind' names no machine type");
         s.classes.push_back(c);
     }
+    if (s.classes.size() > 64) throw BadField("field 'classes' has more than 64");
     if (const auto tenants = find(info, "customers"))
         for (const element entry : as<simdjson::dom::array>(*tenants, "customers", "a list")) {
             const object from = asObject(entry, "customers");
@@ -92,10 +106,12 @@
     s.mayDuplicate = flag(allowed, "mayDuplicate", false);
     s.mayProbe = flag(allowed, "probing", false);
     s.retryAdvice = flag(allowed, "retryAfter", false);
-    s.maxAttempts = static_cast<std::uint32_t>(integer(allowed, "maxAttempts"));
-    s.maxRetryAfter = Nanos(integer(allowed, "maxRetryAfter", 0));
+    const std::int64_t attempts = integer(allowed, "maxAttempts");
+    if (attempts < 1 || attempts > 1000) throw BadField("field 'maxAttempts' is not from 1 to 1000");
+    s.maxAttempts = static_cast<std::uint32_t>(attempts);
+    s.maxRetryAfter = duration(allowed, "maxRetryAfter", 0);
     s.tellsStart = flag(family, "tellsStart", false);
-    s.progress = Nanos(integer(family, "progress", 0));
+    s.progress = duration(family, "progress", 0);
     s.queueOrder = choice<QueueOrder>(
         text(family, "queueOrder", "fifo"), "queueOrder",
         {{"fifo", QueueOrder::fifo}, {"backfill", QueueOrder::backfill}, {"priority", QueueOrder::priority}});
@@ -115,12 +131,12 @@
         s.handshakePrice = number(asObject(*prices, "prices"), "handshake", 0);
         s.crossZonePrice = number(asObject(*prices, "prices"), "crossZone", 0);
     }
-    s.tick = Nanos(integer(info, "tick", 0));
-    s.askWithin = Nanos(integer(rules, "askWithin", 0));
-    s.cold = Nanos(integer(rules, "cold", 0));
+    s.tick = duration(info, "tick", 0);
+    s.askWithin = duration(rules, "askWithin", 0);
+    s.cold = duration(rules, "cold", 0);
     s.coldFrom = number(rules, "coldFrom", 1);
     s.fallMultiple = number(rules, "fallMultiple", 1);
-    s.overloadFor = Nanos(integer(rules, "overloadFor", 0));
+    s.overloadFor = duration(rules, "overloadFor", 0);
     return s;
 }
 
@@ -140,9 +156,10 @@
     named("zones", site.zones);
     named("machineTypes", site.kinds);
     const object allowed = table(info, "allowed");
-    site.idleClose = Nanos(integer(allowed, "idleClose", 5'000'000'000));
-    site.connectTimeout = Nanos(integer(allowed, "connectTimeout", 250'000'000));
-    site.drainGrace = Nanos(integer(table(info, "rules"), "stopSendingWithin", 0));
+    site.idleClose = duration(allowed, "idleClose", 5'000'000'000);
+    site.connectTimeout = duration(allowed, "connectTimeout", 250'000'000);
+    if (site.connectTimeout.count() == 0) throw BadField("field 'connectTimeout' is 0");
+    site.drainGrace = duration(table(info, "rules"), "stopSendingWithin", 0);
     return site;
 }
 
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -1,9 +1,9 @@
 // The program itself, started as the platform starts it: on an ephemeral loopback port, with a configuration
 // of its own, and ended with SIGTERM.
-#include <filesystem>
-
 #include "program.hpp"
 
+#include <filesystem>
+
 namespace amberswitch::program {
 namespace {
 
@@ -101,7 +101,8 @@
         "0\r\n\r\n");
     program.write(config("{}"));
     ::kill(program.child, SIGHUP);
-    EXPECT_NE(program.line().find("old settings stay: field 'familyInfo' is missing"), std::string::npos);
+    EXPECT_NE(program.line().find("old settings stay: " + program.path + ": field 'familyInfo' is missing"),
+              std::string::npos);
     program.write(config(kSettings, "127.0.0.1:0", address));
     ::kill(program.child, SIGHUP);
     EXPECT_NE(program.line().find("reloaded: discovery at " + address), std::string::npos);
@@ -133,7 +134,8 @@
           {config(with("\"fleetSize\":1", "\"me\":1")), "field 'me' is not from 0 to below fleetSize"},
           {config(with("\"fleetSize\":2", "\"me\":-1")), "field 'me' is not from 0 to below fleetSize"}}) {
         Program program(text);
-        EXPECT_NE(program.line().find(expected), std::string::npos) << expected;
+        const std::string said = program.line();
+        EXPECT_EQ(said.rfind("amberswitch: " + program.path + ": " + expected, 0), 0u) << said;
         EXPECT_EQ(program.line(), "");
         EXPECT_EQ(program.exitStatus(), 2);
     }
@@ -169,10 +171,12 @@
     program.write(config("{}"));
     program.writeOwn(ofGrpc(""));
     ::kill(program.child, SIGHUP);
-    EXPECT_NE(program.line().find("old settings stay: field 'familyInfo' is missing"), std::string::npos);
+    EXPECT_NE(program.line().find("old settings stay: " + program.path + ": field 'familyInfo' is missing"),
+              std::string::npos);
     program.write(config(with("\"fleetSize\":0")));
     ::kill(program.child, SIGHUP);
-    EXPECT_NE(program.line().find("old settings stay: field 'fleetSize' is not from"), std::string::npos);
+    EXPECT_NE(program.line().find("old settings stay: " + program.path + ": field 'fleetSize' is not from"),
+              std::string::npos);
     ::kill(program.child, SIGTERM);
     std::string last;
     for (std::string line = program.line(); !line.empty(); line = program.line()) last += line;
