--- a/tests/ending_test.cpp
+++ b/tests/ending_test.cpp
@@ -149,8 +149,8 @@
     EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::milliseconds(3000 + 2000));
 }
 
-// Descriptors: clients whose jobs hang fill them while discovery is down. On its return it is called within
-// the clock of what counts as told, callbacks are taken and the new configuration is read.
+// Descriptors: idle clients and jobs that hang fill them while discovery is down. On its return it is called
+// within the the clock of what counts as told, callbacks are taken and the new configuration is read.
 TEST(Descriptors, DiscoveryIsCalledAlsoWhereClientsHaveTakenThemAll) {
     Listening server(256), discovery(-1), moved;
     std::string text =
@@ -158,15 +158,15 @@
     text = replaced(text, R"("sockets":1024)", R"("sockets":64)");
     Program program(text);
     const unsigned short port = program.portOf("listening on");
-    std::vector<Peer> clients, passes;
-    // 64 less 24 of its own: twenty clients and a connection for each one's pass, which hangs, are all
-    // others.
-    for (int i = 0; i < 20; ++i) {
+    std::vector<Peer> clients, passes, idle;
+    // 64 less 24 of its own; clients may have 35 of the 40, with their passes.
+    for (int i = 0; i < 15; ++i) {
         clients.push_back(Peer::to(port));
         clients.back().send(job("c" + std::to_string(i)));
         passes.push_back(server.accept());
         ASSERT_NE(idOf(passes.back().message()), "");
     }
+    for (int i = 0; i < 60; ++i) idle.push_back(Peer::to(port));
     discovery.listen();
     ASSERT_TRUE(discovery.waits(7000)) << "discovery was not called in time";
     Peer watch = discovery.accept();
@@ -176,6 +176,11 @@
     ASSERT_TRUE(moved.waits(7000)) << "the new configuration was not followed";
     Peer next = moved.accept();
     EXPECT_NE(next.message().find("GET /api/targets"), std::string::npos);
+    passes[0].send(kTaken);
+    Peer teller = Peer::to(port);
+    teller.send(callback("c0", "a", "done"));
+    EXPECT_EQ(teller.message().substr(9, 3), "204");
+    EXPECT_EQ(clients[0].message().substr(9, 3), "200");
 }
 
 }  // namespace
