--- a/tests/gearman_test.cpp
+++ b/tests/gearman_test.cpp
@@ -143,6 +143,38 @@
     EXPECT_EQ(end[0].arguments, (std::vector<std::string>{created.arguments[0], "result"}));
 }
 
+// A foreground job whose client has closed is not handed out, also where that close was not read yet; one that
+// somebody else waits for, or that runs in the background, is.
+TEST_F(GearmanFrontTest, AJobIsNotHandedOutOnceItsClientsHaveLeft) {
+    struct Gone : wire::Driver {
+        void wake() override {}
+        void drop() override {}
+        bool peerGone() override { return gone; }
+        bool gone = false;
+    } first, second;
+    Peer able = worker({"car-match"}), client = join(), other = join();
+    client.machine->attach(&first), other.machine->attach(&second);
+    say(client, Type::submitJob, {"car-match", "u", "data"});
+    say(other, Type::submitJob, {"car-match", "u", "data"});
+    first.gone = true;
+    say(able, Type::grabJob);
+    const Packet assigned = last(able);
+    ASSERT_EQ(assigned.type, Type::jobAssign);  // the other one waits for it
+    say(able, Type::workComplete, {assigned.arguments[0], "result"});
+    first.gone = false;
+    say(client, Type::submitJob, {"car-match", "v", "data"});
+    first.gone = true;
+    say(able, Type::grabJob);
+    EXPECT_EQ(last(able).type, Type::noJob);
+    EXPECT_EQ(core.counters().leftUnheard, 1u);
+    EXPECT_EQ(core.open(), 0u);
+    first.gone = false;
+    say(client, Type::submitJobBg, {"car-match", "w", "data"});
+    first.gone = true;
+    say(able, Type::grabJob);
+    EXPECT_EQ(last(able).type, Type::jobAssign);
+}
+
 // libgearman's workers grab in this way only.
 TEST_F(GearmanFrontTest, AWorkerThatGrabsAllGetsAnEmptyReducer) {
     Peer able = worker({"car-match"}), client = join();
