--- /dev/null
+++ b/src/cluster/common/configuration.hpp
@@ -0,0 +1,71 @@
+// The operator's configuration: routes, services and limits, read from the JSON of POST /Config.Replace.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "cluster/common/types.hpp"
+
+namespace amberswitch::cluster {
+
+// what(): "FIELD: REASON", such as "routes[2].backend: there is no service 'x'".
+class ConfigurationError : public std::runtime_error {
+public:
+    ConfigurationError(const std::string& field, const std::string& reason)
+        : std::runtime_error(field + ": " + reason) {}
+};
+
+struct Route {
+    std::string name;
+    std::string hostname;
+    std::string path_prefix;
+    std::string type;     // only "deferred" is served
+    std::string service;  // `backend`
+    int priority = 0;     // 0 is the highest
+    Millis timeout{0};    // of one delivery
+    Millis target_latency{0};
+    Millis schedule_target{0};
+    std::uint32_t max_retries = 1;  // answers of 500 that end a message
+    bool ordered = false;
+    Millis retention{0};
+    bool callback = false;
+};
+
+struct Service {
+    std::string name;
+    std::string health_check;
+    std::uint32_t max_connections = 1;  // of one server, from all dispatchers
+    double rate_per_s = 0;              // 0: no ceiling
+    bool idempotent = false;
+    std::optional<NodeAddress> endpoint;  // `static`: a single server that is on no list
+};
+
+struct HttpLimits {
+    std::uint32_t max_header_bytes = 16384;
+    std::uint32_t max_body_bytes = 262144;
+    Millis header_timeout{3000};
+    Millis idle_timeout{15000};
+};
+
+class Configuration {
+public:
+    std::int64_t generation = 0;
+    std::vector<Route> routes;
+    std::vector<Service> services;
+    HttpLimits limits;
+
+    // The route of that host (port ignored, case ignored) with the longest prefix of the path, or null.
+    const Route* match(std::string_view host, std::string_view path) const;
+    const Route* route(std::string_view name) const;
+    const Service* service(std::string_view name) const;
+};
+
+// Checks against the JSON schema (valijson) and the rules between fields. Throws ConfigurationError.
+Configuration parseConfiguration(const std::string& json);
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/tests/cluster/simulation.hpp
@@ -0,0 +1,199 @@
+// A simulated world for tests of the planes: one clock, a network that delays, loses and cuts, and nothing that
+// sleeps. Everything is drawn from the seed, so a play repeats exactly.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "cluster/common/scheduler.hpp"
+#include "cluster/common/transport.hpp"
+
+namespace amberswitch::cluster::simulation {
+
+// The one clock and event queue of a play.
+class World {
+public:
+    explicit World(std::uint64_t seed) : random_(seed) {}
+
+    SteadyTime now() const { return now_; }
+    std::mt19937_64& random() { return random_; }
+    // Uniform in [0, 1).
+    double chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+
+    std::uint64_t at(SteadyTime when, std::function<void()> work) {
+        const std::uint64_t id = ++last_id_;
+        queue_.emplace(std::make_pair(when, id), std::move(work));
+        times_.emplace(id, when);
+        return id;
+    }
+    void cancel(std::uint64_t id) {
+        const auto found = times_.find(id);
+        if (found == times_.end()) return;
+        queue_.erase({found->second, id});
+        times_.erase(found);
+    }
+    // Plays everything that is due until `span` has passed.
+    void run(Millis span) {
+        const SteadyTime end = now_ + span;
+        while (!queue_.empty() && queue_.begin()->first.first <= end) step();
+        now_ = end;
+    }
+    // Plays until the condition holds or the span is over; tells whether it holds.
+    bool runUntil(const std::function<bool()>& holds, Millis span) {
+        const SteadyTime end = now_ + span;
+        while (!holds()) {
+            if (queue_.empty() || queue_.begin()->first.first > end) {
+                now_ = end;
+                return holds();
+            }
+            step();
+        }
+        return true;
+    }
+
+private:
+    void step() {
+        const auto first = queue_.begin();
+        now_ = std::max(now_, first->first.first);
+        const std::function<void()> work = std::move(first->second);
+        times_.erase(first->first.second);
+        queue_.erase(first);
+        work();
+    }
+
+    std::mt19937_64 random_;
+    SteadyTime now_{std::chrono::seconds(1000)};
+    std::uint64_t last_id_ = 0;
+    std::map<std::pair<SteadyTime, std::uint64_t>, std::function<void()>> queue_;
+    std::map<std::uint64_t, SteadyTime> times_;
+};
+
+// The scheduler of one process. kill() makes all its pending and later work vanish.
+class SimulatedScheduler : public Scheduler {
+public:
+    explicit SimulatedScheduler(World& world) : world_(world), alive_(std::make_shared<bool>(true)) {}
+    ~SimulatedScheduler() override { kill(); }
+
+    SteadyTime now() const override { return world_.now(); }
+    std::int64_t wallMillis() const override {
+        const auto since = std::chrono::duration_cast<Millis>(world_.now().time_since_epoch());
+        return 1'700'000'000'000 + since.count() + wall_step_ms_;
+    }
+    TimerHandle after(Millis delay, std::function<void()> work) override {
+        const auto guarded = [alive = alive_, work = std::move(work)] {
+            if (*alive) work();
+        };
+        return std::make_unique<SimulatedTimer>(world_, world_.at(world_.now() + delay, guarded));
+    }
+    void post(std::function<void()> work) override {
+        world_.at(world_.now(), [alive = alive_, work = std::move(work)] {
+            if (*alive) work();
+        });
+    }
+    void kill() { *alive_ = false; }
+    void stepWallClock(std::int64_t by_ms) { wall_step_ms_ += by_ms; }
+
+private:
+    class SimulatedTimer : public Timer {
+    public:
+        SimulatedTimer(World& world, std::uint64_t id) : world_(world), id_(id) {}
+        ~SimulatedTimer() override { world_.cancel(id_); }
+
+    private:
+        World& world_;
+        std::uint64_t id_;
+    };
+
+    World& world_;
+    std::shared_ptr<bool> alive_;
+    std::int64_t wall_step_ms_ = 0;
+};
+
+// Connects the transports of a play.
+class Network {
+public:
+    explicit Network(World& world) : world_(world) {}
+
+    Millis delay{1};
+    Millis jitter{1};
+    double loss = 0;  // share of requests and of answers that are lost
+
+    void cut(const std::string& from_ip, const std::string& to_ip) { cuts_.insert({from_ip, to_ip}); }
+    void cutBoth(const std::string& a, const std::string& b) { cut(a, b), cut(b, a); }
+    void isolate(const std::string& ip) { isolated_.insert(ip); }
+    void join(const std::string& ip) { isolated_.erase(ip); }
+    void healAll() { cuts_.clear(), isolated_.clear(); }
+
+private:
+    friend class MemoryTransport;
+    bool passes(const std::string& from, const std::string& to) {
+        if (isolated_.contains(from) != isolated_.contains(to)) return false;
+        return !cuts_.contains({from, to}) && world_.chance() >= loss;
+    }
+    Millis draw() {
+        return delay + Millis(static_cast<std::int64_t>(world_.chance() * static_cast<double>(jitter.count() + 1)));
+    }
+
+    World& world_;
+    std::map<NodeAddress, class MemoryTransport*> listeners_;
+    std::set<std::pair<std::string, std::string>> cuts_;
+    std::set<std::string> isolated_;
+};
+
+// The transport of one process at one address. Destroying it is the death of the process.
+class MemoryTransport : public Transport {
+public:
+    MemoryTransport(World& world, Network& network, NodeAddress self)
+        : world_(world), network_(network), self_(std::move(self)), alive_(std::make_shared<bool>(true)) {
+        network_.listeners_[self_] = this;
+    }
+    ~MemoryTransport() override {
+        *alive_ = false;
+        if (network_.listeners_[self_] == this) network_.listeners_.erase(self_);
+    }
+
+    void serve(RequestHandler handler) override { handler_ = std::move(handler); }
+
+    void call(const NodeAddress& to, Envelope request, Millis timeout,
+              std::function<void(CallResult)> done) override {
+        const auto finished = std::make_shared<bool>(false);
+        const auto finish = [alive = alive_, finished, done = std::move(done)](CallResult result) {
+            if (std::exchange(*finished, true) || !*alive) return;
+            done(std::move(result));
+        };
+        world_.at(world_.now() + timeout, [finish] { finish({Verdict::unknown, {}}); });
+        if (!network_.passes(self_.ip, to.ip)) return;
+        world_.at(world_.now() + network_.draw(), [this, alive = alive_, to, request, finish] {
+            if (*alive) arrive(to, request, finish);
+        });
+    }
+
+private:
+    void arrive(const NodeAddress& to, const Envelope& request, const std::function<void(CallResult)>& finish) {
+        const auto peer = network_.listeners_.find(to);
+        if (peer == network_.listeners_.end() || !peer->second->handler_) return finish({Verdict::not_executed, {}});
+        World& world = world_;
+        Network& network = network_;
+        const std::string from = self_.ip;
+        peer->second->handler_(request, [&world, &network, from, to, finish](Envelope reply) {
+            if (!network.passes(to.ip, from)) return;
+            world.at(world.now() + network.draw(), [finish, reply = std::move(reply)] {
+                finish({Verdict::answered, reply});
+            });
+        });
+    }
+
+    World& world_;
+    Network& network_;
+    NodeAddress self_;
+    std::shared_ptr<bool> alive_;
+    RequestHandler handler_;
+};
+
+}  // namespace amberswitch::cluster::simulation
