Assemble the planes into the three roles

Need: one thin program that joins the planes. Change: roles.cpp opens loop, transport, disk and HTTP of each role and wires signals. Ruled out: planes that open their own sockets (tests could not play them).

--- /dev/null
+++ b/apps/ambercluster/roles.cpp
@@ -0,0 +1,180 @@
+// Assembles the planes into processes.
+#include "roles.hpp"
+
+#include <glog/logging.h>
+#include <signal.h>
+
+#include <memory>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "cluster/common/event_loop.hpp"
+#include "cluster/common/evhttp_client.hpp"
+#include "cluster/common/evhttp_server.hpp"
+#include "cluster/common/tcp_transport.hpp"
+#include "cluster/control/control_node.hpp"
+#include "cluster/control/core_client.hpp"
+#include "cluster/edge/edge_node.hpp"
+#include "cluster/storage/ring_store.hpp"
+#include "cluster/storage/store_node.hpp"
+
+namespace amberswitch::cluster {
+namespace {
+
+constexpr std::uint64_t kMegabyte = 1024 * 1024;
+constexpr std::uint64_t kRegisterRingBytes = 24 * kMegabyte;
+constexpr std::uint32_t kRegisterSegmentBytes = 4 * kMegabyte;
+constexpr std::uint32_t kMessageSegmentBytes = 8 * kMegabyte;
+constexpr double kRingShareOfDisk = 0.85;
+constexpr Millis kSeedsCheck{5000};
+
+Incarnation drawIncarnation() {
+    std::random_device device;
+    const auto high = static_cast<std::uint64_t>(device());
+    return (high << 32 | device()) | 1;
+}
+
+std::vector<NodeAddress> coreAddresses(const NodeSettings& settings) {
+    std::vector<NodeAddress> addresses;
+    for (const NodeAddress& seed : settings.seeds)
+        addresses.push_back({seed.ip, settings.portOf(PortOffset::core)});
+    return addresses;
+}
+
+Member describe(const NodeSettings& settings, NodeKind kind, PortOffset offset, Incarnation incarnation) {
+    Member member;
+    member.name = settings.name;
+    member.kind = kind;
+    member.zone = settings.zone;
+    member.address = settings.internal(offset);
+    member.incarnation = incarnation;
+    member.bootstrap = settings.bootstrap;
+    return member;
+}
+
+RingOptions ringOptions(std::uint64_t wanted, std::uint32_t segment, const NodeSettings& settings) {
+    const double room = kRingShareOfDisk * static_cast<double>(settings.limits.disk_mb) * static_cast<double>(kMegabyte);
+    RingOptions options;
+    options.capacity_bytes = std::min(wanted, static_cast<std::uint64_t>(room));
+    options.segment_bytes = segment;
+    return options;
+}
+
+// Rereads the settings on SIGHUP and now and then, for the seeds; a file that can't be used changes nothing.
+class SeedsReloader {
+public:
+    SeedsReloader(EventLoop& loop, std::string path, CoreClient& client)
+        : loop_(loop), path_(std::move(path)), client_(client) {
+        loop_.onSignal(SIGHUP, [this] { reload(); });
+        wait();
+    }
+
+private:
+    void wait() {
+        timer_ = loop_.after(kSeedsCheck, [this] {
+            reload();
+            wait();
+        });
+    }
+    void reload() {
+        try {
+            client_.setSeeds(coreAddresses(loadNodeSettings(path_)));
+        } catch (const SettingsError& error) {
+            LOG(WARNING) << "settings not reread: " << error.what();
+        }
+    }
+
+    EventLoop& loop_;
+    std::string path_;
+    CoreClient& client_;
+    TimerHandle timer_;
+};
+
+}  // namespace
+
+int runCore(const NodeSettings& settings, const std::string&) {
+    if (!settings.control) throw SettingsError("settings", "bindAddrs.control", "a core machine needs it");
+    EventLoop loop;
+    TcpTransport transport(loop, settings.internal(PortOffset::core));
+    EvhttpClient cloud(loop);
+    RingStore disk(loop, settings.data_dir + "/register", ringOptions(kRegisterRingBytes, kRegisterSegmentBytes, settings));
+    ControlNode node(loop, transport, cloud, disk, settings, drawIncarnation());
+    EvhttpServer operators(loop, *settings.control, [&node](const HttpRequest& request, HttpResponder respond) {
+        node.handleHttp(request, std::move(respond));
+    });
+    loop.onSignal(SIGHUP, [] {});
+    loop.onSignal(SIGTERM, [&] {
+        operators.startClosing();
+        node.leave([&loop] { loop.stop(); });
+    });
+    node.start();
+    loop.run();
+    return 0;
+}
+
+int runStore(const NodeSettings& settings, const std::string& settings_path) {
+    EventLoop loop;
+    TcpTransport transport(loop, settings.internal(PortOffset::store));
+    RingStore disk(loop, settings.data_dir + "/messages",
+                   ringOptions(std::uint64_t{settings.limits.disk_mb} * kMegabyte, kMessageSegmentBytes, settings));
+    const Incarnation incarnation = drawIncarnation();
+    Member self = describe(settings, NodeKind::store, PortOffset::store, incarnation);
+    self.disk_empty = disk.wasEmpty() && !settings.bootstrap;
+    StoreNode node(loop, transport, disk, settings, incarnation);
+    CoreClient::Callbacks callbacks;
+    callbacks.on_configuration = [&node](auto configuration) { node.onConfiguration(std::move(configuration)); };
+    callbacks.on_view = [&node](auto view) { node.onView(std::move(view)); };
+    CoreClient client(loop, transport, self, coreAddresses(settings), callbacks);
+    SeedsReloader seeds(loop, settings_path, client);
+    loop.onSignal(SIGTERM, [&] {
+        node.leave([&loop] { loop.stop(); });
+        client.leave();
+    });
+    node.start();
+    client.start();
+    loop.run();
+    return 0;
+}
+
+int runEdge(const NodeSettings& settings, const std::string& settings_path) {
+    if (!settings.front || !settings.readiness)
+        throw SettingsError("settings", "bindAddrs", "an edge needs front and readiness");
+    EventLoop loop;
+    TcpTransport transport(loop, settings.internal(PortOffset::edge));
+    EvhttpClient servers(loop);
+    const Incarnation incarnation = drawIncarnation();
+    EdgeNode node(loop, transport, servers, settings, incarnation);
+    EvhttpServer front(loop, *settings.front, [&node](const HttpRequest& request, HttpResponder respond) {
+        node.handleFront(request, std::move(respond));
+    });
+    EvhttpServer readiness(loop, *settings.readiness, [&node](const HttpRequest& request, HttpResponder respond) {
+        node.handleReadiness(request, std::move(respond));
+    });
+    CoreClient* link = nullptr;
+    CoreClient::Callbacks callbacks;
+    callbacks.on_configuration = [&](auto configuration) {
+        front.setLimits(configuration->limits);
+        node.onConfiguration(std::move(configuration));
+    };
+    callbacks.on_servers = [&](auto list) {
+        node.setEdgeCount(link->edges());
+        node.onServers(std::move(list));
+    };
+    callbacks.on_view = [&](auto view) { node.onView(std::move(view)); };
+    CoreClient client(loop, transport, describe(settings, NodeKind::edge, PortOffset::edge, incarnation),
+                      coreAddresses(settings), callbacks);
+    link = &client;
+    SeedsReloader seeds(loop, settings_path, client);
+    loop.onSignal(SIGTERM, [&] {
+        front.startClosing();
+        node.leave([&loop] { loop.stop(); });
+        client.leave();
+    });
+    node.start();
+    client.start();
+    loop.run();
+    return 0;
+}
+
+}  // namespace amberswitch::cluster
