Read settings and configurations, and lay out the ambercluster program

Needed: the settings file (YAML) of each process, the operator's configuration (JSON) with its routing look-ups, and the command line that hands over to the roles.

settings: yaml-cpp behind SettingsField, which knows the path of each field, so that every fault names file, field and reason. Null counts as missing; numbers may be whole or fractions. configuration: rapidjson (iterative, so that deep nesting can't exhaust the stack) and a valijson schema that is built once; rules between fields are checked after it. Look-ups go by maps that are searched without copying the text: by host, then by the lengths of prefixes that occur. Two routes or services of one name are refused too, as nothing could tell them apart. The roles are stubs until the planes are joined.

Ruled out: an index built on first use (a change under const); strict integers in the schema (7.0 is a whole number). Header: Configuration gained buildIndexes() and private maps.

--- a/src/cluster/common/configuration.hpp
+++ b/src/cluster/common/configuration.hpp
@@ -1,7 +1,9 @@
 // The operator's configuration: routes, services and limits, read from the JSON of POST /Config.Replace.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -52,6 +54,7 @@
     Millis idle_timeout{15000};
 };
 
+// Read-only once parsed, so that one copy can be shared (std::shared_ptr<const Configuration>).
 class Configuration {
 public:
     std::int64_t generation = 0;
@@ -63,9 +66,36 @@
     const Route* match(std::string_view host, std::string_view path) const;
     const Route* route(std::string_view name) const;
     const Service* service(std::string_view name) const;
+
+    // Prepares match(), route() and service(). parseConfiguration() has done it; call it after filling
+    // `routes` or `services` by hand. Throws ConfigurationError for a name, or a host and prefix, that occurs
+    // twice.
+    void buildIndexes();
+
+private:
+    // Lets the maps be searched with a std::string_view.
+    struct TextHash {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view text) const { return std::hash<std::string_view>{}(text); }
+    };
+    using PositionByText = std::unordered_map<std::string, std::size_t, TextHash, std::equal_to<>>;
+
+    struct HostRoutes {
+        PositionByText by_prefix;
+        std::vector<std::size_t> prefix_lengths;  // each length that occurs, longest first
+    };
+    using RoutesByHost = std::unordered_map<std::string, HostRoutes, TextHash, std::equal_to<>>;
+
+    void indexRoutes();
+    void indexServices();
+
+    RoutesByHost routes_by_host_;  // by host in lower case, without port
+    PositionByText route_by_name_;
+    PositionByText service_by_name_;
 };
 
-// Checks against the JSON schema (valijson) and the rules between fields. Throws ConfigurationError.
+// Checks against the JSON schema (valijson) and the rules between fields; unknown fields are ignored. Whether
+// `generation` rises is for the register to check. Throws ConfigurationError.
 Configuration parseConfiguration(const std::string& json);
 
 }  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/common/settings.cpp
@@ -0,0 +1,107 @@
+#include "cluster/common/settings.hpp"
+
+#include <limits>
+
+#include "cluster/common/settings_field.hpp"
+
+namespace amberswitch::cluster {
+namespace {
+
+constexpr double kMostUint32 = std::numeric_limits<std::uint32_t>::max();
+constexpr NumberRange kPort{1, 65535};
+constexpr NumberRange kCount{0, kMostUint32};
+constexpr NumberRange kPositiveCount{1, kMostUint32};
+constexpr NumberRange kPositive{1e-6, 1e9};
+constexpr std::uint16_t kPortsNeeded = static_cast<std::uint16_t>(PortOffset::store) + 1;
+
+std::optional<NodeAddress> addressIfAny(const SettingsField& field) {
+    if (field.absent()) return std::nullopt;
+    return field.address();
+}
+
+std::vector<std::string> readServes(const SettingsField& field) {
+    std::vector<std::string> serves;
+    for (const SettingsField& item : field.items()) serves.push_back(item.text());
+    return serves;
+}
+
+void readPortRange(const SettingsField& field, NodeSettings& settings) {
+    if (field.absent()) field.fail("is missing");
+    const std::vector<SettingsField> ends = field.items();
+    if (ends.size() != 2) field.fail("must be a list of two ports");
+    settings.first_port = static_cast<std::uint16_t>(ends[0].whole(kPort));
+    settings.last_port = static_cast<std::uint16_t>(ends[1].whole(kPort));
+    if (settings.last_port < settings.first_port) field.fail("must not end before it begins");
+    const int ports = settings.last_port - settings.first_port + 1;
+    if (ports < kPortsNeeded) field.fail("must hold at least " + std::to_string(kPortsNeeded) + " ports");
+}
+
+std::vector<NodeAddress> readSeeds(const SettingsField& field) {
+    if (field.absent()) field.fail("is missing");
+    std::vector<NodeAddress> seeds;
+    for (const SettingsField& item : field.items()) seeds.push_back(item.address());
+    return seeds;
+}
+
+NodeLimits readLimits(const SettingsField& field) {
+    NodeLimits limits;
+    limits.cpu_share = field.child("cpuShare").numberOr(limits.cpu_share, kPositive);
+    limits.memory_mb = field.child("memoryMb").wholeOr(limits.memory_mb, kPositiveCount);
+    limits.max_fds = field.child("maxFds").wholeOr(limits.max_fds, kPositiveCount);
+    limits.disk_mb = field.child("diskMb").wholeOr(limits.disk_mb, kCount);
+    return limits;
+}
+
+NodeBounds readBounds(const SettingsField& field) {
+    NodeBounds bounds;
+    bounds.drain = field.child("drainMs").millisOr(bounds.drain);
+    bounds.grace = field.child("graceS").secondsOr(bounds.grace);
+    bounds.config_apply = field.child("configApplyMs").millisOr(bounds.config_apply);
+    bounds.status_kept = field.child("statusS").secondsOr(bounds.status_kept);
+    bounds.callback = field.child("callbackS").secondsOr(bounds.callback);
+    bounds.early = field.child("earlyMs").millisOr(bounds.early);
+    bounds.ceiling_window = field.child("ceilingWindowS").secondsOr(bounds.ceiling_window);
+    bounds.ceiling_overshoot = field.child("ceilingOvershoot").numberOr(bounds.ceiling_overshoot, kPositive);
+    return bounds;
+}
+
+// Without an address there is no platform to ask, whatever else the section holds.
+std::optional<CloudSettings> readCloud(const SettingsField& field) {
+    const SettingsField address = field.child("address");
+    if (address.absent()) return std::nullopt;
+    CloudSettings cloud;
+    cloud.address = address.address();
+    cloud.rate_per_s = field.child("ratePerS").numberOr(cloud.rate_per_s, kPositive);
+    cloud.max_lag = field.child("maxLagMs").millisOr(cloud.max_lag);
+    return cloud;
+}
+
+}  // namespace
+
+NodeSettings loadNodeSettings(const std::string& path) {
+    const SettingsField root = SettingsField::ofFile(path);
+    NodeSettings settings;
+    settings.name = root.child("nodeName").text();
+    settings.zone = root.child("zone").text();
+    settings.region = root.child("region").textOr("");
+    settings.ip = root.child("ip").ip();
+    settings.serves = readServes(root.child("serves"));
+
+    const SettingsField bound = root.child("bindAddrs");
+    settings.front = addressIfAny(bound.child("front"));
+    settings.readiness = addressIfAny(bound.child("readiness"));
+    settings.control = addressIfAny(bound.child("control"));
+
+    readPortRange(root.child("portRange"), settings);
+    settings.seeds = readSeeds(root.child("seeds"));
+    settings.bootstrap = root.child("bootstrap").booleanOr(false);
+    settings.counts_for_quorum = root.child("countsForQuorum").booleanOr(false);
+    settings.limits = readLimits(root.child("limits"));
+    settings.data_dir = root.child("dataDir").textOr("");
+    settings.tolerated_machines = root.child("faultTolerance").child("machines").wholeOr(0, kCount);
+    settings.bounds = readBounds(root.child("bounds"));
+    settings.cloud = readCloud(root.child("cloud"));
+    return settings;
+}
+
+}  // namespace amberswitch::cluster
--- a/src/cluster/common/settings.hpp
+++ b/src/cluster/common/settings.hpp
@@ -1,5 +1,5 @@
-// The settings file of one process (YAML, named by AMBERSWITCH_NODE_FILE). Unknown fields are ignored; a field that
-// is missing or makes no sense is named by SettingsError.
+// The settings file of one process (YAML, named by AMBERSWITCH_NODE_FILE). Unknown fields are ignored; a
+// field that is missing or makes no sense is named by SettingsError.
 #pragma once
 
 #include <cstdint>
