--- a/apps/ambercluster/roles.hpp
+++ b/apps/ambercluster/roles.hpp
@@ -1,4 +1,4 @@
-// The three roles of the program. Each runs until its planned end (SIGTERM) and returns the exit status.
+// The roles of the program. Each call serves until the process is told to end.
 #pragma once
 
 #include <string>
@@ -7,6 +7,8 @@
 
 namespace amberswitch::cluster {
 
+// Each takes the settings and the path they came from, to read them again on SIGHUP, and returns the exit
+// status.
 int runEdge(const NodeSettings& settings, const std::string& settings_path);
 int runCore(const NodeSettings& settings, const std::string& settings_path);
 int runStore(const NodeSettings& settings, const std::string& settings_path);
