Add the event loop, the TCP transport and the evhttp server and client

Needed: the real time, network and HTTP under the planes. Ruled out: one connection for each call, and retries of evhttp, which could send a request twice. The transports pass one contract (8 cases on memory and on TCP), and the TCP one 14 cases on loopback. A responder of a dead simulated process no longer answers (simulation.hpp): the contract found it. HTTP is compiled and not tested yet.

--- /dev/null
+++ b/src/cluster/common/event_loop.cpp
@@ -0,0 +1,169 @@
+#include "cluster/common/event_loop.hpp"
+
+#include <event2/event_struct.h>
+#include <event2/thread.h>
+
+#include <algorithm>
+#include <csignal>
+#include <ctime>
+#include <exception>
+#include <stdexcept>
+#include <utility>
+
+namespace amberswitch::cluster {
+
+namespace {
+
+using Micros = std::chrono::microseconds;
+
+timeval toTimeval(Micros span) {
+    constexpr std::int64_t kMicrosPerSecond = 1'000'000;
+    timeval value{};
+    value.tv_sec = span.count() / kMicrosPerSecond;
+    value.tv_usec = span.count() % kMicrosPerSecond;
+    return value;
+}
+
+EventBaseHandle makeBase() {
+    evthread_use_pthreads();
+    const std::unique_ptr<event_config, void (*)(event_config*)> config(event_config_new(),
+                                                                        event_config_free);
+    if (!config) throw std::runtime_error("event loop: no memory for its settings");
+    // Saves a system call wherever an event is removed and added again in one turn. It requires that no
+    // descriptor of the base is ever duplicated.
+    event_config_set_flag(config.get(), EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+    EventBaseHandle base(event_base_new_with_config(config.get()));
+    if (!base) throw std::runtime_error("event loop: no event base");
+    return base;
+}
+
+// One pending timer. libevent's clock is coarse and cached for a turn, so a timer that fires early waits
+// again.
+class LoopTimer : public Timer {
+public:
+    LoopTimer(EventLoop& loop, Millis delay, std::function<void()> work)
+        : loop_(loop), due_(loop.now() + std::max(delay, Millis(0))), work_(std::move(work)) {
+        event_assign(&event_, loop.base(), -1, 0, &LoopTimer::onEvent, this);
+        arm(due_ - loop.now());
+    }
+    ~LoopTimer() override { event_del(&event_); }
+
+private:
+    static void onEvent(evutil_socket_t, short, void* self) { static_cast<LoopTimer*>(self)->fire(); }
+
+    void arm(Micros span) {
+        const timeval delay = toTimeval(std::max(span, Micros(0)));
+        event_add(&event_, &delay);
+    }
+
+    void fire() {
+        const Micros left = due_ - loop_.now();
+        if (left > Micros(0)) return arm(left);
+        EventLoop& loop = loop_;
+        const std::function<void()> work = std::move(work_);  // it may destroy this timer
+        loop.guard(work);
+    }
+
+    EventLoop& loop_;
+    SteadyTime due_;
+    std::function<void()> work_;
+    event event_{};
+};
+
+}  // namespace
+
+struct EventLoop::SignalHandler {
+    EventLoop& loop;
+    std::function<void()> callback;
+    EventHandle handle;
+
+    static void onEvent(evutil_socket_t, short, void* self) {
+        const auto* handler = static_cast<SignalHandler*>(self);
+        handler->loop.guard(handler->callback);
+    }
+};
+
+EventLoop::EventLoop() : base_(makeBase()) {
+    std::signal(SIGPIPE, SIG_IGN);
+    posted_event_.reset(event_new(base_.get(), -1, 0, &EventLoop::onPosted, this));
+    if (!posted_event_) throw std::runtime_error("event loop: no event for posted work");
+}
+
+EventLoop::~EventLoop() = default;
+
+SteadyTime EventLoop::now() const {
+    return std::chrono::time_point_cast<Micros>(std::chrono::steady_clock::now());
+}
+
+std::int64_t EventLoop::wallMillis() const {
+    constexpr std::int64_t kMillisPerSecond = 1'000;
+    constexpr std::int64_t kNanosPerMilli = 1'000'000;
+    timespec time{};
+    clock_gettime(CLOCK_REALTIME, &time);
+    return time.tv_sec * kMillisPerSecond + time.tv_nsec / kNanosPerMilli;
+}
+
+TimerHandle EventLoop::after(Millis delay, std::function<void()> work) {
+    return std::make_unique<LoopTimer>(*this, delay, std::move(work));
+}
+
+void EventLoop::post(std::function<void()> work) {
+    bool first = false;
+    {
+        const std::lock_guard lock(posted_mutex_);
+        first = posted_.empty();
+        posted_.push_back(std::move(work));
+    }
+    if (first) event_active(posted_event_.get(), EV_TIMEOUT, 0);
+}
+
+void EventLoop::run() {
+    event_base_loop(base_.get(), EVLOOP_NO_EXIT_ON_EMPTY);
+    throwCaught();
+}
+
+void EventLoop::runOnce() {
+    event_base_loop(base_.get(), EVLOOP_ONCE | EVLOOP_NO_EXIT_ON_EMPTY);
+    throwCaught();
+}
+
+void EventLoop::stop() {
+    event_base_loopbreak(base_.get());
+}
+
+void EventLoop::onSignal(int signal, std::function<void()> callback) {
+    auto handler = std::make_unique<SignalHandler>(SignalHandler{*this, std::move(callback), nullptr});
+    handler->handle.reset(evsignal_new(base_.get(), signal, &SignalHandler::onEvent, handler.get()));
+    if (!handler->handle || event_add(handler->handle.get(), nullptr) != 0) {
+        throw std::runtime_error("event loop: signal " + std::to_string(signal) + " cannot be handled");
+    }
+    signal_handlers_.push_back(std::move(handler));
+}
+
+void EventLoop::guard(const std::function<void()>& work) {
+    try {
+        work();
+    } catch (...) {
+        if (!caught_) caught_ = std::current_exception();
+        stop();
+    }
+}
+
+void EventLoop::onPosted(evutil_socket_t, short, void* self) {
+    static_cast<EventLoop*>(self)->runPosted();
+}
+
+void EventLoop::runPosted() {
+    std::vector<std::function<void()>> due;
+    {
+        const std::lock_guard lock(posted_mutex_);
+        due.swap(posted_);
+    }
+    for (const auto& work : due) guard(work);
+}
+
+void EventLoop::throwCaught() {
+    if (caught_) std::rethrow_exception(std::exchange(caught_, nullptr));
+}
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/common/evhttp_client.cpp
@@ -0,0 +1,251 @@
+#include "cluster/common/evhttp_client.hpp"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <stdexcept>
+#include <utility>
+
+#include "cluster/common/evhttp_message.hpp"
+#include "cluster/common/tcp_socket.hpp"
+
+namespace amberswitch::cluster {
+
+namespace {
+
+constexpr Millis kConnectTimeout{1000};
+constexpr Millis kDefaultKeepAlive{5000};
+constexpr Millis kLongestKeepAlive{60'000};
+constexpr Millis kKeepAliveMargin{500};
+constexpr int kKeepAliveMarginShare = 3;  // a third of a short time
+constexpr ev_ssize_t kMaxHeaderBytes = 64 * 1024;
+constexpr ev_ssize_t kMaxBodyBytes = 64 * 1024 * 1024;
+constexpr int kFirstFinalStatus = 200;
+
+// The time for which the server keeps an idle connection.
+Millis keepAlive(const HttpHeaders& headers) {
+    constexpr std::string_view kTimeout = "timeout=";
+    const std::string_view value = headerValue(headers, "Keep-Alive");
+    const std::size_t found = value.find(kTimeout);
+    if (found == std::string_view::npos) return kDefaultKeepAlive;
+    const std::string_view number = value.substr(found + kTimeout.size());
+    std::uint32_t seconds = 0;
+    if (std::from_chars(number.data(), number.data() + number.size(), seconds).ec != std::errc()) {
+        return kDefaultKeepAlive;
+    }
+    return std::min<Millis>(std::chrono::seconds(seconds), kLongestKeepAlive);
+}
+
+bool isRequest(const HttpRequest& request) {
+    return methodByName(request.method).has_value() && isTarget(request.target);
+}
+
+// Whether nothing arrived on an idle connection: no stray bytes, no end and no error.
+bool isQuiet(evhttp_connection* handle) {
+    bufferevent* stream = evhttp_connection_get_bufferevent(handle);
+    const evutil_socket_t socket = bufferevent_getfd(stream);
+    if (socket < 0 || evbuffer_get_length(bufferevent_get_input(stream)) > 0) return false;
+    char byte = 0;
+    return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
+}  // namespace
+
+EvhttpClient::EvhttpClient(EventLoop& loop) : loop_(loop) {
+    reap_event_.reset(event_new(loop.base(), -1, 0, &EvhttpClient::onReap, this));
+    if (!reap_event_) throw std::runtime_error("HTTP client: no memory");
+}
+
+EvhttpClient::~EvhttpClient() {
+    for (auto& [address, pool] : pools_) {
+        for (const auto& connection : pool.connections) {
+            evhttp_connection_set_closecb(connection->handle.get(), nullptr, nullptr);
+        }
+    }
+}
+
+void EvhttpClient::send(HttpCall call, std::function<void(HttpOutcome)> done) {
+    if (!isRequest(call.request)) return refuse(std::move(done));
+    if (Connection* idle = takeIdle(call.to)) return start(*idle, std::move(call), std::move(done));
+    if (connectionsTo(call.to) >= call.max_connections) return refuse(std::move(done));
+    Connection& fresh = open(call.to);
+    start(fresh, std::move(call), std::move(done));
+}
+
+void EvhttpClient::refuse(std::function<void(HttpOutcome)> done) {
+    loop_.post([done = std::move(done)] { done(HttpOutcome{Verdict::not_executed, false, false, {}}); });
+}
+
+std::size_t EvhttpClient::connectionsTo(const NodeAddress& address) const {
+    const auto found = pools_.find(address);
+    return found == pools_.end() ? 0 : found->second.connections.size();
+}
+
+void EvhttpClient::forget(const NodeAddress& address) {
+    const auto found = pools_.find(address);
+    if (found == pools_.end()) return;
+    for (const auto& connection : found->second.connections) connection->forgotten = true;
+    const std::vector<Connection*> idle = found->second.idle;
+    for (Connection* connection : idle) retire(*connection);
+}
+
+EvhttpClient::Connection* EvhttpClient::takeIdle(const NodeAddress& address) {
+    auto found = pools_.find(address);
+    while (found != pools_.end() && !found->second.idle.empty()) {
+        Connection* last = found->second.idle.back();
+        if (isQuiet(last->handle.get())) {
+            found->second.idle.pop_back();
+            return last;
+        }
+        retire(*last);
+        found = pools_.find(address);
+    }
+    return nullptr;
+}
+
+EvhttpClient::Connection& EvhttpClient::open(const NodeAddress& address) {
+    evhttp_connection* handle =
+        evhttp_connection_base_new(loop_.base(), nullptr, address.ip.c_str(), address.port);
+    if (handle == nullptr) throw std::runtime_error("HTTP client: no memory for a connection");
+    ++connections_opened_;
+    auto connection = std::make_unique<Connection>(Connection{*this, address, {}});
+    connection->handle.reset(handle);
+    evhttp_connection_set_retries(handle, 0);
+    evhttp_connection_set_max_headers_size(handle, kMaxHeaderBytes);
+    evhttp_connection_set_max_body_size(handle, kMaxBodyBytes);
+    evhttp_connection_set_closecb(handle, &EvhttpClient::onClosed, connection.get());
+    evbuffer* output = bufferevent_get_output(evhttp_connection_get_bufferevent(handle));
+    evbuffer_add_cb(output, &EvhttpClient::onOutput, connection.get());
+    return *pools_[address].connections.emplace_back(std::move(connection));
+}
+
+void EvhttpClient::start(Connection& connection, HttpCall call, std::function<void(HttpOutcome)> done) {
+    const std::string request_id(headerValue(call.request.headers, "Request-Id"));
+    connection.exchange = Exchange{std::move(done), request_id, loop_.now() + call.timeout};
+    const Millis first_wait = connection.connected ? call.timeout : std::min(call.timeout, kConnectTimeout);
+    connection.timer = loop_.after(first_wait, [this, &connection] { timedOut(connection); });
+    sending_ = true;
+    handOver(connection, call.request);
+    sending_ = false;
+}
+
+void EvhttpClient::handOver(Connection& connection, const HttpRequest& request) {
+    evhttp_request* message = evhttp_request_new(&EvhttpClient::onResponse, &connection);
+    if (message == nullptr) throw std::runtime_error("HTTP client: no memory for a request");
+    try {
+        writeHeaders(message, request.headers);
+    } catch (const std::invalid_argument&) {
+        evhttp_request_free(message);
+        retire(connection);
+        return finish(connection, HttpOutcome{Verdict::not_executed, false, false, {}});
+    }
+    evkeyvalq* headers = evhttp_request_get_output_headers(message);
+    if (!request.body.empty() && evhttp_find_header(headers, "Content-Length") == nullptr) {
+        evhttp_add_header(headers, "Content-Length", std::to_string(request.body.size()).c_str());
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(message), request.body.data(), request.body.size());
+    const evhttp_cmd_type method = *methodByName(request.method);
+    const bool taken =
+        evhttp_make_request(connection.handle.get(), message, method, request.target.c_str()) == 0;
+    if (!taken && connection.exchange) failed(connection);
+}
+
+// The request is written into the stream of a new connection as soon as it is connected.
+void EvhttpClient::onOutput(evbuffer*, const evbuffer_cb_info* info, void* connection) {
+    auto* target = static_cast<Connection*>(connection);
+    if (info->n_added > 0 && !target->connected) target->client.connected(*target);
+}
+
+void EvhttpClient::connected(Connection& connection) {
+    connection.connected = true;
+    setNoDelay(bufferevent_getfd(evhttp_connection_get_bufferevent(connection.handle.get())));
+    if (!connection.exchange) return;
+    const auto left = std::chrono::ceil<Millis>(connection.exchange->deadline - loop_.now());
+    connection.timer = loop_.after(left, [this, &connection] { timedOut(connection); });
+}
+
+void EvhttpClient::timedOut(Connection& connection) {
+    if (!connection.connected) return failed(connection);
+    retire(connection);
+    finish(connection, HttpOutcome{Verdict::unknown, false, true, {}});
+}
+
+void EvhttpClient::onResponse(evhttp_request* response, void* connection) {
+    auto* target = static_cast<Connection*>(connection);
+    EvhttpClient& client = target->client;
+    client.loop_.guard([&] { client.respond(*target, response); });
+}
+
+// evhttp gives no message where a connection broke, and a status of 0 where none could be made.
+void EvhttpClient::respond(Connection& connection, evhttp_request* response) {
+    if (!connection.exchange) return;
+    const int status = response == nullptr ? 0 : evhttp_request_get_response_code(response);
+    if (status == 0) return failed(connection);
+    HttpResponse answer{status, readHeaders(response), takeBody(response), false};
+    const std::string_view echo = headerValue(answer.headers, "Request-Id");
+    const std::string& expected = connection.exchange->request_id;
+    const bool is_other = !expected.empty() && !echo.empty() && echo != expected;
+    if (is_other || status < kFirstFinalStatus) return failed(connection);
+    answer.close = bufferevent_getfd(evhttp_connection_get_bufferevent(connection.handle.get())) < 0;
+    if (answer.close || connection.forgotten) {
+        retire(connection);
+    } else {
+        keep(connection, answer.headers);
+    }
+    finish(connection, HttpOutcome{Verdict::answered, false, false, std::move(answer)});
+}
+
+void EvhttpClient::failed(Connection& connection) {
+    const bool connected = connection.connected;
+    retire(connection);
+    finish(connection,
+           HttpOutcome{connected ? Verdict::unknown : Verdict::not_executed, !connected, false, {}});
+}
+
+void EvhttpClient::keep(Connection& connection, const HttpHeaders& headers) {
+    const Millis kept = keepAlive(headers);
+    const Millis margin = std::min(kKeepAliveMargin, kept / kKeepAliveMarginShare);
+    connection.timer = loop_.after(kept - margin, [this, &connection] { retire(connection); });
+    pools_.at(connection.to).idle.push_back(&connection);
+}
+
+void EvhttpClient::finish(Connection& connection, HttpOutcome outcome) {
+    std::function<void(HttpOutcome)> done = std::move(connection.exchange->done);
+    connection.exchange.reset();
+    if (!sending_) return done(std::move(outcome));
+    loop_.post([done = std::move(done), outcome = std::move(outcome)] { done(outcome); });
+}
+
+void EvhttpClient::onClosed(evhttp_connection*, void* connection) {
+    auto* target = static_cast<Connection*>(connection);
+    target->client.closed(*target);
+}
+
+// The end of a connection that carries a request is told by its response.
+void EvhttpClient::closed(Connection& connection) {
+    if (!connection.exchange) retire(connection);
+}
+
+void EvhttpClient::retire(Connection& connection) {
+    const auto found = pools_.find(connection.to);
+    if (found == pools_.end()) return;
+    Pool& pool = found->second;
+    const auto is_this = [&](const std::unique_ptr<Connection>& other) { return other.get() == &connection; };
+    const auto place = std::find_if(pool.connections.begin(), pool.connections.end(), is_this);
+    if (place == pool.connections.end()) return;
+    connection.timer.reset();
+    evhttp_connection_set_closecb(connection.handle.get(), nullptr, nullptr);
+    std::erase(pool.idle, &connection);
+    retired_.push_back(std::move(*place));
+    pool.connections.erase(place);
+    if (pool.connections.empty()) pools_.erase(found);
+    event_active(reap_event_.get(), EV_TIMEOUT, 0);
+}
+
+void EvhttpClient::onReap(evutil_socket_t, short, void* self) {
+    std::exchange(static_cast<EvhttpClient*>(self)->retired_, {}).clear();
+}
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/common/evhttp_client.hpp
@@ -0,0 +1,90 @@
+// HTTP/1.1 client on libevent's evhttp, with a pool of connections to each address.
+#pragma once
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cluster/common/event_loop.hpp"
+#include "cluster/common/http.hpp"
+
+namespace amberswitch::cluster {
+
+struct HttpConnectionDeleter {
+    void operator()(evhttp_connection* connection) const { evhttp_connection_free(connection); }
+};
+
+// Reuses the connection that was used last. Idle ones are closed a while before the time that the server gave
+// in `Keep-Alive: timeout=` (5 s where it gave none), when the peer closes them and when anything arrives on
+// them. Nothing is ever sent twice. Calls that are open when the client is destroyed never hear their end.
+class EvhttpClient : public HttpClient {
+public:
+    explicit EvhttpClient(EventLoop& loop);
+    ~EvhttpClient() override;
+    EvhttpClient(const EvhttpClient&) = delete;
+    EvhttpClient& operator=(const EvhttpClient&) = delete;
+
+    // A call that cannot be put into a request (method, target or a header) is not_executed.
+    void send(HttpCall call, std::function<void(HttpOutcome)> done) override;
+    std::size_t connectionsTo(const NodeAddress& address) const override;
+    // Connections that are in use close after their answer.
+    void forget(const NodeAddress& address) override;
+
+    // Connections that were begun since the start.
+    std::uint64_t connectionsOpened() const { return connections_opened_; }
+
+private:
+    struct Exchange {
+        std::function<void(HttpOutcome)> done;
+        std::string request_id;  // empty: its echo is not checked
+        SteadyTime deadline;
+    };
+    struct Connection {
+        EvhttpClient& client;
+        NodeAddress to;
+        std::unique_ptr<evhttp_connection, HttpConnectionDeleter> handle;
+        std::optional<Exchange> exchange = {};  // the request that it carries; none while idle
+        bool connected = false;
+        bool forgotten = false;
+        TimerHandle timer = {};  // of the request, or of the idle time
+    };
+    struct Pool {
+        std::vector<std::unique_ptr<Connection>> connections;
+        std::vector<Connection*> idle;  // used last at the back
+    };
+
+    static void onResponse(evhttp_request* response, void* connection);
+    static void onClosed(evhttp_connection*, void* connection);
+    static void onOutput(evbuffer* output, const evbuffer_cb_info* info, void* connection);
+    static void onReap(evutil_socket_t, short, void* self);
+
+    Connection* takeIdle(const NodeAddress& address);
+    Connection& open(const NodeAddress& address);
+    void start(Connection& connection, HttpCall call, std::function<void(HttpOutcome)> done);
+    void handOver(Connection& connection, const HttpRequest& request);
+    void refuse(std::function<void(HttpOutcome)> done);
+    void respond(Connection& connection, evhttp_request* response);
+    void connected(Connection& connection);
+    void timedOut(Connection& connection);
+    void failed(Connection& connection);
+    void finish(Connection& connection, HttpOutcome outcome);
+    void keep(Connection& connection, const HttpHeaders& headers);
+    void closed(Connection& connection);
+    void retire(Connection& connection);
+
+    EventLoop& loop_;
+    std::map<NodeAddress, Pool> pools_;
+    std::vector<std::unique_ptr<Connection>> retired_;  // freed outside evhttp's callbacks
+    EventHandle reap_event_;
+    std::uint64_t connections_opened_ = 0;
+    bool sending_ = false;
+};
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/common/evhttp_server.cpp
@@ -0,0 +1,278 @@
+#include "cluster/common/evhttp_server.hpp"
+
+#include <event2/listener.h>
+#include <glog/logging.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <utility>
+
+#include "cluster/common/evhttp_message.hpp"
+#include "cluster/common/tcp_socket.hpp"
+
+namespace amberswitch::cluster {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+constexpr int kInternalError = 500;
+constexpr Millis kShortestSweep{100};
+constexpr int kSweepsPerHeaderTimeout = 4;
+constexpr std::string_view kNotImplemented =
+    "HTTP/1.1 501 Not Implemented\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
+timeval toTimeval(Millis span) {
+    constexpr std::int64_t kMillisPerSecond = 1'000;
+    constexpr std::int64_t kMicrosPerMilli = 1'000;
+    timeval value{};
+    value.tv_sec = span.count() / kMillisPerSecond;
+    value.tv_usec = span.count() % kMillisPerSecond * kMicrosPerMilli;
+    return value;
+}
+
+bool hasBody(evhttp_request* request, int status) {
+    const bool is_head = evhttp_request_get_command(request) == EVHTTP_REQ_HEAD;
+    return !is_head && status != kNoContent && status != kNotModified;
+}
+
+// Whether the bytes received of a header hold its end. evhttp takes whole lines out of the input at once, so
+// the input begins at the start of a line.
+bool holdsHeaderEnd(evbuffer* input) {
+    std::array<char, 2> first{};
+    const ev_ssize_t copied = evbuffer_copyout(input, first.data(), first.size());
+    if (copied > 0 && first[0] == '\n') return true;
+    if (copied > 1 && first[0] == '\r' && first[1] == '\n') return true;
+    const auto holds = [input](std::string_view mark) {
+        return evbuffer_search(input, mark.data(), mark.size(), nullptr).pos >= 0;
+    };
+    return holds("\n\r\n") || holds("\n\n");
+}
+
+// Whether the first bytes of a request can still be a method that is served. evhttp would answer any other
+// one with a status of 0.
+bool mayBeMethod(evbuffer* input) {
+    std::array<char, 8> first{};
+    const ev_ssize_t copied = evbuffer_copyout(input, first.data(), first.size());
+    const std::string_view start(first.data(), static_cast<std::size_t>(std::max<ev_ssize_t>(copied, 0)));
+    const std::size_t space = start.find(' ');
+    if (space != std::string_view::npos) return methodByName(start.substr(0, space)).has_value();
+    return start.size() < first.size();
+}
+
+}  // namespace
+
+// One request that the handler has; shared with its responder.
+struct EvhttpServer::Exchange {
+    EvhttpServer* server = nullptr;
+    Connection* connection = nullptr;
+    evhttp_request* request = nullptr;  // null once it is answered or its connection is gone
+};
+
+struct EvhttpServer::Connection {
+    EvhttpServer& server;
+    bufferevent* stream;
+    std::shared_ptr<Exchange> exchange;           // from the request until its answer is written
+    std::optional<SteadyTime> header_since = {};  // the header is being received
+    bool in_request = false;  // from the first byte of a request until its answer is written
+};
+
+EvhttpServer::EvhttpServer(EventLoop& loop, const NodeAddress& bind, HttpHandler handler)
+    : loop_(loop), handler_(std::move(handler)), http_(evhttp_new(loop.base())) {
+    claim_event_.reset(event_new(loop.base(), -1, 0, &EvhttpServer::onClaim, this));
+    if (!http_ || !claim_event_) throw SocketError(bind, "no memory for the HTTP server");
+    evhttp_set_allowed_methods(http_.get(), kServedMethods);
+    evhttp_set_default_content_type(http_.get(), nullptr);
+    evhttp_set_flags(http_.get(), EVHTTP_SERVER_LINGERING_CLOSE);
+    evhttp_set_gencb(http_.get(), &EvhttpServer::onRequest, this);
+    evhttp_set_bevcb(http_.get(), &EvhttpServer::onAccept, this);
+    setLimits(HttpLimits{});
+    const evutil_socket_t socket = listenOn(bind);
+    address_ = localAddress(socket);
+    listener_ = evhttp_accept_socket_with_handle(http_.get(), socket);
+    if (listener_ == nullptr) throw SocketError(bind, "no memory to listen");
+}
+
+EvhttpServer::~EvhttpServer() {
+    for (bufferevent* stream : accepted_) bufferevent_decref(stream);
+    accepted_.clear();
+    http_.reset();
+}
+
+void EvhttpServer::setLimits(const HttpLimits& limits) {
+    limits_ = limits;
+    const timeval idle = toTimeval(limits.idle_timeout);
+    evhttp_set_max_headers_size(http_.get(), limits.max_header_bytes);
+    evhttp_set_max_body_size(http_.get(), limits.max_body_bytes);
+    evhttp_set_timeout_tv(http_.get(), &idle);
+}
+
+void EvhttpServer::stopListening() {
+    if (listener_ != nullptr) evhttp_del_accept_socket(http_.get(), std::exchange(listener_, nullptr));
+}
+
+void EvhttpServer::startClosing() {
+    closing_ = true;
+}
+
+// evhttp tells of a new connection only by asking for its stream. What belongs to it is known right after
+// that, and before anything can be read: the claim runs in the same turn of the loop.
+bufferevent* EvhttpServer::onAccept(event_base* base, void* self) {
+    auto* server = static_cast<EvhttpServer*>(self);
+    bufferevent* stream = bufferevent_socket_new(base, -1, 0);
+    if (stream == nullptr) return nullptr;
+    bufferevent_incref(stream);
+    server->accepted_.push_back(stream);
+    event_active(server->claim_event_.get(), EV_TIMEOUT, 0);
+    return stream;
+}
+
+void EvhttpServer::onClaim(evutil_socket_t, short, void* self) {
+    auto* server = static_cast<EvhttpServer*>(self);
+    server->loop_.guard([server] { server->claimAccepted(); });
+}
+
+void EvhttpServer::claimAccepted() {
+    const std::vector<bufferevent*> accepted = std::exchange(accepted_, {});
+    for (bufferevent* stream : accepted) {
+        claim(stream);
+        bufferevent_decref(stream);
+    }
+}
+
+void EvhttpServer::claim(bufferevent* stream) {
+    void* owner = nullptr;
+    bufferevent_getcb(stream, nullptr, nullptr, nullptr, &owner);
+    if (owner == nullptr) return;  // closed already
+    auto* handle = static_cast<evhttp_connection*>(owner);
+    auto connection = std::make_unique<Connection>(Connection{*this, stream, nullptr});
+    setNoDelay(bufferevent_getfd(stream));
+    evbuffer_add_cb(bufferevent_get_input(stream), &EvhttpServer::onInput, connection.get());
+    evhttp_connection_set_closecb(handle, &EvhttpServer::onClosed, this);
+    connections_.emplace(handle, std::move(connection));
+}
+
+void EvhttpServer::onInput(evbuffer* input, const evbuffer_cb_info* info, void* connection) {
+    if (info->n_added == 0) return;
+    auto* target = static_cast<Connection*>(connection);
+    EvhttpServer& server = target->server;
+    server.loop_.guard([&] { server.received(*target, input); });
+}
+
+void EvhttpServer::received(Connection& connection, evbuffer* input) {
+    if (!connection.in_request) {
+        connection.in_request = true;
+        connection.header_since = loop_.now();
+        if (!mayBeMethod(input)) {
+            const evutil_socket_t socket = bufferevent_getfd(connection.stream);
+            send(socket, kNotImplemented.data(), kNotImplemented.size(), MSG_NOSIGNAL);
+            shutdown(socket, SHUT_RDWR);
+            return;
+        }
+    }
+    if (!connection.header_since) return;
+    if (holdsHeaderEnd(input)) {
+        connection.header_since.reset();
+    } else {
+        armSweep();
+    }
+}
+
+void EvhttpServer::armSweep() {
+    if (sweep_timer_) return;
+    const Millis step = std::max(kShortestSweep, limits_.header_timeout / kSweepsPerHeaderTimeout);
+    sweep_timer_ = loop_.after(step, [this] { sweep(); });
+}
+
+// Ends the connections whose header takes too long: evhttp reads the end of the stream and closes them.
+void EvhttpServer::sweep() {
+    sweep_timer_.reset();
+    const SteadyTime now = loop_.now();
+    for (const auto& [handle, connection] : connections_) {
+        if (!connection->header_since) continue;
+        if (now - *connection->header_since >= limits_.header_timeout) {
+            shutdown(bufferevent_getfd(connection->stream), SHUT_RD);
+            connection->header_since.reset();
+        } else {
+            armSweep();
+        }
+    }
+}
+
+void EvhttpServer::onRequest(evhttp_request* request, void* self) {
+    auto* server = static_cast<EvhttpServer*>(self);
+    server->loop_.guard([server, request] { server->handle(request); });
+}
+
+void EvhttpServer::handle(evhttp_request* request) {
+    Connection& connection = *connections_.at(evhttp_request_get_connection(request));
+    const evhttp_cmd_type method = evhttp_request_get_command(request);
+    HttpRequest received{
+        std::string(methodName(method)), evhttp_request_get_uri(request), readHeaders(request), {}};
+    connection.header_since.reset();
+    if (!isTarget(received.target) || !isUnambiguous(method, received.headers)) {
+        return evhttp_send_error(request, kBadRequest, nullptr);
+    }
+    received.body = takeBody(request);
+    connection.exchange = std::make_shared<Exchange>(Exchange{this, &connection, request});
+    evhttp_request_set_on_complete_cb(request, &EvhttpServer::onAnswered, &connection);
+    ++open_requests_;
+    handler_(received, [exchange = connection.exchange](HttpResponse response) {
+        if (exchange->request != nullptr) exchange->server->answer(*exchange, response);
+    });
+}
+
+void EvhttpServer::answer(Exchange& exchange, const HttpResponse& response) {
+    evhttp_request* request = std::exchange(exchange.request, nullptr);
+    evkeyvalq* headers = evhttp_request_get_output_headers(request);
+    try {
+        writeHeaders(request, response.headers);
+    } catch (const std::invalid_argument& error) {
+        LOG(ERROR) << "answer replaced by 500: " << error.what();
+        return evhttp_send_error(request, kInternalError, nullptr);
+    }
+    if (response.status != kNoContent && evhttp_find_header(headers, "Content-Length") == nullptr) {
+        evhttp_add_header(headers, "Content-Length", std::to_string(response.body.size()).c_str());
+    }
+    if (response.close || closing_) evhttp_add_header(headers, "Connection", "close");
+    if (hasBody(request, response.status)) {
+        evbuffer_add(evhttp_request_get_output_buffer(request), response.body.data(), response.body.size());
+    }
+    evhttp_send_reply(request, response.status, nullptr, nullptr);
+}
+
+void EvhttpServer::onAnswered(evhttp_request*, void* connection) {
+    auto* target = static_cast<Connection*>(connection);
+    target->server.finish(*target);
+}
+
+void EvhttpServer::finish(Connection& connection) {
+    connection.exchange.reset();
+    connection.in_request = false;
+    --open_requests_;
+    // The next request may have come already; its bytes were counted to this one.
+    evbuffer* input = bufferevent_get_input(connection.stream);
+    if (evbuffer_get_length(input) > 0) received(connection, input);
+}
+
+void EvhttpServer::onClosed(evhttp_connection* handle, void* self) {
+    static_cast<EvhttpServer*>(self)->closed(handle);
+}
+
+void EvhttpServer::closed(evhttp_connection* handle) {
+    const auto found = connections_.find(handle);
+    if (found == connections_.end()) return;
+    if (const std::shared_ptr<Exchange> exchange = found->second->exchange) {
+        evhttp_request* unanswered = std::exchange(exchange->request, nullptr);
+        // evhttp has let go of a request whose client left; it frees the others with their connection.
+        const bool is_ours = unanswered != nullptr && evhttp_request_get_connection(unanswered) == nullptr;
+        if (is_ours) evhttp_request_free(unanswered);
+        --open_requests_;
+    }
+    connections_.erase(found);
+}
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/common/tcp_socket.hpp
@@ -0,0 +1,36 @@
+// Sockets of the cluster: listening, options and addresses. IPv4 only.
+#pragma once
+
+#include <event2/util.h>
+#include <netinet/in.h>
+
+#include <stdexcept>
+
+#include "cluster/common/types.hpp"
+
+namespace amberswitch::cluster {
+
+// An address that cannot be used; what() names it and the reason.
+class SocketError : public std::runtime_error {
+public:
+    SocketError(const NodeAddress& address, const std::string& reason)
+        : std::runtime_error(address.text() + ": " + reason) {}
+};
+
+// Throws SocketError where the IP is not a dotted IPv4 address.
+sockaddr_in toSocketAddress(const NodeAddress& address);
+
+// The local address of a bound or connected socket.
+NodeAddress localAddress(evutil_socket_t socket);
+
+// A non-blocking socket that listens there. While the address is in use it tries again for 3 s, which blocks
+// the caller. Throws SocketError.
+evutil_socket_t listenOn(const NodeAddress& address);
+
+// Sends small writes at once.
+void setNoDelay(evutil_socket_t socket);
+
+// Breaks the connection when what was sent is not acknowledged for 1.5 s.
+void setUserTimeout(evutil_socket_t socket);
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/common/tcp_transport.cpp
@@ -0,0 +1,65 @@
+#include "cluster/common/tcp_transport.hpp"
+
+#include <utility>
+
+#include "cluster/common/tcp_socket.hpp"
+
+namespace amberswitch::cluster {
+
+// The serving side of one connection. Responders hold it weakly, so a late answer finds it gone.
+class TcpTransport::Incoming : public FrameListener, public std::enable_shared_from_this<Incoming> {
+public:
+    Incoming(TcpTransport& transport, evutil_socket_t socket)
+        : transport_(transport), connection_(transport.loop_, *this, socket) {}
+
+    void onFrame(Frame frame) override {
+        if (frame.reply || !transport_.handler_) return;
+        auto respond = [weak = weak_from_this(), id = frame.id](Envelope reply) {
+            if (const auto self = weak.lock()) self->answer(id, std::move(reply));
+        };
+        transport_.handler_(Envelope{frame.kind, std::move(frame.body)}, std::move(respond));
+    }
+
+    void onClosed() override { transport_.incoming_.erase(this); }
+
+private:
+    void answer(std::uint64_t id, Envelope reply) {
+        connection_.send(Frame{id, reply.kind, true, std::move(reply.body)});
+    }
+
+    TcpTransport& transport_;
+    FrameConnection connection_;
+};
+
+TcpTransport::TcpTransport(EventLoop& loop, const NodeAddress& self) : loop_(loop) {
+    const evutil_socket_t socket = listenOn(self);
+    self_ = localAddress(socket);
+    constexpr unsigned int kOptions = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC;
+    listener_.reset(evconnlistener_new(loop.base(), &TcpTransport::onAccept, this, kOptions, 0, socket));
+    if (!listener_) throw SocketError(self, "no memory to listen");
+}
+
+TcpTransport::~TcpTransport() = default;
+
+void TcpTransport::serve(RequestHandler handler) {
+    handler_ = std::move(handler);
+}
+
+void TcpTransport::call(const NodeAddress& to, Envelope request, Millis timeout,
+                        std::function<void(CallResult)> done) {
+    std::unique_ptr<TcpPeer>& peer = peers_[to];
+    if (!peer) peer = std::make_unique<TcpPeer>(loop_, to);
+    peer->call(std::move(request), timeout, std::move(done));
+}
+
+void TcpTransport::onAccept(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
+    auto* transport = static_cast<TcpTransport*>(self);
+    transport->loop_.guard([transport, socket] { transport->accept(socket); });
+}
+
+void TcpTransport::accept(evutil_socket_t socket) {
+    const auto incoming = std::make_shared<Incoming>(*this, socket);
+    incoming_.emplace(incoming.get(), incoming);
+}
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/common/tcp_transport.hpp
@@ -0,0 +1,51 @@
+// The real transport between the cluster's processes: frames on TCP, one outgoing connection to each address.
+#pragma once
+
+#include <event2/listener.h>
+
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+#include "cluster/common/event_loop.hpp"
+#include "cluster/common/tcp_peer.hpp"
+#include "cluster/common/transport.hpp"
+
+namespace amberswitch::cluster {
+
+struct ListenerDeleter {
+    void operator()(evconnlistener* listener) const { evconnlistener_free(listener); }
+};
+using ListenerHandle = std::unique_ptr<evconnlistener, ListenerDeleter>;
+
+// Calls that are open when the transport is destroyed never hear their end; answers given after that are
+// dropped.
+class TcpTransport : public Transport {
+public:
+    // Listens at once; port 0 takes any free one. Throws SocketError.
+    TcpTransport(EventLoop& loop, const NodeAddress& self);
+    ~TcpTransport() override;
+
+    // Throws SocketError where the address is not an IPv4 address.
+    void call(const NodeAddress& to, Envelope request, Millis timeout,
+              std::function<void(CallResult)> done) override;
+    void serve(RequestHandler handler) override;
+
+    // Where it listens.
+    const NodeAddress& self() const { return self_; }
+
+private:
+    class Incoming;
+
+    static void onAccept(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self);
+    void accept(evutil_socket_t socket);
+
+    EventLoop& loop_;
+    NodeAddress self_;
+    RequestHandler handler_;
+    ListenerHandle listener_;
+    std::map<NodeAddress, std::unique_ptr<TcpPeer>> peers_;
+    std::unordered_map<const Incoming*, std::shared_ptr<Incoming>> incoming_;
+};
+
+}  // namespace amberswitch::cluster
--- a/tests/cluster/simulation.hpp
+++ b/tests/cluster/simulation.hpp
@@ -181,8 +181,9 @@
         World& world = world_;
         Network& network = network_;
         const std::string from = self_.ip;
-        peer->second->handler_(request, [&world, &network, from, to, finish](Envelope reply) {
-            if (!network.passes(to.ip, from)) return;
+        const std::shared_ptr<bool> callee_alive = peer->second->alive_;
+        peer->second->handler_(request, [&world, &network, from, to, finish, callee_alive](Envelope reply) {
+            if (!*callee_alive || !network.passes(to.ip, from)) return;
             world.at(world.now() + network.draw(), [finish, reply = std::move(reply)] {
                 finish({Verdict::answered, reply});
             });
--- /dev/null
+++ b/tests/cluster/transport_test.cpp
@@ -0,0 +1,365 @@
+// The contract of the transports, and what only the TCP transport does.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <thread>
+
+#include "cluster/common/tcp_transport.hpp"
+#include "tests/cluster/loop_peers.hpp"
+#include "tests/cluster/simulation.hpp"
+#include "tests/cluster/transport_contract.hpp"
+
+namespace amberswitch::cluster {
+namespace {
+
+using testing::closedAddress;
+using testing::RawConnection;
+using testing::RawServer;
+using testing::runUntil;
+
+class MemoryFixture {
+public:
+    MemoryFixture() {
+        caller = std::make_unique<simulation::MemoryTransport>(world_, network_, callerAddress());
+        startCallee();
+    }
+    NodeAddress callerAddress() const { return {"10.0.0.1", 1}; }
+    NodeAddress calleeAddress() const { return {"10.0.0.2", 1}; }
+    NodeAddress nobody() const { return {"10.0.0.3", 1}; }
+    void startCallee() {
+        callee = std::make_unique<simulation::MemoryTransport>(world_, network_, calleeAddress());
+    }
+    void stopCallee() { callee.reset(); }
+    bool runUntil(const std::function<bool()>& holds) { return world_.runUntil(holds, testing::kTestLimit); }
+
+private:
+    simulation::World world_{42};
+    simulation::Network network_{world_};
+
+public:
+    std::unique_ptr<Transport> caller;
+    std::unique_ptr<Transport> callee;
+};
+
+class TcpFixture {
+public:
+    TcpFixture() : callee_address_{"127.0.0.1", 0} {
+        auto made = std::make_unique<TcpTransport>(loop, NodeAddress{"127.0.0.1", 0});
+        caller_address_ = made->self();
+        caller = std::move(made);
+        startCallee();
+    }
+    NodeAddress callerAddress() const { return caller_address_; }
+    NodeAddress calleeAddress() const { return callee_address_; }
+    NodeAddress nobody() const { return nobody_; }
+    void startCallee() {
+        auto made = std::make_unique<TcpTransport>(loop, callee_address_);
+        callee_address_ = made->self();
+        callee = std::move(made);
+    }
+    void stopCallee() { callee.reset(); }
+    bool runUntil(const std::function<bool()>& holds) { return testing::runUntil(loop, holds); }
+
+    EventLoop loop;
+
+private:
+    NodeAddress caller_address_;
+    NodeAddress callee_address_;
+    NodeAddress nobody_ = closedAddress();
+
+public:
+    std::unique_ptr<Transport> caller;
+    std::unique_ptr<Transport> callee;
+};
+
+using contract::echo;
+using contract::kImpatient;
+using contract::kPatient;
+using contract::Outcome;
+
+std::string frameBytes(std::uint32_t length, std::uint64_t id, std::uint16_t kind, unsigned flags,
+                       const std::string& body) {
+    std::string bytes;
+    for (int shift = 24; shift >= 0; shift -= 8) bytes += static_cast<char>(length >> shift);
+    for (int shift = 56; shift >= 0; shift -= 8) bytes += static_cast<char>(id >> shift);
+    for (int shift = 8; shift >= 0; shift -= 8) bytes += static_cast<char>(kind >> shift);
+    return bytes + static_cast<char>(flags) + body;
+}
+
+std::string goodFrame(std::uint64_t id, unsigned flags, const std::string& body) {
+    return frameBytes(static_cast<std::uint32_t>(kFrameHeadBytes + body.size()), id, 5, flags, body);
+}
+
+}  // namespace
+
+TEST_CASE_TEMPLATE("a call is answered, later", Fixture, MemoryFixture, TcpFixture) {
+    contract::answersACall<Fixture>();
+}
+TEST_CASE_TEMPLATE("bodies of any bytes and size arrive", Fixture, MemoryFixture, TcpFixture) {
+    contract::carriesAnyBytes<Fixture>();
+}
+TEST_CASE_TEMPLATE("answers reach their own calls", Fixture, MemoryFixture, TcpFixture) {
+    contract::matchesAnswersToCalls<Fixture>();
+}
+TEST_CASE_TEMPLATE("where nobody listens nothing was executed", Fixture, MemoryFixture, TcpFixture) {
+    contract::refusesWhereNobodyListens<Fixture>();
+}
+TEST_CASE_TEMPLATE("a timeout is unknown and a late answer dropped", Fixture, MemoryFixture, TcpFixture) {
+    contract::timesOutAsUnknown<Fixture>();
+}
+TEST_CASE_TEMPLATE("a process calls itself", Fixture, MemoryFixture, TcpFixture) {
+    contract::callsItself<Fixture>();
+}
+TEST_CASE_TEMPLATE("calls get through after a restart", Fixture, MemoryFixture, TcpFixture) {
+    contract::survivesARestart<Fixture>();
+}
+TEST_CASE_TEMPLATE("calls can be made from done", Fixture, MemoryFixture, TcpFixture) {
+    contract::callsFromDone<Fixture>();
+}
+
+TEST_CASE("tcp: all calls to one address share a connection") {
+    EventLoop loop;
+    RawServer server(loop);
+    TcpTransport transport(loop, {"127.0.0.1", 0});
+    Outcome first;
+    Outcome second;
+    transport.call(server.address, {5, "one"}, kPatient, first.hear());
+    transport.call(server.address, {5, "two"}, kPatient, second.hear());
+    const std::string expected = goodFrame(1, 0, "one") + goodFrame(2, 0, "two");
+    REQUIRE(runUntil(
+        loop, [&] { return !server.connections.empty() && server.connections[0]->received == expected; }));
+    server.connections[0]->send(goodFrame(2, 1, "2") + goodFrame(77, 1, "nobody's") + goodFrame(1, 1, "1"));
+    REQUIRE(runUntil(loop, [&] { return first.times > 0 && second.times > 0; }));
+    CHECK(first.result.reply.body == "1");
+    CHECK(second.result.reply.body == "2");
+    CHECK(server.connections.size() == 1);
+}
+
+TEST_CASE("tcp: a connection that breaks gives unknown at once, and the next call connects again") {
+    EventLoop loop;
+    RawServer server(loop);
+    TcpTransport transport(loop, {"127.0.0.1", 0});
+    Outcome lost;
+    const SteadyTime start = loop.now();
+    transport.call(server.address, {5, "one"}, kPatient, lost.hear());
+    REQUIRE(runUntil(
+        loop, [&] { return !server.connections.empty() && !server.connections[0]->received.empty(); }));
+    SUBCASE("closed") {
+        server.connections[0]->close();
+    }
+    SUBCASE("reset") {
+        server.connections[0]->reset();
+    }
+    REQUIRE(runUntil(loop, [&] { return lost.times > 0; }));
+    CHECK(lost.result.verdict == Verdict::unknown);
+    CHECK(loop.now() - start < Millis(2000));
+    Outcome next;
+    transport.call(server.address, {5, "two"}, kPatient, next.hear());
+    REQUIRE(runUntil(
+        loop, [&] { return server.connections.size() == 2 && !server.connections[1]->received.empty(); }));
+    server.connections[1]->send(goodFrame(2, 1, "ok"));
+    REQUIRE(runUntil(loop, [&] { return next.times > 0; }));
+    CHECK(next.result.verdict == Verdict::answered);
+}
+
+TEST_CASE("tcp: what surely never left was not executed when the connection breaks") {
+    EventLoop loop;
+    RawServer server(loop);
+    TcpTransport transport(loop, {"127.0.0.1", 0});
+    const std::string large(40'000'000, 'x');
+    Outcome first;
+    Outcome last;
+    transport.call(server.address, {5, large}, kPatient, first.hear());
+    REQUIRE(runUntil(loop, [&] { return server.connections.size() == 1; }));
+    server.connections[0]->stopReading();
+    transport.call(server.address, {5, "behind it"}, kPatient, last.hear());
+    loop.runOnce();
+    server.connections[0]->reset();
+    REQUIRE(runUntil(loop, [&] { return first.times > 0 && last.times > 0; }));
+    CHECK(first.result.verdict == Verdict::unknown);
+    CHECK(last.result.verdict == Verdict::not_executed);
+}
+
+TEST_CASE("tcp: a silent peer gets a new connection after a timeout") {
+    EventLoop loop;
+    RawServer server(loop);
+    TcpTransport transport(loop, {"127.0.0.1", 0});
+    Outcome quick;
+    Outcome slow;
+    Outcome open;
+    transport.call(server.address, {5, "quick"}, kImpatient, quick.hear());
+    transport.call(server.address, {5, "slow"}, Millis(1100), slow.hear());
+    transport.call(server.address, {5, "open"}, kPatient, open.hear());
+    REQUIRE(runUntil(loop, [&] { return quick.times > 0; }));
+    CHECK(quick.result.verdict == Verdict::unknown);
+    CHECK_FALSE(server.connections[0]->closed);  // silent for a moment only
+    REQUIRE(runUntil(loop, [&] { return open.times > 0; }));
+    CHECK(slow.result.verdict == Verdict::unknown);
+    CHECK(open.result.verdict == Verdict::unknown);
+    REQUIRE(runUntil(loop, [&] { return server.connections[0]->closed; }));
+}
+
+TEST_CASE("tcp: a timeout while the connection is made was not executed") {
+    EventLoop loop;
+    // The backlog of this listener is full, so further connections stay half open.
+    const evutil_socket_t listener = listenOn({"127.0.0.1", 0});
+    REQUIRE(listen(listener, 0) == 0);
+    const NodeAddress address = localAddress(listener);
+    RawConnection filler(loop, address);
+    RawConnection second_filler(loop, address);
+    loop.runOnce();
+    TcpTransport transport(loop, {"127.0.0.1", 0});
+    Outcome quick;
+    Outcome patient;
+    const SteadyTime start = loop.now();
+    transport.call(address, {5, "quick"}, kImpatient, quick.hear());
+    transport.call(address, {5, "patient"}, kPatient, patient.hear());
+    REQUIRE(runUntil(loop, [&] { return quick.times > 0; }));
+    CHECK(quick.result.verdict == Verdict::not_executed);
+    CHECK(patient.times == 0);
+    REQUIRE(runUntil(loop, [&] { return patient.times > 0; }));
+    CHECK(patient.result.verdict == Verdict::not_executed);
+    CHECK(loop.now() - start >= Millis(1000));
+    CHECK(loop.now() - start < Millis(4000));
+    evutil_closesocket(listener);
+}
+
+TEST_CASE("tcp: frames are read in any pieces") {
+    EventLoop loop;
+    TcpTransport transport(loop, {"127.0.0.1", 0});
+    std::vector<std::string> heard;
+    transport.serve([&](const Envelope& request, const Responder& respond) {
+        heard.push_back(request.body);
+        respond({5, "got " + request.body});
+    });
+    RawConnection client(loop, transport.self());
+    const std::string bytes = goodFrame(1, 0, "first") + goodFrame(2, 0, "") + goodFrame(3, 0, "third");
+    for (const char letter : bytes) {
+        client.send(std::string(1, letter));
+        REQUIRE(runUntil(loop, [&] { return client.sentAll(); }));
+    }
+    const std::string answers =
+        goodFrame(1, 1, "got first") + goodFrame(2, 1, "got ") + goodFrame(3, 1, "got third");
+    REQUIRE(runUntil(loop, [&] { return client.received.size() == answers.size(); }));
+    CHECK(client.received == answers);
+    CHECK(heard == std::vector<std::string>{"first", "", "third"});
+}
+
+TEST_CASE("tcp: what is not a frame closes the connection and reaches no handler") {
+    EventLoop loop;
+    TcpTransport transport(loop, {"127.0.0.1", 0});
+    int heard = 0;
+    transport.serve([&](const Envelope&, const Responder&) { ++heard; });
+    RawConnection client(loop, transport.self());
+    SUBCASE("over the limit") {
+        client.send(frameBytes(kMaxFrameBytes + 1, 1, 5, 0, ""));
+    }
+    SUBCASE("too short") {
+        client.send(frameBytes(kFrameHeadBytes - 1, 1, 5, 0, ""));
+    }
+    SUBCASE("unknown flags") {
+        client.send(frameBytes(kFrameHeadBytes, 1, 5, 6, ""));
+    }
+    SUBCASE("text") {
+        client.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    }
+    REQUIRE(runUntil(loop, [&] { return client.closed; }));
+    CHECK(heard == 0);
+}
+
+TEST_CASE("tcp: a request cut short reaches no handler") {
+    EventLoop loop;
+    TcpTransport transport(loop, {"127.0.0.1", 0});
+    int heard = 0;
+    transport.serve([&](const Envelope&, const Responder&) { ++heard; });
+    RawConnection client(loop, transport.self());
+    client.send(goodFrame(1, 0, "cut short").substr(0, 20));
+    REQUIRE(runUntil(loop, [&] { return client.sentAll(); }));
+    client.shutdownSending();
+    REQUIRE(runUntil(loop, [&] { return client.closed; }));
+    CHECK(heard == 0);
+}
+
+TEST_CASE("tcp: a body over the limit is refused by the caller") {
+    EventLoop loop;
+    TcpTransport transport(loop, {"127.0.0.1", 0});
+    Outcome outcome;
+    CHECK_THROWS_AS(
+        transport.call(transport.self(), {5, std::string(kMaxBodyBytes + 1, 'x')}, kPatient, outcome.hear()),
+        std::length_error);
+    CHECK(outcome.times == 0);
+}
+
+TEST_CASE("tcp: an address that cannot be listened on is an error that names it") {
+    EventLoop loop;
+    CHECK_THROWS_AS(TcpTransport(loop, {"not an address", 1}), SocketError);
+    CHECK_THROWS_AS(TcpTransport(loop, {"192.0.2.1", 1}), SocketError);
+}
+
+TEST_CASE("loop: timers never run early, in order, and not once cancelled") {
+    EventLoop loop;
+    std::vector<int> ran;
+    const SteadyTime start = loop.now();
+    const TimerHandle late = loop.after(Millis(30), [&] {
+        ran.push_back(30);
+        CHECK(loop.now() - start >= Millis(30));
+    });
+    const TimerHandle early = loop.after(Millis(10), [&] {
+        ran.push_back(10);
+        CHECK(loop.now() - start >= Millis(10));
+    });
+    TimerHandle cancelled = loop.after(Millis(5), [&] { ran.push_back(5); });
+    cancelled.reset();
+    REQUIRE(runUntil(loop, [&] { return ran.size() == 2; }));
+    CHECK(ran == std::vector<int>{10, 30});
+}
+
+TEST_CASE("loop: a timer can destroy itself and others") {
+    EventLoop loop;
+    TimerHandle one;
+    TimerHandle two;
+    int ran = 0;
+    one = loop.after(Millis(1), [&] {
+        ++ran;
+        two.reset();
+        one.reset();
+    });
+    two = loop.after(Millis(1), [&] {
+        ++ran;
+        one.reset();
+        two.reset();
+    });
+    REQUIRE(runUntil(loop, [&] { return ran > 0 && !one && !two; }));
+    CHECK(ran == 1);
+}
+
+TEST_CASE("loop: work posted by other threads runs on the loop's thread") {
+    constexpr int kPosts = 1000;
+    EventLoop loop;
+    const std::thread::id here = std::this_thread::get_id();
+    int ran = 0;
+    std::thread other([&] {
+        for (int index = 0; index < kPosts; ++index) {
+            loop.post([&] {
+                CHECK(std::this_thread::get_id() == here);
+                ++ran;
+            });
+        }
+    });
+    CHECK(runUntil(loop, [&] { return ran == kPosts; }));
+    other.join();
+}
+
+TEST_CASE("loop: run ends on stop, hears signals, and throws what a callback threw") {
+    EventLoop loop;
+    loop.onSignal(SIGUSR1, [&] { loop.stop(); });
+    loop.post([] { std::raise(SIGUSR1); });
+    loop.run();
+    loop.post([] { throw std::runtime_error("from a callback"); });
+    CHECK_THROWS_WITH(loop.run(), "from a callback");
+    const TimerHandle timer = loop.after(Millis(1), [] { throw std::runtime_error("from a timer"); });
+    CHECK_THROWS_WITH(loop.run(), "from a timer");
+}
+
+}  // namespace amberswitch::cluster
