Keep records on disk in a ring of preallocated files, and in memory for tests

Needed: the durable record store that core machines and stores stand on. A ring of preallocated segments with one checksum a record, seeded with the segment's generation and salt; a thread that writes and makes one sync serve all who wait. A segment is synced before the next one is written, so what survives a loss of power is a prefix, and a file can be reused as soon as its current records are queued again. Ruled out: cleaning the emptiest segment first; removals would then have to outlive every older segment, and records of messages die nearly in the order of their writing anyway. Reusing the file released last: a torn header there could take a removal away and leave the older put, so files are reused in the order of their release. MemoryStore plays the same contract on the simulated scheduler over a SimulatedDisk that outlives the process.

--- /dev/null
+++ b/src/cluster/storage/memory_store.hpp
@@ -0,0 +1,195 @@
+// A record store for tests on the simulated scheduler. The disk is an object of its own that outlives the
+// store, so a process can die and come back with what its disk holds.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "cluster/common/scheduler.hpp"
+#include "cluster/storage/record_store.hpp"
+
+namespace amberswitch::cluster {
+
+// The disk of one simulated machine. At most one store uses it at a time.
+class SimulatedDisk {
+public:
+    explicit SimulatedDisk(std::uint64_t seed) : random_(seed) {}
+
+    Millis sync_latency{2};
+    std::uint64_t capacity_bytes = 64 * 1024 * 1024;
+    bool refuse_puts = false;  // as if full
+    bool fail_syncs = false;
+
+    // While stalled no sync ends; those that were held up end when the stall does.
+    void setStalled(bool stalled) {
+        stalled_ = stalled;
+        if (!stalled && resume_) resume_();
+    }
+    // Keeps what was synced and a random beginning of what was staged since. Ends the store's use of the
+    // disk.
+    void losePower() {
+        endProcess();
+        const auto kept = std::uniform_int_distribution<std::size_t>(0, staged_.size())(random_);
+        makeDurable(kept);
+        staged_.clear();
+    }
+    // An empty disk takes the place of this one.
+    void wipe() {
+        endProcess();
+        staged_.clear();
+        durable_.clear();
+        ever_synced_ = false;
+    }
+    bool isEmpty() const { return !ever_synced_ && staged_.empty(); }
+
+private:
+    friend class MemoryStore;
+    using Records = std::map<std::string, std::string, std::less<>>;
+    // A put, or the removal of a key where there is no value.
+    struct Change {
+        std::string key;
+        std::optional<std::string> value;
+    };
+
+    // What a process that dies had not yet handed to the kernel is lost; what it had is kept until power is
+    // lost.
+    void endProcess() {
+        if (!in_use_) return;
+        in_use_ = false;
+        ++use_;
+        resume_ = nullptr;
+        staged_.resize(std::uniform_int_distribution<std::size_t>(0, staged_.size())(random_));
+    }
+    void makeDurable(std::size_t changes) {
+        for (std::size_t i = 0; i < changes; ++i) apply(durable_, staged_[i]);
+        staged_.erase(staged_.begin(), staged_.begin() + static_cast<std::ptrdiff_t>(changes));
+        ever_synced_ = ever_synced_ || changes > 0;
+    }
+    static void apply(Records& records, const Change& change) {
+        if (change.value) {
+            records.insert_or_assign(change.key, *change.value);
+        } else {
+            records.erase(change.key);
+        }
+    }
+
+    std::mt19937_64 random_;
+    Records durable_;
+    std::vector<Change> staged_;  // in order, not yet durable
+    bool ever_synced_ = false;
+    bool stalled_ = false;
+    bool in_use_ = false;
+    std::uint64_t use_ = 0;  // of the store that uses the disk; a former user has no effect
+    std::function<void()> resume_;
+};
+
+// One sync at a time; calls that arrive meanwhile share the next one.
+class MemoryStore : public RecordStore {
+public:
+    MemoryStore(Scheduler& scheduler, SimulatedDisk& disk) : scheduler_(scheduler), disk_(disk) {
+        disk_.endProcess();
+        was_empty_ = disk_.isEmpty();
+        disk_.makeDurable(disk_.staged_.size());
+        records_ = disk_.durable_;
+        for (const auto& [key, value] : records_) live_bytes_ += recordSize(key, value);
+        disk_.in_use_ = true;
+        use_ = ++disk_.use_;
+        disk_.resume_ = [this] { endSync(); };
+    }
+    ~MemoryStore() override {
+        if (isCurrent()) disk_.endProcess();
+    }
+    MemoryStore(const MemoryStore&) = delete;
+    MemoryStore& operator=(const MemoryStore&) = delete;
+
+    bool put(std::string_view key, std::string_view value) override {
+        if (disk_.refuse_puts || failed_) return false;
+        const auto found = records_.find(key);
+        const std::uint64_t replaced = found == records_.end() ? 0 : recordSize(found->first, found->second);
+        const std::uint64_t live = live_bytes_ - replaced + recordSize(key, value);
+        if (live > disk_.capacity_bytes) return false;
+        live_bytes_ = live;
+        stage({std::string(key), std::string(value)});
+        return true;
+    }
+    void erase(std::string_view key) override {
+        const auto found = records_.find(key);
+        if (found == records_.end()) return;
+        live_bytes_ -= recordSize(found->first, found->second);
+        stage({found->first, std::nullopt});
+    }
+    void sync(std::function<void(bool)> done) override {
+        waiting_.push_back(std::move(done));
+        if (!timer_ && !held_up_) beginSync();
+    }
+    std::optional<std::string> read(std::string_view key) const override {
+        const auto found = records_.find(key);
+        if (found == records_.end()) return std::nullopt;
+        return found->second;
+    }
+    void forEach(
+        const std::function<void(std::string_view key, const std::string& value)>& visit) const override {
+        for (const auto& [key, value] : records_) visit(key, value);
+    }
+    StoreUsage usage() const override { return {disk_.capacity_bytes, live_bytes_}; }
+    bool wasEmpty() const override { return was_empty_; }
+
+private:
+    static constexpr std::uint64_t kRecordOverhead = 32;
+
+    static std::uint64_t recordSize(std::string_view key, std::string_view value) {
+        return kRecordOverhead + key.size() + value.size();
+    }
+    bool isCurrent() const { return use_ == disk_.use_; }
+    void stage(SimulatedDisk::Change change) {
+        SimulatedDisk::apply(records_, change);
+        if (isCurrent()) disk_.staged_.push_back(std::move(change));
+    }
+    void beginSync() {
+        serving_ = std::exchange(waiting_, {});
+        covered_ = disk_.staged_.size();
+        timer_ = scheduler_.after(disk_.sync_latency, [this] {
+            timer_.reset();
+            held_up_ = true;
+            endSync();
+        });
+    }
+    void endSync() {
+        if (!held_up_ || disk_.stalled_ || !isCurrent()) return;
+        held_up_ = false;
+        failed_ = failed_ || disk_.fail_syncs;
+        if (!failed_) disk_.makeDurable(covered_);
+        const auto alive = std::weak_ptr<bool>(alive_);
+        const std::vector<std::function<void(bool)>> served = std::exchange(serving_, {});
+        const bool durable = !failed_;
+        if (!waiting_.empty()) beginSync();
+        for (const auto& done : served) {
+            done(durable);
+            if (alive.expired()) return;
+        }
+    }
+
+    Scheduler& scheduler_;
+    SimulatedDisk& disk_;
+    SimulatedDisk::Records records_;
+    std::uint64_t live_bytes_ = 0;
+    std::uint64_t use_ = 0;
+    bool was_empty_ = false;
+    bool failed_ = false;   // a sync failed; nothing more is taken
+    bool held_up_ = false;  // the sync's time is over, but the disk is stalled
+    std::size_t covered_ = 0;
+    TimerHandle timer_;
+    std::vector<std::function<void(bool)>> waiting_;
+    std::vector<std::function<void(bool)>> serving_;
+    const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/storage/ring_store.cpp
@@ -0,0 +1,269 @@
+#include "cluster/storage/ring_store.hpp"
+
+#include <glog/logging.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <random>
+#include <stdexcept>
+#include <utility>
+
+#include "cluster/storage/storage_error.hpp"
+
+namespace amberswitch::cluster {
+namespace {
+
+// Current records may take this share of the capacity.
+constexpr double kLiveShare = 0.85;
+// put() leaves this many segments to cleaning and to removals, which must always find room.
+constexpr std::size_t kReservedSegments = 2;
+// Files that the ring may take beyond its capacity, once, where repeated crashes left no free one.
+constexpr std::size_t kExtraSegments = 2;
+// Cleaning rewrites up to this many bytes for each byte appended: while the oldest segment is nearly dead,
+// when free segments are few, and when they are nearly gone.
+constexpr std::size_t kRelaxedCleaningRate = 1;
+constexpr std::size_t kBusyCleaningRate = 8;
+constexpr std::size_t kUrgentCleaningRate = 32;
+// A segment is nearly dead while at most one byte in this many is live.
+constexpr std::uint64_t kNearlyDeadDivisor = 8;
+// Free segments are few below a share of one in this many, and nearly gone at kUrgentFreeSegments.
+constexpr std::size_t kFewFreeDivisor = 8;
+constexpr std::size_t kUrgentFreeSegments = kReservedSegments + 1;
+
+std::size_t slotCount(const RingOptions& options) {
+    const std::size_t count = options.segment_bytes == 0 ? 0 : options.capacity_bytes / options.segment_bytes;
+    if (count < RingStore::kLeastSegments) {
+        throw std::invalid_argument("ring capacity: fewer than " + std::to_string(RingStore::kLeastSegments) +
+                                    " segments");
+    }
+    return count;
+}
+
+std::uint64_t drawSalt() {
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+}  // namespace
+
+RingStore::RingStore(Scheduler& scheduler, std::string directory, RingOptions options)
+    : directory_(std::move(directory)),
+      options_(options),
+      slot_count_(slotCount(options)),
+      salt_(drawSalt()),
+      writer_(scheduler, options.segment_bytes) {
+    open();
+}
+
+RingStore::~RingStore() {
+    for (Segment& segment : segments_) segment.live.clear();
+}
+
+bool RingStore::put(std::string_view key, std::string_view value) {
+    const std::size_t size = recordBytes(key.size(), value.size());
+    if (size > options_.segment_bytes - kSegmentHeaderBytes) return false;
+    if (writer_.failed() || writer_.unwrittenBytes() > options_.unwritten_limit_bytes) return false;
+    const auto found = index_.find(key);
+    const std::uint64_t replaced = found == index_.end() ? 0 : found->second.recordSize();
+    const auto live_limit =
+        static_cast<std::uint64_t>(kLiveShare * static_cast<double>(options_.capacity_bytes));
+    if (live_bytes_ + size > live_limit + replaced) return false;
+    clean(size);
+    if (!fits(size) && (freeSlots() <= kReservedSegments || !beginSegment())) return false;
+    const std::uint64_t offset = write(RecordType::put, key, value);
+    setCurrent(key, *active_, offset, value.size());
+    return true;
+}
+
+void RingStore::erase(std::string_view key) {
+    const auto found = index_.find(key);
+    if (found == index_.end()) return;
+    const std::string owned_key(key);  // the caller's may point into the index
+    unlink(found->second);
+    index_.erase(found);
+    if (writer_.failed()) return;
+    const std::size_t size = recordBytes(owned_key.size(), 0);
+    clean(size);
+    if (!fits(size) && !beginSegment()) return writer_.fail(directory_ + ": no segment left for a removal");
+    write(RecordType::erase, owned_key, {});
+}
+
+void RingStore::sync(std::function<void(bool)> done) {
+    writer_.sync(std::move(done));
+}
+
+std::optional<std::string> RingStore::read(std::string_view key) const {
+    const auto found = index_.find(key);
+    if (found == index_.end()) return std::nullopt;
+    return readValue(found->second);
+}
+
+void RingStore::forEach(
+    const std::function<void(std::string_view key, const std::string& value)>& visit) const {
+    for (const Segment& segment : segments_) {
+        SegmentReader reader(*files_[segment.slot]);
+        for (const Entry& entry : segment.live) {
+            const std::uint64_t value_offset = entry.offset + recordBytes(entry.key->size(), 0);
+            auto value = writer_.readUnwritten(placeOf(segment, value_offset), entry.value_bytes);
+            if (!value)
+                value = std::string(reader.at(value_offset, entry.value_bytes).substr(0, entry.value_bytes));
+            visit(*entry.key, *value);
+        }
+    }
+}
+
+StoreUsage RingStore::usage() const {
+    return {options_.capacity_bytes, live_bytes_};
+}
+
+void RingStore::setCurrent(std::string_view key, Segment& segment, std::uint64_t offset,
+                           std::size_t value_bytes) {
+    auto found = index_.find(key);
+    if (found == index_.end()) {
+        found = index_.try_emplace(std::string(key)).first;
+        found->second.key = &found->first;
+    } else {
+        unlink(found->second);
+    }
+    link(found->second, segment, offset, value_bytes);
+}
+
+void RingStore::link(Entry& entry, Segment& segment, std::uint64_t offset, std::size_t value_bytes) {
+    entry.segment = &segment;
+    entry.offset = static_cast<std::uint32_t>(offset);
+    entry.value_bytes = static_cast<std::uint32_t>(value_bytes);
+    segment.live.push_back(entry);
+    segment.live_bytes += entry.recordSize();
+    live_bytes_ += entry.recordSize();
+}
+
+void RingStore::unlink(Entry& entry) {
+    entry.segment->live_bytes -= entry.recordSize();
+    live_bytes_ -= entry.recordSize();
+    entry.segment->live.erase(entry.segment->live.iterator_to(entry));
+    entry.segment = nullptr;
+}
+
+std::string RingStore::readValue(const Entry& entry) const {
+    const SyncThread::Place place = placeOf(*entry.segment, entry.offset + recordBytes(entry.key->size(), 0));
+    if (auto value = writer_.readUnwritten(place, entry.value_bytes)) return *std::move(value);
+    std::string value = place.file->readAt(place.offset, entry.value_bytes);
+    if (value.size() != entry.value_bytes) throw StorageError(directory_, "read", "a segment is too short");
+    return value;
+}
+
+SyncThread::Place RingStore::placeOf(const Segment& segment, std::uint64_t offset) const {
+    return {files_[segment.slot], segment.header.generation, offset};
+}
+
+std::uint64_t RingStore::write(RecordType type, std::string_view key, std::string_view value) {
+    scratch_.clear();
+    appendRecord(scratch_, active_->checksum_seed, type, ++last_sequence_, key, value);
+    const std::uint64_t offset = active_->used_bytes;
+    writer_.append(placeOf(*active_, offset), scratch_);
+    active_->used_bytes += scratch_.size();
+    return offset;
+}
+
+bool RingStore::fits(std::size_t record_bytes) const {
+    return active_ != nullptr && active_->used_bytes + record_bytes <= options_.segment_bytes;
+}
+
+bool RingStore::beginSegment() {
+    releaseDeadSegments();
+    const auto slot = takeFreeSlot();
+    if (!slot) return false;
+    Segment& segment = segments_.emplace_back();
+    segment.slot = *slot;
+    segment.header.generation = ++last_generation_;
+    segment.header.oldest_generation = segments_.front().header.generation;
+    segment.header.salt = XXH64(&last_generation_, sizeof last_generation_, salt_);
+    segment.checksum_seed = segment.header.checksumSeed();
+    scratch_.clear();
+    appendSegmentHeader(scratch_, segment.header);
+    writer_.append(placeOf(segment, 0), scratch_);
+    segment.used_bytes = scratch_.size();
+    active_ = &segment;
+    ++statistics_.segments_begun;
+    return true;
+}
+
+std::optional<std::size_t> RingStore::takeFreeSlot() {
+    if (!released_slots_.empty()) {
+        const std::size_t slot = released_slots_.front();
+        released_slots_.pop_front();
+        return slot;
+    }
+    if (!unused_slots_.empty()) {
+        const std::size_t slot = unused_slots_.back();
+        unused_slots_.pop_back();
+        return slot;
+    }
+    if (files_.size() >= slot_count_ + kExtraSegments) return std::nullopt;
+    return addFile();
+}
+
+void RingStore::releaseDeadSegments() {
+    while (!segments_.empty() && !oldestIsActive() && segments_.front().live.empty()) {
+        released_slots_.push_back(segments_.front().slot);
+        segments_.pop_front();
+    }
+}
+
+void RingStore::clean(std::size_t appended_bytes) {
+    releaseDeadSegments();
+    if (freeSlots() < kReservedSegments) return cleanOldestWhole();
+    const std::size_t rate = cleaningRate();
+    if (rate == 0) {
+        cleaning_credit_ = 0;
+        return;
+    }
+    cleaning_credit_ =
+        std::min<std::size_t>(cleaning_credit_ + rate * appended_bytes, options_.segment_bytes);
+    while (cleaningRate() != 0) {
+        const std::size_t size = segments_.front().live.front().recordSize();
+        const bool may_begin_segment = freeSlots() >= kReservedSegments;
+        if (size > cleaning_credit_ || (!fits(size) && !may_begin_segment)) return;
+        if (!rewriteFirstOfOldest()) return;
+        cleaning_credit_ -= size;
+        releaseDeadSegments();
+    }
+}
+
+std::size_t RingStore::cleaningRate() const {
+    if (segments_.empty() || oldestIsActive()) return 0;
+    if (freeSlots() <= kUrgentFreeSegments) return kUrgentCleaningRate;
+    if (freeSlots() <= slot_count_ / kFewFreeDivisor) return kBusyCleaningRate;
+    const bool nearly_dead = segments_.front().live_bytes <= options_.segment_bytes / kNearlyDeadDivisor;
+    return nearly_dead ? kRelaxedCleaningRate : 0;
+}
+
+// With one free segment left, what is current in the oldest one always fits into that.
+void RingStore::cleanOldestWhole() {
+    if (segments_.empty() || oldestIsActive()) return;
+    const Segment* oldest = &segments_.front();
+    while (&segments_.front() == oldest && !oldest->live.empty()) {
+        if (!rewriteFirstOfOldest()) return;
+    }
+    releaseDeadSegments();
+}
+
+bool RingStore::rewriteFirstOfOldest() {
+    Entry& entry = segments_.front().live.front();
+    const std::size_t size = entry.recordSize();
+    if (!fits(size) && !beginSegment()) return false;
+    try {
+        const std::string value = readValue(entry);
+        const std::uint64_t offset = write(RecordType::put, *entry.key, value);
+        unlink(entry);
+        link(entry, *active_, offset, value.size());
+    } catch (const StorageError& error) {
+        writer_.fail(error.what());
+        return false;
+    }
+    ++statistics_.records_rewritten;
+    statistics_.bytes_rewritten += size;
+    return true;
+}
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/storage/ring_store.hpp
@@ -0,0 +1,149 @@
+// The record store on disk: a ring of preallocated files, the segments, which are written one after the other
+// and reused in place. New records go to the newest segment. The oldest segment is given back when nothing in
+// it is current; when segments get scarce its current records are written again at the other end, a bounded
+// amount with each change. Everything older than the oldest segment is void, so a removal needs to be on disk
+// only until its record is in the oldest segment.
+//
+// The index of keys is in memory, the values are on disk only. All members belong to the scheduler's thread;
+// the disk has a thread of its own (sync_thread.hpp). Members that touch the disk throw StorageError if it
+// refuses.
+#pragma once
+
+#include <boost/intrusive/list.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "cluster/common/scheduler.hpp"
+#include "cluster/storage/record_format.hpp"
+#include "cluster/storage/record_store.hpp"
+#include "cluster/storage/segment_file.hpp"
+#include "cluster/storage/sync_thread.hpp"
+
+namespace amberswitch::cluster {
+
+struct RingOptions {
+    std::uint64_t capacity_bytes = 64 * 1024 * 1024;  // of all files together
+    std::uint32_t segment_bytes = 1024 * 1024;        // of each file; no record is larger
+    // put() refuses while this much waits to be written, so that a stalled disk doesn't fill the memory.
+    std::uint64_t unwritten_limit_bytes = 16 * 1024 * 1024;
+};
+
+// Counters of a ring since it was opened.
+struct RingStatistics {
+    std::uint64_t segments_begun = 0;
+    std::uint64_t records_rewritten = 0;  // by cleaning
+    std::uint64_t bytes_rewritten = 0;
+};
+
+class RingStore : public RecordStore {
+public:
+    // Opens the ring in `directory`, which is created if need be; waits for the disk. Throws StorageError if
+    // the disk refuses, std::invalid_argument if the options leave fewer than kLeastSegments segments.
+    RingStore(Scheduler& scheduler, std::string directory, RingOptions options);
+    ~RingStore() override;
+
+    bool put(std::string_view key, std::string_view value) override;
+    void erase(std::string_view key) override;
+    void sync(std::function<void(bool)> done) override;
+    std::optional<std::string> read(std::string_view key) const override;
+    // The visitor must not change the store.
+    void forEach(
+        const std::function<void(std::string_view key, const std::string& value)>& visit) const override;
+    StoreUsage usage() const override;
+    bool wasEmpty() const override { return was_empty_; }
+
+    const RingStatistics& statistics() const { return statistics_; }
+
+    static constexpr std::size_t kLeastSegments = 6;
+
+private:
+    struct Segment;
+
+    // Where the current record of a key lies.
+    struct Entry : boost::intrusive::list_base_hook<> {
+        const std::string* key = nullptr;  // that of the index
+        Segment* segment = nullptr;
+        std::uint32_t offset = 0;
+        std::uint32_t value_bytes = 0;
+
+        std::size_t recordSize() const { return recordBytes(key->size(), value_bytes); }
+    };
+    using EntryList = boost::intrusive::list<Entry, boost::intrusive::constant_time_size<false>>;
+
+    struct Segment {
+        SegmentHeader header;
+        std::uint64_t checksum_seed = 0;
+        std::size_t slot = 0;  // which file
+        std::uint64_t used_bytes = 0;
+        std::uint64_t live_bytes = 0;
+        EntryList live;  // current records, in the order of their offsets
+    };
+
+    struct KeyHash {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view key) const { return std::hash<std::string_view>{}(key); }
+    };
+    using Index = std::unordered_map<std::string, Entry, KeyHash, std::equal_to<>>;
+
+    // A segment found when the ring was opened.
+    struct FoundSegment {
+        SegmentHeader header;
+        std::size_t slot = 0;
+    };
+
+    // Opening (ring_store_open.cpp).
+    void open();
+    std::size_t addFile();
+    std::vector<FoundSegment> findSegments();
+    void load(const FoundSegment& found);
+    void apply(Segment& segment, std::uint64_t offset, const RecordView& record);
+
+    // The index.
+    void setCurrent(std::string_view key, Segment& segment, std::uint64_t offset, std::size_t value_bytes);
+    void link(Entry& entry, Segment& segment, std::uint64_t offset, std::size_t value_bytes);
+    void unlink(Entry& entry);
+    std::string readValue(const Entry& entry) const;
+
+    // Space.
+    bool fits(std::size_t record_bytes) const;
+    std::size_t freeSlots() const { return released_slots_.size() + unused_slots_.size(); }
+    std::optional<std::size_t> takeFreeSlot();
+    bool beginSegment();
+    void releaseDeadSegments();
+    void clean(std::size_t appended_bytes);
+    std::size_t cleaningRate() const;
+    void cleanOldestWhole();
+    bool rewriteFirstOfOldest();
+    std::uint64_t write(RecordType type, std::string_view key, std::string_view value);
+    bool oldestIsActive() const { return active_ != nullptr && active_ == &segments_.front(); }
+    SyncThread::Place placeOf(const Segment& segment, std::uint64_t offset) const;
+
+    const std::string directory_;
+    const RingOptions options_;
+    const std::size_t slot_count_;
+    bool was_empty_ = false;
+
+    std::vector<std::shared_ptr<SegmentFile>> files_;  // by slot; more than slot_count_ after trouble
+    std::deque<std::size_t> released_slots_;  // of segments that are void; the oldest is reused first
+    std::vector<std::size_t> unused_slots_;   // whose files don't exist yet
+    std::deque<Segment> segments_;            // the oldest first
+    Segment* active_ = nullptr;               // the newest, once this process has begun one
+    Index index_;
+    std::uint64_t live_bytes_ = 0;
+    std::uint64_t last_generation_ = 0;
+    std::uint64_t last_sequence_ = 0;
+    std::uint64_t salt_ = 0;
+    std::size_t cleaning_credit_ = 0;  // bytes that cleaning may still rewrite
+    std::string scratch_;
+    RingStatistics statistics_;
+    SyncThread writer_;
+};
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/tests/cluster/posting_scheduler.hpp
@@ -0,0 +1,70 @@
+// A scheduler for tests of parts that have a thread of their own: it collects what is posted and runs it when
+// asked.
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <stdexcept>
+#include <utility>
+
+#include "cluster/common/scheduler.hpp"
+
+namespace amberswitch::cluster {
+
+class PostingScheduler : public Scheduler {
+public:
+    SteadyTime now() const override { return SteadyTime(std::chrono::seconds(1000)); }
+    std::int64_t wallMillis() const override { return 1'700'000'000'000; }
+    TimerHandle after(Millis, std::function<void()>) override {
+        throw std::logic_error("no timers in this scheduler");
+    }
+    void post(std::function<void()> work) override {
+        {
+            const std::lock_guard lock(mutex_);
+            posted_.push_back(std::move(work));
+        }
+        arrived_.notify_one();
+    }
+    // Runs what is posted until the condition holds. False if nothing arrives for long.
+    bool runUntil(const std::function<bool()>& holds) {
+        while (!holds()) {
+            const std::function<void()> work = next();
+            if (!work) return false;
+            work();
+        }
+        return true;
+    }
+    // Runs what is there already.
+    void runPosted() {
+        while (true) {
+            std::function<void()> work;
+            {
+                const std::lock_guard lock(mutex_);
+                if (posted_.empty()) return;
+                work = std::move(posted_.front());
+                posted_.pop_front();
+            }
+            work();
+        }
+    }
+
+private:
+    static constexpr std::chrono::seconds kLongestWait{20};
+
+    std::function<void()> next() {
+        std::unique_lock lock(mutex_);
+        if (!arrived_.wait_for(lock, kLongestWait, [this] { return !posted_.empty(); })) return nullptr;
+        std::function<void()> work = std::move(posted_.front());
+        posted_.pop_front();
+        return work;
+    }
+
+    std::mutex mutex_;
+    std::condition_variable arrived_;
+    std::deque<std::function<void()>> posted_;
+};
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/tests/cluster/ring_harness.hpp
@@ -0,0 +1,66 @@
+// The harness of a RingStore over a watched folder.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+
+#include "cluster/storage/ring_store.hpp"
+#include "tests/cluster/posting_scheduler.hpp"
+#include "tests/cluster/record_store_contract.hpp"
+#include "tests/cluster/ring_test_support.hpp"
+
+namespace amberswitch::cluster::ring_test {
+
+// Segments small enough that a few records fill one.
+inline RingOptions smallRing() {
+    RingOptions options;
+    options.capacity_bytes = 16 * 4096;
+    options.segment_bytes = 4096;
+    return options;
+}
+
+class RingHarness : public RecordStoreHarness {
+public:
+    explicit RingHarness(std::uint64_t seed, RingOptions options = smallRing())
+        : options_(options), random_(seed), directory_(folder_.path() + "/data/ring") {
+        open();
+    }
+    RecordStore& store() override { return *store_; }
+    RingStore& ring() { return *store_; }
+    const std::string& directory() const { return directory_; }
+    WatchedDisk& disk() { return disk_; }
+    void restart() override {
+        close();
+        open();
+    }
+    void losePower() override {
+        close();
+        disk_.losePower(directory_, random_);
+        open();
+    }
+    void wipe() override {
+        close();
+        std::filesystem::remove_all(directory_);
+        open();
+    }
+    void setStalled(bool stalled) override { stalled ? disk_.hold() : disk_.release(); }
+    void failSyncs() override { disk_.fail = true; }
+    bool runUntil(const std::function<bool()>& holds) override { return scheduler_.runUntil(holds); }
+    void runPending() override { scheduler_.runPosted(); }
+
+    void close() { store_.reset(); }
+    void open() { store_ = std::make_unique<RingStore>(scheduler_, directory_, options_); }
+
+private:
+    RingOptions options_;
+    std::mt19937_64 random_;
+    TemporaryFolder folder_;
+    std::string directory_;
+    WatchedDisk disk_;
+    PostingScheduler scheduler_;
+    std::unique_ptr<RingStore> store_;
+};
+
+}  // namespace amberswitch::cluster::ring_test
--- /dev/null
+++ b/tests/cluster/ring_test_support.hpp
@@ -0,0 +1,158 @@
+// Folders for tests of the ring, and a disk that loses power: which bytes a sync has covered is learnt from
+// the calls of fdatasync, which this program defines itself.
+#pragma once
+
+#include <fcntl.h>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cerrno>
+#include <condition_variable>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <stdexcept>
+#include <string>
+
+namespace amberswitch::cluster::ring_test {
+
+inline std::string readFile(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+inline void writeFile(const std::string& path, const std::string& content) {
+    std::ofstream file(path, std::ios::binary | std::ios::trunc);
+    file << content;
+    if (!file.flush()) throw std::runtime_error("cannot write " + path);
+}
+
+// A folder that is removed at the end of its scope.
+class TemporaryFolder {
+public:
+    TemporaryFolder() {
+        std::string pattern = (std::filesystem::temp_directory_path() / "ring_test_XXXXXX").string();
+        if (::mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no temporary folder");
+        path_ = pattern;
+    }
+    ~TemporaryFolder() { std::filesystem::remove_all(path_); }
+    TemporaryFolder(const TemporaryFolder&) = delete;
+    TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+    const std::string& path() const { return path_; }
+
+private:
+    std::string path_;
+};
+
+// Watches the syncs of this process while one exists.
+class WatchedDisk {
+public:
+    WatchedDisk() { current() = this; }
+    ~WatchedDisk() { current() = nullptr; }
+    WatchedDisk(const WatchedDisk&) = delete;
+    WatchedDisk& operator=(const WatchedDisk&) = delete;
+
+    static WatchedDisk*& current() {
+        static WatchedDisk* watched = nullptr;
+        return watched;
+    }
+
+    std::atomic<bool> fail{false};
+    std::atomic<std::uint64_t> syncs{0};
+
+    // While held, syncs don't end.
+    void hold() {
+        const std::lock_guard lock(mutex_);
+        held_ = true;
+    }
+    void release() {
+        {
+            const std::lock_guard lock(mutex_);
+            held_ = false;
+        }
+        changed_.notify_all();
+    }
+
+    int sync(int descriptor) {
+        {
+            std::unique_lock lock(mutex_);
+            changed_.wait(lock, [this] { return !held_; });
+        }
+        ++syncs;
+        if (fail) {
+            errno = EIO;
+            return -1;
+        }
+        const std::string path = std::filesystem::read_symlink("/proc/self/fd/" + std::to_string(descriptor));
+        const std::lock_guard lock(mutex_);
+        durable_[path] = readFile(path);
+        return 0;
+    }
+
+    // Leaves in each file what its last sync covered, with a random part of what was written later. Nobody
+    // may be writing.
+    void losePower(const std::string& folder, std::mt19937_64& random) {
+        const std::lock_guard lock(mutex_);
+        const bool lose_all_unsynced = random() % 4 == 0;
+        for (const auto& item : std::filesystem::directory_iterator(folder)) {
+            const std::string path = item.path().string();
+            const auto found = durable_.find(path);
+            if (found == durable_.end()) {
+                if (lose_all_unsynced || random() % 2 == 0) {
+                    std::filesystem::remove(path);
+                    continue;
+                }
+            }
+            const std::string durable = found == durable_.end() ? std::string() : found->second;
+            const std::string left = lose_all_unsynced ? durable : tear(durable, readFile(path), random);
+            writeFile(path, left);
+            durable_[path] = left;
+        }
+    }
+
+private:
+    static std::string tear(const std::string& durable, const std::string& written, std::mt19937_64& random) {
+        if (durable == written) return written;
+        constexpr std::size_t kBlockBytes = 64;
+        std::string left = written;
+        const auto mode = random() % 3;
+        for (std::size_t start = 0; start < written.size(); start += kBlockBytes) {
+            const std::size_t end = std::min(start + kBlockBytes, written.size());
+            if (durable.size() >= end &&
+                durable.compare(start, end - start, written, start, end - start) == 0)
+                continue;
+            if (mode == 0 || random() % 2 == 0) continue;  // this block is there
+            const std::size_t torn_from = start + random() % (end - start);
+            for (std::size_t i = torn_from; i < end; ++i) {
+                const char before = i < durable.size() ? durable[i] : '\0';
+                left[i] = mode == 1 ? before : static_cast<char>(random());
+            }
+            // Bytes that an earlier sync covered keep their value even inside a torn block.
+            for (std::size_t i = torn_from; i < end; ++i) {
+                if (i < durable.size() && durable[i] == written[i]) left[i] = written[i];
+            }
+        }
+        return left;
+    }
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    bool held_ = false;
+    std::map<std::string, std::string> durable_;
+};
+
+}  // namespace amberswitch::cluster::ring_test
+
+// Takes the place of the C library's in this test program.
+extern "C" inline __attribute__((used)) int fdatasync(int descriptor) {
+    using amberswitch::cluster::ring_test::WatchedDisk;
+    if (WatchedDisk* disk = WatchedDisk::current()) return disk->sync(descriptor);
+    return static_cast<int>(::syscall(SYS_fdatasync, descriptor));
+}
