Take messages, deliver grants, report and call back: the data plane of the new service

The ingest and dispatch service needs an edge that knows no socket. Front, accepts, queries, deliveries through heronmount (one module per service), run reports, call-backs and the planned end are modules of their own.

Ruled out: effect 'unsafe' for the module's class, since a server that failed once would then never get a trial again; attempts that may have run are told as settled instead, so that none is repeated inside a grant.

--- /dev/null
+++ b/src/cluster/edge/callbacks.hpp
@@ -0,0 +1,89 @@
+// Delivers call-backs: tells the URL of a message how it ended, until the receiver has taken it or the time
+// for it is over. Each receiver has its own queue and few connections, so that one that is down holds up no
+// other.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "cluster/common/http.hpp"
+#include "cluster/common/messages.hpp"
+#include "cluster/common/scheduler.hpp"
+#include "cluster/edge/counters.hpp"
+
+namespace amberswitch::cluster {
+
+// "http://ip:port/path"; nothing where the text is no such URL.
+struct CallbackUrl {
+    NodeAddress address;
+    std::string target;
+};
+std::optional<CallbackUrl> parseCallbackUrl(const std::string& url);
+
+struct CallbackWork {
+    PartitionId partition = 0;
+    MessageId id;
+    Epoch epoch = 0;
+    std::uint64_t attempt = 0;
+    std::string url;
+    Phase phase = Phase::completed;
+    std::string stamp;
+};
+
+class Callbacks {
+public:
+    // Told once for each work; taken: the receiver answered 200 or 400. Never inside begin().
+    using Ended = std::function<void(const CallbackWork&, bool taken)>;
+
+    Callbacks(Scheduler& scheduler, HttpClient& http, EdgeCounters& counters, std::uint64_t seed,
+              Ended ended);
+
+    void setEdges(std::uint32_t edges);
+    bool hasRoom() const;
+    void begin(CallbackWork work);
+    // This process ends: what is not on its way is handed back as failed, and nothing is tried again.
+    void leave();
+    // Works that have no end yet.
+    std::size_t open() const { return open_; }
+
+private:
+    struct Item {
+        CallbackWork work;
+        SteadyTime give_up_at{};
+        SteadyTime not_before{};
+        int failures = 0;
+    };
+    struct Receiver {
+        std::deque<Item> queue;
+        std::size_t in_flight = 0;
+        int failures = 0;  // connections refused in a row
+        SteadyTime paused_until{};
+        TimerHandle timer;
+    };
+
+    void pump(NodeAddress address);
+    std::size_t allowed(const Receiver& receiver) const;
+    void expire(Receiver& receiver);
+    void post(const NodeAddress& address, Receiver& receiver, Item item);
+    void answered(const NodeAddress& address, Item item, const HttpOutcome& outcome);
+    void arm(const NodeAddress& address, Receiver& receiver);
+    void end(const CallbackWork& work, bool taken);
+    Millis backoff(int failures);
+
+    Scheduler& scheduler_;
+    HttpClient& http_;
+    EdgeCounters& counters_;
+    std::mt19937_64 random_;
+    Ended ended_;
+    std::map<NodeAddress, Receiver> receivers_;
+    std::uint32_t edges_ = 1;
+    std::size_t open_ = 0;
+    bool leaving_ = false;
+};
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/edge/deliveries.hpp
@@ -0,0 +1,76 @@
+// All grants of this edge, from their arrival until an owner has taken their last report: runs go to the
+// dispatcher of their service, call-backs to their receiver, results to the owner of the partition.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "cluster/common/configuration.hpp"
+#include "cluster/common/http.hpp"
+#include "cluster/common/messages.hpp"
+#include "cluster/edge/callbacks.hpp"
+#include "cluster/edge/counters.hpp"
+#include "cluster/edge/grant_book.hpp"
+#include "cluster/edge/run_reports.hpp"
+#include "cluster/edge/service_dispatcher.hpp"
+
+namespace amberswitch::cluster {
+
+struct EdgeIdentity {
+    std::string name;
+    std::string zone;
+    NodeAddress address;  // internal
+    Incarnation incarnation = 0;
+};
+
+class Deliveries {
+public:
+    Deliveries(Scheduler& scheduler, Transport& transport, HttpClient& http, const PartitionMap& partitions,
+               EdgeCounters& counters, EdgeIdentity self);
+
+    void onConfiguration(std::shared_ptr<const Configuration> configuration);
+    void onServers(std::shared_ptr<const ServerList> servers);
+    void onView() { reports_.onView(); }
+    void setEdges(std::uint32_t edges);
+
+    // Whether one more run of that service could begin here at once.
+    bool hasRoomFor(const std::string& service) const;
+    // False: not taken and not begun; it is the owner's again. A repeated grant is taken and not begun twice.
+    bool take(Grant grant);
+    std::vector<RunningAttempt> attempts() const { return book_.attempts(); }
+
+    // The planned end has begun: nothing new is taken, what has not begun goes back.
+    void leave();
+    // Nothing runs and every result has been taken.
+    bool quiet() const { return book_.size() == 0 && reports_.pending() == 0 && callbacks_.open() == 0; }
+
+    std::size_t held() const { return book_.size(); }
+    std::size_t reportsPending() const { return reports_.pending(); }
+    std::size_t callbacksOpen() const { return callbacks_.open(); }
+
+private:
+    void begin(Grant grant);
+    void beginCallback(const Grant& grant);
+    void finished(const Grant& grant, const DeliveryResult& result);
+    void notRun(const Grant& grant, bool destination_down);
+    void callbackEnded(const CallbackWork& work, bool taken);
+    void reportTaken(const RunResult& result);
+    bool allowedByConfiguration(const Grant& grant) const;
+    void applyServers();
+
+    Scheduler& scheduler_;
+    HttpClient& http_;
+    EdgeCounters& counters_;
+    EdgeIdentity self_;
+    GrantBook book_;
+    RunReports reports_;
+    Callbacks callbacks_;
+    std::map<std::string, std::unique_ptr<ServiceDispatcher>> services_;
+    std::shared_ptr<const Configuration> configuration_;
+    std::shared_ptr<const ServerList> servers_;
+    std::uint32_t edges_ = 1;
+    bool leaving_ = false;
+};
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/edge/edge_node.cpp
@@ -0,0 +1,157 @@
+#include "cluster/edge/edge_node.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "cluster/common/codec.hpp"
+
+namespace amberswitch::cluster {
+namespace {
+
+constexpr Millis kFallLasts{10'000};  // after which a lower number of dispatchers counts
+constexpr Millis kLeaveCheck{50};
+constexpr Millis kLeaveMargin{1000};  // left of the grace when leave() ends at the latest
+constexpr std::string_view kCountersPath = "/counters";
+
+}  // namespace
+
+EdgeNode::EdgeNode(Scheduler& scheduler, Transport& transport, HttpClient& servers,
+                   const NodeSettings& settings, Incarnation incarnation)
+    : scheduler_(scheduler),
+      transport_(transport),
+      self_{settings.name, settings.zone, settings.internal(PortOffset::edge), incarnation},
+      grace_(settings.bounds.grace),
+      partitions_(settings.zone),
+      deliveries_(scheduler, transport, servers, partitions_, counters_, self_),
+      links_(scheduler, transport, partitions_, deliveries_, self_),
+      accepts_(scheduler, transport, partitions_, deliveries_, counters_, self_),
+      queries_(scheduler, transport, partitions_, counters_),
+      front_(accepts_, queries_, counters_) {}
+
+void EdgeNode::start() {
+    transport_.serve([this](const Envelope& request, const Responder& respond) { serve(request, respond); });
+    links_.start();
+}
+
+// --- What is distributed -----------------------------------------------------------------------------------
+
+void EdgeNode::onView(std::shared_ptr<const StoreView> view) {
+    if (!partitions_.update(std::move(view))) return;
+    links_.onView();
+    deliveries_.onView();
+}
+
+void EdgeNode::onServers(std::shared_ptr<const ServerList> servers) {
+    has_servers_ = true;
+    deliveries_.onServers(std::move(servers));
+}
+
+void EdgeNode::onConfiguration(std::shared_ptr<const Configuration> configuration) {
+    has_configuration_ = true;
+    front_.onConfiguration(configuration);
+    deliveries_.onConfiguration(std::move(configuration));
+}
+
+void EdgeNode::setEdgeCount(std::uint32_t edges) {
+    edges = std::max<std::uint32_t>(1, edges);
+    if (edges >= edges_) {
+        fall_.reset();
+        fewer_edges_ = 0;
+        if (edges > edges_) applyEdgeCount(edges);
+        return;
+    }
+    fewer_edges_ = std::max(fewer_edges_, edges);
+    if (fall_) return;
+    fall_ = scheduler_.after(kFallLasts, [this] {
+        fall_.reset();
+        applyEdgeCount(std::exchange(fewer_edges_, 0));
+    });
+}
+
+void EdgeNode::applyEdgeCount(std::uint32_t edges) {
+    edges_ = edges;
+    deliveries_.setEdges(edges);
+}
+
+// --- Requests ----------------------------------------------------------------------------------------------
+
+void EdgeNode::handleFront(const HttpRequest& request, HttpResponder respond) {
+    front_.handle(request, std::move(respond));
+}
+
+void EdgeNode::handleReadiness(const HttpRequest& request, HttpResponder respond) {
+    HttpResponse response;
+    if (request.target == kCountersPath) {
+        response.headers.push_back({"Content-Type", "text/plain"});
+        response.body = countersText();
+    } else if (!ready()) {
+        response.status = 503;
+    }
+    respond(std::move(response));
+}
+
+bool EdgeNode::ready() const {
+    return has_configuration_ && has_servers_ && !leaving_ && partitions_.usable(scheduler_.now());
+}
+
+std::string EdgeNode::countersText() const {
+    std::string text = counters_.text();
+    text += "open_accepts " + std::to_string(accepts_.open()) + '\n';
+    text += "open_queries " + std::to_string(queries_.open()) + '\n';
+    text += "grants_held " + std::to_string(deliveries_.held()) + '\n';
+    text += "reports_pending " + std::to_string(deliveries_.reportsPending()) + '\n';
+    text += "callbacks_open " + std::to_string(deliveries_.callbacksOpen()) + '\n';
+    text += "view_epoch " + std::to_string(partitions_.epoch()) + '\n';
+    text += "edges " + std::to_string(edges_) + '\n';
+    return text;
+}
+
+// --- Grants of stores --------------------------------------------------------------------------------------
+
+void EdgeNode::serve(const Envelope& request, const Responder& respond) {
+    if (request.kind != static_cast<std::uint16_t>(MessageKind::grant_push)) return;
+    std::optional<GrantPush> push = decode<GrantPush>(request.body);
+    if (!push) return;
+    respond(reply(take(std::move(*push))));
+}
+
+GrantPushReply EdgeNode::take(GrantPush push) {
+    GrantPushReply answer;
+    for (Grant& grant : push.grants) {
+        const bool taken = !leaving_ && !stale(push, grant) && deliveries_.take(std::move(grant));
+        ++(taken ? counters_.granted_by_push : counters_.grants_refused);
+        answer.taken.push_back(taken);
+    }
+    return answer;
+}
+
+// Of a store that does not own the partition by this edge's newer view.
+bool EdgeNode::stale(const GrantPush& push, const Grant& grant) const {
+    if (grant.epoch >= partitions_.epoch()) return false;
+    const StoreMember* const owner = partitions_.owner(grant.partition);
+    return !owner || owner->member.name != push.store;
+}
+
+// --- The planned end ---------------------------------------------------------------------------------------
+
+void EdgeNode::leave(std::function<void()> done) {
+    if (leaving_) return;
+    leaving_ = true;
+    left_ = std::move(done);
+    leave_by_ = scheduler_.now() + std::max(grace_ - kLeaveMargin, Millis(0));
+    front_.leave();
+    links_.leave();
+    deliveries_.leave();
+    checkQuiet();
+}
+
+void EdgeNode::checkQuiet() {
+    const bool quiet = accepts_.open() == 0 && queries_.open() == 0 && deliveries_.quiet();
+    if (quiet || scheduler_.now() >= leave_by_) {
+        leave_check_.reset();
+        return std::exchange(left_, nullptr)();
+    }
+    leave_check_ = scheduler_.after(kLeaveCheck, [this] { checkQuiet(); });
+}
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/edge/front.cpp
@@ -0,0 +1,115 @@
+#include "cluster/edge/front.hpp"
+
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+#include "cluster/edge/callbacks.hpp"
+#include "cluster/edge/message_ref.hpp"
+
+namespace amberswitch::cluster {
+namespace {
+
+constexpr std::size_t kMostOpenAccepts = 400;
+constexpr std::string_view kStatePrefix = "/message/";
+constexpr std::string_view kBodyPrefix = "/message-body/";
+constexpr PartitionId kWidestPartition = 9999;  // for the check that the id fits into a reference
+
+std::string_view pathOf(std::string_view target) {
+    return target.substr(0, target.find('?'));
+}
+
+// Whole milliseconds, 0 or more; nothing for any other text.
+std::optional<std::int64_t> parseMillis(std::string_view text) {
+    std::int64_t value = 0;
+    const char* const last = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data(), last, value);
+    if (error != std::errc() || end != last || value < 0) return std::nullopt;
+    return value;
+}
+
+std::optional<Millis> deadlineOf(const HttpRequest& request) {
+    const auto millis = parseMillis(headerValue(request.headers, "Deadline-Ms"));
+    if (!millis) return std::nullopt;
+    return Millis(*millis);
+}
+
+// Nothing where a header makes no sense.
+std::optional<MessageContent> contentOf(const HttpRequest& request, const Route& route,
+                                        const Configuration& configuration) {
+    MessageContent content;
+    content.id = headerValue(request.headers, "Request-Id");
+    content.route = route.name;
+    content.service = route.service;
+    content.method = request.method;
+    content.host = headerValue(request.headers, "Host");
+    content.target = request.target;
+    content.content_type = headerValue(request.headers, "Content-Type");
+    content.order_key = headerValue(request.headers, "Order-Key");
+    content.ordered = route.ordered && !content.order_key.empty();
+    content.config_generation = configuration.generation;
+    if (content.id.empty() || !formatMessageRef(kWidestPartition, content.id)) return std::nullopt;
+    if (const std::string_view delay = headerValue(request.headers, "Delay-Ms"); !delay.empty()) {
+        const auto millis = parseMillis(delay);
+        if (!millis) return std::nullopt;
+        content.delay_ms = *millis;
+    }
+    if (route.callback) {
+        content.callback_url = headerValue(request.headers, "Callback-Url");
+        if (!content.callback_url.empty() && !parseCallbackUrl(content.callback_url)) return std::nullopt;
+    }
+    return content;
+}
+
+}  // namespace
+
+void Front::onConfiguration(std::shared_ptr<const Configuration> configuration) {
+    configuration_ = std::move(configuration);
+}
+
+void Front::handle(const HttpRequest& request, HttpResponder respond) {
+    if (leaving_) {
+        respond = [answer = std::move(respond)](HttpResponse response) {
+            response.close = true;
+            answer(std::move(response));
+        };
+    }
+    const std::string_view path = pathOf(request.target);
+    const bool get = request.method == "GET";
+    if (get && path.starts_with(kStatePrefix)) {
+        const MessageRef ref = parseMessageRef(path.substr(kStatePrefix.size()));
+        return queries_.ask(Queries::Kind::state, ref, std::move(respond));
+    }
+    if (get && path.starts_with(kBodyPrefix)) {
+        const MessageRef ref = parseMessageRef(path.substr(kBodyPrefix.size()));
+        return queries_.ask(Queries::Kind::body, ref, std::move(respond));
+    }
+    handleMessage(request, respond);
+}
+
+void Front::handleMessage(const HttpRequest& request, const HttpResponder& respond) {
+    if (!configuration_) {
+        ++counters_.unavailable;
+        return respond(tryLater());
+    }
+    const Route* const route =
+        configuration_->match(headerValue(request.headers, "Host"), pathOf(request.target));
+    if (!route) return refuse(404, counters_.no_route, respond);
+    std::optional<MessageContent> content = contentOf(request, *route, *configuration_);
+    if (!content) return refuse(400, counters_.bad_request, respond);
+    if (accepts_.open() >= kMostOpenAccepts) {
+        ++counters_.turned_away_busy;
+        return respond(tryLater());
+    }
+    content->body = request.body;
+    accepts_.accept(std::move(*content), *route, deadlineOf(request), respond);
+}
+
+void Front::refuse(int status, std::uint64_t& counter, const HttpResponder& respond) {
+    ++counter;
+    HttpResponse response;
+    response.status = status;
+    respond(std::move(response));
+}
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/edge/grant_book.hpp
@@ -0,0 +1,47 @@
+// What owners granted to this edge and have not yet taken a last report of: at most one attempt of each
+// message.
+#pragma once
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "cluster/common/messages.hpp"
+
+namespace amberswitch::cluster {
+
+struct GrantKey {
+    PartitionId partition = 0;
+    MessageId id;
+    bool operator==(const GrantKey&) const = default;
+};
+struct GrantKeyHash {
+    std::size_t operator()(const GrantKey& key) const {
+        return std::hash<std::string>()(key.id) ^ (std::size_t{key.partition} << 17);
+    }
+};
+
+struct GrantEntry {
+    std::uint64_t attempt = 0;
+    Epoch epoch = 0;
+    bool callback = false;  // only the call-back is still to do; the owner knows of the run's end
+    std::optional<RunResult>
+        after_end;  // the call-back's result, to be reported after the run's end was taken
+};
+
+class GrantBook {
+public:
+    enum class Entered { fresh, repeated, conflicting };
+
+    // repeated: this very attempt is known already. conflicting: another attempt of the message is.
+    Entered enter(const Grant& grant);
+    GrantEntry* find(const GrantKey& key);
+    void erase(const GrantKey& key) { entries_.erase(key); }
+    std::size_t size() const { return entries_.size(); }
+    std::vector<RunningAttempt> attempts() const;
+
+private:
+    std::unordered_map<GrantKey, GrantEntry, GrantKeyHash> entries_;
+};
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/edge/module_timers.hpp
@@ -0,0 +1,33 @@
+// The timers that one decision module asked for, on a single timer of the scheduler. Due times are rounded up
+// so that timers of many requests share a wake-up.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "cluster/common/scheduler.hpp"
+
+namespace amberswitch::cluster {
+
+class ModuleTimers {
+public:
+    using Fired = std::function<void(std::uint64_t tag)>;
+
+    ModuleTimers(Scheduler& scheduler, Fired fired) : scheduler_(scheduler), fired_(std::move(fired)) {}
+
+    void set(std::chrono::nanoseconds delay, std::uint64_t tag);
+    void clear();
+
+private:
+    void arm();
+    void fire();
+
+    Scheduler& scheduler_;
+    Fired fired_;
+    std::multimap<SteadyTime, std::uint64_t> due_;
+    TimerHandle timer_;
+    SteadyTime armed_for_{};
+};
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/edge/partition_map.hpp
@@ -0,0 +1,52 @@
+// The newest store view as an edge uses it: who owns a partition, and which owners lately did not answer.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cluster/common/messages.hpp"
+
+namespace amberswitch::cluster {
+
+class PartitionMap {
+public:
+    explicit PartitionMap(std::string zone) : zone_(std::move(zone)) {}
+
+    // Takes a newer view; false where it is not newer than the present one.
+    bool update(std::shared_ptr<const StoreView> view);
+
+    // Of the present view; 0 before the first one.
+    Epoch epoch() const { return view_ ? view_->epoch : 0; }
+    std::size_t partitions() const { return view_ ? view_->partitions.size() : 0; }
+    // Null where no live store owns the partition.
+    const StoreMember* owner(PartitionId partition) const;
+    std::vector<const StoreMember*> aliveStores() const;
+
+    // The partition of everything with this order key on this route. Needs partitions() above 0.
+    PartitionId partitionOfKey(std::string_view route, std::string_view order_key) const;
+    // A random partition whose owner is not among `tried`: owners that answer come first, then those of this
+    // edge's zone. Nothing where there is none.
+    std::optional<PartitionId> pick(std::mt19937_64& random, SteadyTime now,
+                                    const std::set<NodeAddress>& tried) const;
+
+    // An owner that refused or broke its connection is passed over for a while.
+    void suspect(const NodeAddress& owner, SteadyTime now);
+    void trust(const NodeAddress& owner) { suspected_.erase(owner); }
+    // Whether some partition has an owner that is not suspected.
+    bool usable(SteadyTime now) const;
+
+private:
+    bool suspected(const NodeAddress& owner, SteadyTime now) const;
+
+    std::string zone_;
+    std::shared_ptr<const StoreView> view_;
+    std::map<NodeAddress, SteadyTime> suspected_;  // until when
+};
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/edge/queries.hpp
@@ -0,0 +1,54 @@
+// Answers clients who ask for the state or the body of a message, by asking the owner of its partition.
+#pragma once
+
+#include <unordered_map>
+#include <vector>
+
+#include "cluster/common/http.hpp"
+#include "cluster/common/messages.hpp"
+#include "cluster/common/scheduler.hpp"
+#include "cluster/common/transport.hpp"
+#include "cluster/edge/counters.hpp"
+#include "cluster/edge/message_ref.hpp"
+#include "cluster/edge/partition_map.hpp"
+
+namespace amberswitch::cluster {
+
+class Queries {
+public:
+    enum class Kind { state, body };
+
+    Queries(Scheduler& scheduler, Transport& transport, const PartitionMap& partitions,
+            EdgeCounters& counters);
+
+    // 200, 404 where no partition has the message, or 503 where its owner could not be asked in time.
+    void ask(Kind kind, const MessageRef& ref, HttpResponder respond);
+    std::size_t open() const { return open_.size(); }
+
+private:
+    using QueryId = std::uint64_t;
+    struct Query {
+        Kind kind = Kind::state;
+        MessageId id;
+        HttpResponder respond;
+        SteadyTime give_up_at{};
+        std::vector<PartitionId> unasked;  // partitions that have not answered
+        std::size_t awaited = 0;           // calls of this round
+        bool every_partition = false;      // a bare id
+        TimerHandle retry;
+    };
+
+    void round(QueryId id);
+    void answered(QueryId id, PartitionId partition, const CallResult& result);
+    void roundOver(QueryId id, Query& query);
+    void finish(QueryId id, HttpResponse response);
+
+    Scheduler& scheduler_;
+    Transport& transport_;
+    const PartitionMap& partitions_;
+    EdgeCounters& counters_;
+    std::unordered_map<QueryId, Query> open_;
+    QueryId last_id_ = 0;
+};
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/edge/service_dispatcher.cpp
@@ -0,0 +1,400 @@
+#include "cluster/edge/service_dispatcher.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace amberswitch::cluster {
+namespace {
+
+using heronmount::Outcome;
+using heronmount::RequestId;
+using heronmount::Standing;
+using heronmount::Worker;
+
+constexpr std::uint32_t kMostSends = 3;       // inside one grant, all but the last surely not run
+constexpr Millis kAnswerGrace{100};           // the server itself answers 504 at its Deadline-Ms
+constexpr Millis kLongestQueueing{1000};      // for a free connection, before the grant goes back
+constexpr double kConnectionShare = 0.9;      // of what a server takes; the rest is a reserve
+constexpr std::chrono::seconds kWarmUp{3};    // over which a cold server's share grows
+constexpr std::chrono::seconds kColdSpan{1};  // over which a cold server's budget is kept
+constexpr double kColdFrom = 0.3;             // share of its capacity that a server has at its start
+constexpr double kFallMultiple = 2;           // the budget is then the warming part of a fair share
+constexpr double kRebuildBeyond = 1.5;        // change of the number of dispatchers
+
+std::uint64_t hashOf(std::string_view text) {
+    return XXH64(text.data(), text.size(), 0);
+}
+
+}  // namespace
+
+ServiceDispatcher::ServiceDispatcher(Scheduler& scheduler, HttpClient& servers, EdgeCounters& counters,
+                                     std::string edge, std::string zone, Finished finished)
+    : scheduler_(scheduler),
+      http_(servers),
+      counters_(counters),
+      edge_(std::move(edge)),
+      zone_(std::move(zone)),
+      finished_(std::move(finished)),
+      timers_(scheduler, [this](std::uint64_t tag) { tell(heronmount::TimerFired{tag}); }) {
+    zoneIndex(zone_);
+}
+
+// --- Settings and servers ----------------------------------------------------------------------------------
+
+void ServiceDispatcher::setService(const Service& service, Millis schedule_target, std::uint32_t edges) {
+    service_ = service;
+    schedule_target_ = schedule_target;
+    edges_ = std::max<std::uint32_t>(1, edges);
+    const std::uint32_t attempts = service_.rate_per_s > 0 ? 1 : kMostSends;
+    const double change = static_cast<double>(edges_) / std::max<std::uint32_t>(1, module_edges_);
+    const bool resized = change > kRebuildBeyond || change < 1 / kRebuildBeyond;
+    if (!module_ || resized || attempts != module_attempts_) {
+        module_attempts_ = attempts;
+        rebuildModule();
+    }
+    if (service_.endpoint) {
+        const ServerEntry endpoint{"", service_.name, *service_.endpoint, zone_, 1, false, 0};
+        setServers({&endpoint});
+    }
+}
+
+heronmount::Settings ServiceDispatcher::moduleSettings() const {
+    heronmount::Settings settings;
+    heronmount::ClassSettings messages;
+    messages.goal = schedule_target_;
+    messages.giveUp = std::chrono::seconds(60);
+    // Attempts that may have run are told as settled, so that none is repeated inside a grant; this kind lets
+    // a server that failed come back with a single trial.
+    messages.effect = heronmount::Effect::keyed;
+    messages.group = heronmount::Group::all;
+    messages.window = messages.giveUp;
+    messages.stretch = 1;
+    settings.classes = {messages};
+    settings.fleetSize = edges_;
+    settings.me = static_cast<std::uint32_t>(hashOf(edge_) % edges_);
+    settings.maxAttempts = module_attempts_;
+    settings.weights = heronmount::Weights::nominal;
+    settings.handshakePrice = 1;  // connections are kept
+    settings.cold = kWarmUp;
+    settings.overloadFor = kColdSpan;
+    settings.coldFrom = kColdFrom;
+    settings.fallMultiple = kFallMultiple;
+    return settings;
+}
+
+void ServiceDispatcher::rebuildModule() {
+    ++module_number_;
+    module_edges_ = edges_;
+    timers_.clear();
+    const std::uint64_t seed = hashOf(edge_ + '/' + service_.name) + module_number_;
+    module_ = std::make_unique<heronmount::Dispatcher>(moduleSettings(), seed);
+    tellRoster();
+    std::vector<RequestId> waiting;
+    for (auto& [id, delivery] : deliveries_) {
+        if (delivery.told && !delivery.in_flight) waiting.push_back(id);
+    }
+    for (const RequestId id : waiting) {
+        deliveries_[id].told = false;
+        --in_module_;
+        deliveries_[id].sends = 0;
+        arrive(id);
+    }
+}
+
+heronmount::Time ServiceDispatcher::moduleTime() const {
+    return scheduler_.now().time_since_epoch();
+}
+
+int ServiceDispatcher::zoneIndex(const std::string& zone) {
+    return zones_.try_emplace(zone, static_cast<int>(zones_.size())).first->second;
+}
+
+void ServiceDispatcher::setServers(const std::vector<const ServerEntry*>& listed) {
+    bool changed = false;
+    std::vector<bool> seen(servers_.size(), false);
+    for (const ServerEntry* const entry : listed) {
+        if (service_.endpoint && !entry->uid.empty()) continue;
+        changed = updateServer(entry->uid, *entry) || changed;
+        const Worker handle = handles_[entry->uid];
+        seen.resize(servers_.size(), false);
+        seen[handle] = true;
+    }
+    for (Worker handle = 0; handle < servers_.size(); ++handle) {
+        if (seen[handle] || servers_[handle].entry.standing == Standing::off) continue;
+        servers_[handle].entry.standing = Standing::off;
+        servers_[handle].on = false;
+        changed = true;
+        http_.forget(servers_[handle].address);
+    }
+    if (!changed) return;
+    servers_on_ = static_cast<std::size_t>(
+        std::count_if(servers_.begin(), servers_.end(), [](const Server& server) { return server.on; }));
+    tellRoster();
+    if (servers_on_ == 0) handBackWaiting();
+    beginQueued();
+}
+
+bool ServiceDispatcher::updateServer(const std::string& uid, const ServerEntry& listed) {
+    const auto [at, fresh] = handles_.try_emplace(uid, static_cast<Worker>(servers_.size()));
+    if (fresh) {
+        Server& added = servers_.emplace_back();
+        added.uid = uid;
+        added.entry.worker = at->second;
+        added.entry.id = hashOf(uid);
+        if (listed.warmup_remaining_ms > 0) {
+            const Millis remaining(listed.warmup_remaining_ms);
+            added.entry.since = std::max(heronmount::Time(1), moduleTime() + remaining - kWarmUp);
+        }
+    }
+    Server& server = servers_[at->second];
+    const Standing standing = listed.draining ? Standing::draining : Standing::on;
+    const double units = std::max<std::uint32_t>(1, listed.capacity);
+    const int zone = zoneIndex(listed.zone);
+    const bool changed = fresh || server.entry.standing != standing || server.entry.units != units ||
+                         server.entry.zone != zone || server.address != listed.address;
+    server.address = listed.address;
+    server.entry.standing = standing;
+    server.entry.units = units;
+    server.entry.zone = zone;
+    server.on = standing == Standing::on;
+    return changed;
+}
+
+void ServiceDispatcher::tellRoster() {
+    if (!module_ || servers_.empty()) return;
+    heronmount::RosterUpdate update;
+    update.mode = heronmount::RosterMode::whole;
+    for (const Server& server : servers_) update.entries.push_back(server.entry);
+    tell(std::move(update));
+}
+
+std::uint32_t ServiceDispatcher::connectionsEach() const {
+    const double share = kConnectionShare * service_.max_connections / edges_;
+    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(share));
+}
+
+// --- Deliveries --------------------------------------------------------------------------------------------
+
+void ServiceDispatcher::begin(Grant grant) {
+    const RequestId id = ++last_id_;
+    Delivery& delivery = deliveries_[id];
+    delivery.grant = std::move(grant);
+    if (!hasServer()) {
+        ++counters_.no_server;
+        return finish(id, {RunOutcome::not_run, "", true});
+    }
+    if (queued_.empty() && room()) return arrive(id);
+    delivery.queued_until = scheduler_.now() + kLongestQueueing;
+    queued_.push_back(id);
+    beginQueued();
+}
+
+bool ServiceDispatcher::room() const {
+    return in_module_ < std::size_t{connectionsEach()} * servers_on_;
+}
+
+void ServiceDispatcher::arrive(RequestId id) {
+    Delivery& delivery = deliveries_[id];
+    delivery.told = true;
+    ++in_module_;
+    heronmount::RequestArrived arrival;
+    arrival.id = id;
+    arrival.timeLeft = Millis(std::max<std::int64_t>(1, delivery.grant.timeout_ms));
+    tell(arrival);
+}
+
+void ServiceDispatcher::beginQueued() {
+    while (!queued_.empty() && room()) {
+        const RequestId id = queued_.front();
+        queued_.pop_front();
+        arrive(id);
+    }
+    while (!queued_.empty() && deliveries_[queued_.front()].queued_until <= scheduler_.now()) {
+        const RequestId id = queued_.front();
+        queued_.pop_front();
+        ++counters_.no_free_connection;
+        finish(id, {RunOutcome::not_run, "", false});
+    }
+    if (queued_.empty()) return queue_timer_.reset();
+    const auto wait = std::chrono::ceil<Millis>(deliveries_[queued_.front()].queued_until - scheduler_.now());
+    queue_timer_ = scheduler_.after(wait, [this] { beginQueued(); });
+}
+
+void ServiceDispatcher::handBackWaiting() {
+    const DeliveryResult result{RunOutcome::not_run, "", !hasServer()};
+    std::vector<RequestId> waiting;
+    for (const auto& [id, delivery] : deliveries_) {
+        if (!delivery.in_flight) waiting.push_back(id);
+    }
+    queued_.clear();
+    queue_timer_.reset();
+    for (const RequestId id : waiting) {
+        if (deliveries_[id].told) tell(heronmount::ClientLeft{id});
+        finish(id, result);
+    }
+}
+
+// --- The module --------------------------------------------------------------------------------------------
+
+void ServiceDispatcher::tell(heronmount::Event event) {
+    inbox_.push_back(std::move(event));
+    if (turning_) return;
+    turning_ = true;
+    while (!inbox_.empty()) {
+        const heronmount::Event next = std::move(inbox_.front());
+        inbox_.pop_front();
+        actions_.clear();
+        module_->on(moduleTime(), next, actions_);
+        const std::vector<heronmount::Action> actions = std::exchange(actions_, {});
+        for (const heronmount::Action& action : actions) carryOut(action);
+    }
+    turning_ = false;
+}
+
+void ServiceDispatcher::carryOut(const heronmount::Action& action) {
+    if (const auto* const wanted = std::get_if<heronmount::Send>(&action)) return send(*wanted);
+    if (const auto* const refuse = std::get_if<heronmount::Refuse>(&action)) return givenUp(refuse->id);
+    if (const auto* const fail = std::get_if<heronmount::Fail>(&action)) return givenUp(fail->id);
+    if (const auto* const timer = std::get_if<heronmount::SetTimer>(&action)) {
+        return timers_.set(timer->delay, timer->tag);
+    }
+    if (const auto* const idle = std::get_if<heronmount::CloseIdle>(&action)) {
+        http_.forget(servers_[idle->worker].address);
+    }
+}
+
+void ServiceDispatcher::send(const heronmount::Send& action) {
+    const auto found = deliveries_.find(action.id);
+    if (found == deliveries_.end()) return;
+    Delivery& delivery = found->second;
+    const std::uint32_t attempt = delivery.sends++;
+    const Server& server = servers_[action.worker];
+    if (server.on && server.in_flight < connectionsEach()) return post(action.id, delivery, action.worker);
+    if (server.on) ++counters_.no_free_connection;
+    delivery.all_unreachable = false;  // nothing was tried
+    heronmount::AttemptEnded ended;
+    ended.id = action.id;
+    ended.attempt = attempt;
+    ended.outcome = Outcome::moot;
+    tell(ended);
+}
+
+void ServiceDispatcher::post(RequestId id, Delivery& delivery, Worker worker) {
+    Server& server = servers_[worker];
+    ++server.in_flight;
+    ++counters_.sends;
+    delivery.in_flight = true;
+    delivery.sent_at = scheduler_.now();
+    HttpCall call;
+    call.to = server.address;
+    call.request = requestFor(delivery.grant, server.uid);
+    call.timeout = Millis(delivery.grant.timeout_ms) + kAnswerGrace;
+    call.max_connections = connectionsEach();
+    const std::uint32_t attempt = delivery.sends - 1;
+    http_.send(std::move(call),
+               [this, id, worker, number = module_number_, attempt](const HttpOutcome& outcome) {
+                   answered(id, worker, number, attempt, outcome);
+               });
+}
+
+HttpRequest ServiceDispatcher::requestFor(const Grant& grant, const std::string& uid) const {
+    const MessageContent& content = grant.content;
+    HttpRequest request;
+    request.method = content.method;
+    request.target = content.target;
+    request.body = content.body;
+    request.headers = {{"Host", content.host}, {"Request-Id", content.id}};
+    if (!content.content_type.empty()) request.headers.push_back({"Content-Type", content.content_type});
+    if (!content.order_key.empty()) request.headers.push_back({"Order-Key", content.order_key});
+    request.headers.push_back({"Deadline-Ms", std::to_string(grant.timeout_ms)});
+    if (!uid.empty()) request.headers.push_back({"Expect-Instance", uid});
+    return request;
+}
+
+void ServiceDispatcher::answered(RequestId id, Worker worker, std::uint64_t module_number,
+                                 std::uint32_t attempt, const HttpOutcome& outcome) {
+    --servers_[worker].in_flight;
+    const auto found = deliveries_.find(id);
+    if (found == deliveries_.end()) return beginQueued();
+    Delivery& delivery = found->second;
+    delivery.in_flight = false;
+    const DeliveryAnswer answer = judgeAnswer(outcome, service_.rate_per_s > 0);
+    count(outcome, answer);
+    delivery.all_unreachable = delivery.all_unreachable && answer.unreachable;
+    const DeliveryResult result{answer.outcome, answer.stamp, delivery.all_unreachable};
+    const bool goes_on = answer.try_elsewhere && !delivery.given_up && module_number == module_number_;
+    if (module_number == module_number_) {
+        heronmount::AttemptEnded ended;
+        ended.id = id;
+        ended.attempt = attempt;
+        ended.outcome = answer.about_server;
+        ended.took = scheduler_.now() - delivery.sent_at;
+        ended.settled = !goes_on;
+        tell(ended);
+    }
+    if (!goes_on) finish(id, result);
+    beginQueued();
+}
+
+// The module sends it nowhere any more.
+void ServiceDispatcher::givenUp(RequestId id) {
+    const auto found = deliveries_.find(id);
+    if (found == deliveries_.end()) return;
+    Delivery& delivery = found->second;
+    if (delivery.in_flight) {
+        delivery.given_up = true;
+        return;
+    }
+    const bool down = delivery.sends > 0 && delivery.all_unreachable;
+    finish(id, {RunOutcome::not_run, "", down});
+}
+
+void ServiceDispatcher::finish(RequestId id, DeliveryResult result) {
+    const auto found = deliveries_.find(id);
+    if (found == deliveries_.end()) return;
+    Grant grant = std::move(found->second.grant);
+    if (found->second.told) --in_module_;
+    deliveries_.erase(found);
+    count(result.outcome);
+    finished_(std::move(grant), std::move(result));
+}
+
+// --- Counters ----------------------------------------------------------------------------------------------
+
+void ServiceDispatcher::count(const HttpOutcome& outcome, const DeliveryAnswer& answer) {
+    if (outcome.verdict == Verdict::answered) {
+        if (outcome.response.status == 421) ++counters_.wrong_instance;
+        if (!answer.may_have_run) ++counters_.answered_not_executed;
+    } else if (outcome.verdict == Verdict::not_executed) {
+        ++(outcome.unreachable ? counters_.unreachable : counters_.no_free_connection);
+    } else {
+        ++(outcome.timed_out ? counters_.timed_out : counters_.broken_off);
+    }
+}
+
+void ServiceDispatcher::count(RunOutcome outcome) {
+    switch (outcome) {
+        case RunOutcome::completed:
+            ++counters_.completed;
+            return;
+        case RunOutcome::rejected:
+            ++counters_.rejected;
+            return;
+        case RunOutcome::failed:
+            ++counters_.failed;
+            return;
+        case RunOutcome::not_run:
+            ++counters_.not_run;
+            return;
+        case RunOutcome::unknown:
+            ++counters_.unknown;
+            return;
+        case RunOutcome::callback_taken:
+        case RunOutcome::callback_failed:
+            return;
+    }
+}
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/tests/cluster/edge_accept_test.cpp
@@ -0,0 +1,371 @@
+// What clients are answered: accepts, refusals and questions about messages.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <set>
+
+#include "cluster/edge/message_ref.hpp"
+#include "tests/cluster/edge_world.hpp"
+
+using namespace amberswitch::cluster;
+using namespace amberswitch::cluster::edge_test;
+
+TEST_CASE("a stored message gets 202 with a reference that finds it again") {
+    EdgeWorld world;
+    world.feed();
+    const auto response = world.ask(world.request("/plain/x", "id-1"));
+    REQUIRE(response);
+    CHECK(response->status == 202);
+    const MessageRef ref = parseMessageRef(headerValue(response->headers, "Message-Ref"));
+    CHECK(ref.id == "id-1");
+    REQUIRE(ref.partition);
+    REQUIRE(world.acceptsAsked() == 1);
+    CHECK(world.stores[*ref.partition % 3]->accepts.at(0).partition == *ref.partition);
+}
+
+TEST_CASE("references are unambiguous and at most 64 characters long") {
+    CHECK(formatMessageRef(3, "x6162") == "p3-x6162");
+    CHECK(formatMessageRef(3, "a b") == "p3.612062");
+    CHECK(parseMessageRef("p3.612062").id == "a b");
+    CHECK(parseMessageRef("p3.612062").partition == 3);
+    CHECK(parseMessageRef("p12-p3-x").id == "p3-x");
+    CHECK_FALSE(parseMessageRef("9c41d07be2a35f68").partition);
+    CHECK_FALSE(parseMessageRef("p").partition);
+    CHECK_FALSE(parseMessageRef("p3.zz").partition);
+    CHECK_FALSE(formatMessageRef(3, std::string(62, 'a')));
+    CHECK(formatMessageRef(3, std::string(61, 'a'))->size() == 64);
+}
+
+TEST_CASE("what is no message of a route is refused by its fault") {
+    EdgeWorld world;
+    CHECK(world.statusOf(world.request("/plain/x", "early")) == 503);
+    world.feed();
+    CHECK(world.statusOf(world.request("/nowhere/x", "id")) == 404);
+    HttpRequest other_host = world.request("/plain/x", "id");
+    other_host.headers[0].value = "other.example";
+    CHECK(world.statusOf(other_host) == 404);
+    HttpRequest unnamed = world.request("/plain/x", "id");
+    unnamed.headers.pop_back();
+    CHECK(world.statusOf(unnamed) == 400);
+    CHECK(world.statusOf(world.request("/plain/x", "id", {{"Delay-Ms", "soon"}})) == 400);
+    CHECK(world.statusOf(world.request("/plain/x", "id", {{"Delay-Ms", "-5"}})) == 400);
+    CHECK(world.statusOf(world.request("/plain/x", "id", {{"Callback-Url", "ftp://x"}})) == 400);
+    CHECK(world.statusOf(world.request("/plain/x", std::string(80, 'a'))) == 400);
+    CHECK(world.acceptsAsked() == 0);
+}
+
+TEST_CASE("the message reaches the owner exactly as it came, with its route's terms") {
+    EdgeWorld world;
+    world.feed();
+    const HttpHeaders more = {
+        {"Content-Type", "text/x"}, {"Delay-Ms", "1500"}, {"Callback-Url", "http://10.20.0.4:8080/done"}};
+    CHECK(world.statusOf(world.request("/plain/x?a=b%20c", "id-1", more)) == 202);
+    const AcceptMessageRequest* asked = nullptr;
+    for (const auto& store : world.stores) {
+        if (!store->accepts.empty()) asked = &store->accepts[0];
+    }
+    REQUIRE(asked);
+    CHECK(asked->content.method == "POST");
+    CHECK(asked->content.target == "/plain/x?a=b%20c");
+    CHECK(asked->content.host == "host.example");
+    CHECK(asked->content.body == "the body");
+    CHECK(asked->content.content_type == "text/x");
+    CHECK(asked->content.callback_url == "http://10.20.0.4:8080/done");
+    CHECK(asked->content.delay_ms == 1500);
+    CHECK(asked->content.service == "desk");
+    CHECK(asked->content.config_generation == 1);
+    CHECK(asked->retention_ms == 90'000);
+    CHECK(asked->max_failures == 3);
+    CHECK(asked->timeout_ms == 2000);
+    CHECK_FALSE(asked->wants_grant);  // it is not due yet
+    CHECK(asked->epoch == 1);
+}
+
+TEST_CASE("unordered messages go to owners in the own zone, ordered ones by their key") {
+    EdgeWorld world;
+    world.feed();
+    for (int i = 0; i < 20; ++i) {
+        CHECK(world.statusOf(world.request("/plain/x", "u" + std::to_string(i))) == 202);
+    }
+    CHECK(world.stores[0]->accepts.size() == 20);
+    std::set<PartitionId> partitions;
+    for (const auto& asked : world.stores[0]->accepts) partitions.insert(asked.partition);
+    CHECK(partitions.size() > 1);
+
+    const std::size_t before = world.acceptsAsked();
+    std::set<PartitionId> of_key;
+    std::set<PartitionId> of_keys;
+    for (int i = 0; i < 30; ++i) {
+        const std::string key = "cab-" + std::to_string(i);
+        for (int again = 0; again < 2; ++again) {
+            const auto response = world.ask(
+                world.request("/ordered/x", key + "." + std::to_string(again), {{"Order-Key", key}}));
+            const auto ref = parseMessageRef(headerValue(response->headers, "Message-Ref"));
+            of_keys.insert(*ref.partition);
+            if (i == 0) of_key.insert(*ref.partition);
+        }
+    }
+    CHECK(of_key.size() == 1);
+    CHECK(of_keys.size() > 4);
+    CHECK(world.acceptsAsked() == before + 60);
+}
+
+TEST_CASE("an ordered route without a key takes messages as unordered") {
+    EdgeWorld world;
+    world.feed();
+    CHECK(world.statusOf(world.request("/ordered/x", "id-1")) == 202);
+    REQUIRE(world.stores[0]->accepts.size() == 1);
+    CHECK_FALSE(world.stores[0]->accepts[0].content.ordered);
+}
+
+TEST_CASE("an unordered message that is surely nowhere goes to other owners, each once") {
+    EdgeWorld world;
+    world.feed();
+    SUBCASE("refused") {
+        world.stores[0]->accept_reply = {AcceptStatus::refused, false, 0, 0};
+    }
+    SUBCASE("not the owner") {
+        world.stores[0]->accept_reply = {AcceptStatus::not_owner, false, 0, 0};
+    }
+    SUBCASE("connection refused") {
+        world.stores[0]->die();
+    }
+    CHECK(world.statusOf(world.request("/plain/x", "id-1"), Millis(60)) == 202);
+    CHECK(world.stores[1]->accepts.size() + world.stores[2]->accepts.size() == 1);
+}
+
+TEST_CASE("where all owners refuse, the client gets 503 at once with a time to come back") {
+    EdgeWorld world;
+    world.feed();
+    world.replyToAccepts({AcceptStatus::refused, false, 0, 0});
+    const auto response = world.ask(world.request("/plain/x", "id-1"), Millis(60));
+    REQUIRE(response);
+    CHECK(response->status == 503);
+    CHECK_FALSE(headerValue(response->headers, "Retry-After").empty());
+    for (const auto& store : world.stores) CHECK(store->accepts.size() == 1);
+}
+
+TEST_CASE("an ordered message waits shortly for another owner, then gets 503") {
+    EdgeWorld world;
+    world.feed();
+    world.replyToAccepts({AcceptStatus::not_owner, false, 0, 0});
+    const HttpRequest request = world.request("/ordered/x", "id-1", {{"Order-Key", "k"}});
+    const SteadyTime start = world.world.now();
+    CHECK(world.statusOf(request) == 503);
+    CHECK(world.world.now() - start <= Millis(30 + 10 + 2));
+    CHECK(world.acceptsAsked() == 1);
+}
+
+TEST_CASE("an ordered message goes to the new owner that a newer view names") {
+    EdgeWorld world;
+    world.feed();
+    for (auto& store : world.stores) store->die();
+    for (int i = 0; i < 3; ++i) {
+        world.stores[static_cast<std::size_t>(i)] = std::make_unique<FakeStore>(
+            world.world, world.network, NodeAddress{"10.3.0." + std::to_string(i + 1), 7782});
+    }
+    std::optional<HttpResponse> response;
+    world.edge->handleFront(world.request("/ordered/x", "id-1", {{"Order-Key", "k"}}),
+                            [&](HttpResponse given) { response = std::move(given); });
+    world.world.run(Millis(8));
+    CHECK_FALSE(response);
+    world.edge->onView(world.view(2));
+    world.world.run(Millis(40));
+    REQUIRE(response);
+    CHECK(response->status == 202);
+}
+
+TEST_CASE("what may be stored without a clear answer gets 504, never 503") {
+    EdgeWorld world;
+    world.feed();
+    SUBCASE("the owner does not know") {
+        world.replyToAccepts({AcceptStatus::unknown, false, 0, 0});
+        CHECK(world.statusOf(world.request("/plain/x", "id-1")) == 504);
+        CHECK(world.acceptsAsked() == 1);
+    }
+    SUBCASE("silence, until the client's deadline") {
+        for (auto& store : world.stores) store->answers_accepts = false;
+        const SteadyTime start = world.world.now();
+        CHECK(world.statusOf(world.request("/plain/x", "id-1", {{"Deadline-Ms", "300"}})) == 504);
+        CHECK(world.world.now() - start == Millis(300));
+        CHECK(world.acceptsAsked() == 1);
+    }
+    SUBCASE("silence for a second") {
+        for (auto& store : world.stores) store->answers_accepts = false;
+        const SteadyTime start = world.world.now();
+        CHECK(world.statusOf(world.request("/ordered/x", "id-1", {{"Order-Key", "k"}})) == 504);
+        CHECK(world.world.now() - start == Millis(1000));
+    }
+}
+
+namespace {
+
+// Breaks the first call instead of carrying it, as a connection that ends under a request does.
+class BreakingTransport : public Transport {
+public:
+    BreakingTransport(World& world, Transport& below) : world_(world), below_(below) {}
+    int breaks = 0;
+    void serve(RequestHandler handler) override { below_.serve(std::move(handler)); }
+    void call(const NodeAddress& to, Envelope request, Millis timeout,
+              std::function<void(CallResult)> done) override {
+        const bool accept = request.kind == static_cast<std::uint16_t>(MessageKind::accept_message);
+        if (!accept || breaks == 0) return below_.call(to, std::move(request), timeout, std::move(done));
+        --breaks;
+        world_.at(world_.now() + Millis(2), [done] { done({Verdict::unknown, {}}); });
+    }
+
+private:
+    World& world_;
+    Transport& below_;
+};
+
+struct BreakingEdge {
+    EdgeWorld world;
+    BreakingTransport breaking{world.world, *world.transport};
+    EdgeNode edge{world.scheduler, breaking, world.http, edgeSettings(), Incarnation{9}};
+
+    BreakingEdge() {
+        edge.start();
+        edge.onView(world.view(1));
+        edge.onConfiguration(edge_test::configuration());
+    }
+    int statusOf(const HttpRequest& request) {
+        int status = 0;
+        edge.handleFront(request, [&](const HttpResponse& response) { status = response.status; });
+        world.world.run(Millis(1100));
+        return status;
+    }
+};
+
+}  // namespace
+
+TEST_CASE("after a broken connection an unordered message goes to another owner under the same id") {
+    BreakingEdge play;
+    play.breaking.breaks = 1;
+    CHECK(play.statusOf(play.world.request("/plain/x", "id-1")) == 202);
+    CHECK(play.world.acceptsAsked() == 1);
+}
+
+TEST_CASE("a refusal after a broken connection is no promise: 504") {
+    BreakingEdge play;
+    play.breaking.breaks = 1;
+    play.world.replyToAccepts({AcceptStatus::refused, false, 0, 0});
+    CHECK(play.statusOf(play.world.request("/plain/x", "id-1")) == 504);
+}
+
+TEST_CASE("an ordered message whose owner's connection broke gets 504") {
+    BreakingEdge play;
+    play.breaking.breaks = 1;
+    CHECK(play.statusOf(play.world.request("/ordered/x", "id-1", {{"Order-Key", "k"}})) == 504);
+    CHECK(play.world.acceptsAsked() == 0);
+}
+
+TEST_CASE("more open accepts than the bound are turned away at once") {
+    EdgeWorld world;
+    world.feed();
+    for (auto& store : world.stores) store->answers_accepts = false;
+    int open = 0;
+    std::vector<int> statuses;
+    for (int i = 0; i < 410; ++i) {
+        ++open;
+        world.edge->handleFront(world.request("/plain/x", "id-" + std::to_string(i)),
+                                [&](const HttpResponse& response) { statuses.push_back(response.status); });
+    }
+    CHECK(statuses.size() == 10);
+    for (const int status : statuses) CHECK(status == 503);
+}
+
+TEST_CASE("the state of a message comes from its owner") {
+    EdgeWorld world;
+    world.feed();
+    HttpRequest ask = world.request("/message/p4-id-1", "q");
+    ask.method = "GET";
+    SUBCASE("pending") {
+        const auto response = world.ask(ask);
+        CHECK(response->status == 200);
+        CHECK(response->body == R"({"phase":"pending"})");
+        REQUIRE(world.stores[1]->queries.size() == 1);
+        CHECK(world.stores[1]->queries[0].partition == 4);
+        CHECK(world.stores[1]->queries[0].id == "id-1");
+    }
+    SUBCASE("completed") {
+        world.stores[1]->state_reply = {QueryStatus::found, Phase::completed, "3e1b.07", ""};
+        const auto response = world.ask(ask);
+        CHECK(response->body == R"({"phase":"completed","stamp":"3e1b.07"})");
+        CHECK(headerValue(response->headers, "Content-Type") == "application/json");
+    }
+    SUBCASE("dead letter") {
+        world.stores[1]->state_reply = {QueryStatus::found, Phase::dead_letter, "", ""};
+        CHECK(world.ask(ask)->body == R"({"phase":"dead_letter"})");
+    }
+    SUBCASE("unknown to its owner") {
+        world.stores[1]->state_reply.status = QueryStatus::not_found;
+        CHECK(world.statusOf(ask) == 404);
+    }
+    SUBCASE("body") {
+        ask.target = "/message-body/p4-id-1";
+        CHECK(world.ask(ask)->body == "body");
+    }
+}
+
+TEST_CASE("a question waits for a new owner, and is given up before the asker leaves") {
+    EdgeWorld world;
+    world.feed();
+    world.stores[1]->state_reply.status = QueryStatus::not_owner;
+    HttpRequest ask = world.request("/message/p4-id-1", "q");
+    ask.method = "GET";
+    SUBCASE("a newer view") {
+        std::optional<HttpResponse> response;
+        world.edge->handleFront(ask, [&](HttpResponse given) { response = std::move(given); });
+        world.world.run(Millis(350));
+        CHECK_FALSE(response);
+        world.edge->onView(world.viewWithout(2, 1));
+        world.world.run(Millis(150));
+        REQUIRE(response);
+        CHECK(response->status == 200);
+    }
+    SUBCASE("none comes") {
+        const SteadyTime start = world.world.now();
+        CHECK(world.statusOf(ask) == 503);
+        CHECK(world.world.now() - start <= Millis(1700));
+    }
+}
+
+TEST_CASE("a bare id is asked for at every partition") {
+    EdgeWorld world;
+    world.feed();
+    HttpRequest ask = world.request("/message/9c41d07b", "q");
+    ask.method = "GET";
+    for (auto& store : world.stores) store->state_reply.status = QueryStatus::not_found;
+    CHECK(world.statusOf(ask) == 404);
+    std::size_t queries = 0;
+    for (auto& store : world.stores) queries += store->queries.size();
+    CHECK(queries == 12);
+    world.stores[2]->state_reply = {QueryStatus::found, Phase::completed, "s", ""};
+    CHECK(world.statusOf(ask) == 200);
+}
+
+TEST_CASE("readiness needs a configuration, servers and a usable owner") {
+    EdgeWorld world;
+    const auto status = [&] {
+        int given = 0;
+        HttpRequest ask = world.request("/ready", "");
+        world.edge->handleReadiness(ask, [&](const HttpResponse& response) { given = response.status; });
+        return given;
+    };
+    CHECK(status() == 503);
+    world.edge->onView(world.view(1));
+    world.edge->onConfiguration(edge_test::configuration());
+    CHECK(status() == 503);
+    world.list(world.servers);
+    CHECK(status() == 200);
+    for (auto& store : world.stores) store->die();
+    CHECK(world.statusOf(world.request("/plain/x", "id-1")) == 503);
+    CHECK(status() == 503);
+    world.world.run(Millis(600));  // time to look again
+    CHECK(status() == 200);
+    std::string counters;
+    world.edge->handleReadiness(world.request("/counters", ""),
+                                [&](const HttpResponse& response) { counters = response.body; });
+    CHECK(counters.find("unavailable 1\n") != std::string::npos);
+}
