--- /dev/null
+++ b/tests/cluster/edge_callback_test.cpp
@@ -0,0 +1,244 @@
+// Call-backs of ended messages, and the planned end of an edge.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "tests/cluster/edge_world.hpp"
+
+using namespace amberswitch::cluster;
+using namespace amberswitch::cluster::edge_test;
+
+namespace {
+
+const NodeAddress kReceiver{"10.20.0.4", 8080};
+const NodeAddress kOtherReceiver{"10.20.0.5", 8080};
+
+Grant withCallback(const EdgeWorld& world, const std::string& id, const NodeAddress& receiver = kReceiver) {
+    Grant grant = world.grant(id);
+    grant.content.callback_url = "http://" + receiver.text() + "/done?x=1";
+    return grant;
+}
+Grant callbackGrant(const EdgeWorld& world, const std::string& id, const NodeAddress& receiver = kReceiver) {
+    Grant grant = withCallback(world, id, receiver);
+    grant.callback = true;
+    grant.phase = Phase::dead_letter;
+    return grant;
+}
+bool toReceiver(const HttpCall& call) {
+    return call.to == kReceiver || call.to == kOtherReceiver;
+}
+
+}  // namespace
+
+TEST_CASE("a success is called back with its stamp, after the owner was told") {
+    EdgeWorld world;
+    world.feed();
+    world.http.play = [](const HttpCall& call) { return toReceiver(call) ? answer(200) : success("st\"1"); };
+    world.push(0, {withCallback(world, "id-1")});
+    world.world.run(Millis(300));
+    REQUIRE(world.http.sent.size() == 2);
+    const HttpCall& call = world.http.sent[1].call;
+    CHECK(call.to == kReceiver);
+    CHECK(call.request.method == "POST");
+    CHECK(call.request.target == "/done?x=1");
+    CHECK(headerValue(call.request.headers, "Content-Type") == "application/json");
+    CHECK(call.request.body == R"({"uid":"id-1","phase":"completed","stamp":"st\"1"})");
+    const auto results = world.stores[0]->results;
+    REQUIRE(results.size() == 2);
+    CHECK(results[0].outcome == RunOutcome::completed);
+    CHECK(results[0].callback_started);
+    CHECK(results[1].outcome == RunOutcome::callback_taken);
+    CHECK(world.edge->countersText().find("grants_held 0\n") != std::string::npos);
+}
+
+TEST_CASE("a rejected message is called back as a dead letter; a failed one is the owner's to end") {
+    EdgeWorld world;
+    world.feed();
+    int status = 422;
+    world.http.play = [&](const HttpCall& call) { return toReceiver(call) ? answer(400) : answer(status); };
+    world.push(0, {withCallback(world, "id-1")});
+    world.world.run(Millis(300));
+    REQUIRE(world.http.sent.size() == 2);
+    CHECK(world.http.sent[1].call.request.body == R"({"uid":"id-1","phase":"dead_letter"})");
+    CHECK(world.stores[0]->results.back().outcome == RunOutcome::callback_taken);
+    status = 500;
+    world.push(0, {withCallback(world, "id-2")});
+    world.world.run(Millis(300));
+    CHECK(world.http.sent.size() == 3);
+    CHECK_FALSE(world.stores[0]->results.back().callback_started);
+}
+
+TEST_CASE("the owner hears of the end before it hears of the call-back") {
+    EdgeWorld world;
+    world.feed();
+    world.stores[0]->takes_reports = false;
+    world.push(0, {withCallback(world, "id-1")});
+    world.http.play = [](const HttpCall&) { return answer(200, {{"Response-Stamp", "s"}}); };
+    world.world.run(Millis(1000));
+    CHECK(world.http.sentTo(kReceiver) == 1);
+    for (const RunResult& result : world.stores[0]->refused) CHECK(result.outcome == RunOutcome::completed);
+    REQUIRE_FALSE(world.stores[0]->syncs.back().running.empty());
+    CHECK_FALSE(world.stores[0]->syncs.back().running[0].callback);
+    world.stores[0]->takes_reports = true;
+    world.world.run(Millis(300));
+    REQUIRE(world.stores[0]->results.size() == 2);
+    CHECK(world.stores[0]->results[0].outcome == RunOutcome::completed);
+    CHECK(world.stores[0]->results[1].outcome == RunOutcome::callback_taken);
+    CHECK(world.http.sentTo(kReceiver) == 1);
+}
+
+TEST_CASE("a granted call-back is delivered and not the message") {
+    EdgeWorld world;
+    world.feed();
+    world.http.play = [](const HttpCall&) { return answer(200); };
+    CHECK(world.push(0, {callbackGrant(world, "id-1")}) == std::vector<bool>{true});
+    world.world.run(Millis(300));
+    REQUIRE(world.http.sent.size() == 1);
+    CHECK(world.http.sent[0].call.to == kReceiver);
+    REQUIRE(world.stores[0]->results.size() == 1);
+    CHECK(world.stores[0]->results[0].outcome == RunOutcome::callback_taken);
+}
+
+TEST_CASE("a receiver that fails is asked again with growing pauses, then the owner decides") {
+    EdgeWorld world;
+    world.feed();
+    SUBCASE("it answers 503") {
+        world.http.play = [](const HttpCall&) { return answer(503); };
+    }
+    SUBCASE("it is down") {
+        world.http.play = [](const HttpCall&) { return unreachable(); };
+    }
+    SUBCASE("it breaks off") {
+        world.http.play = [](const HttpCall&) { return brokenOff(); };
+    }
+    world.push(0, {callbackGrant(world, "id-1")});
+    world.world.run(Millis(7000));
+    CHECK(world.stores[0]->results.empty());
+    world.world.run(Millis(2000));
+    REQUIRE(world.stores[0]->results.size() == 1);
+    CHECK(world.stores[0]->results[0].outcome == RunOutcome::callback_failed);
+    CHECK(world.http.sent.size() >= 6);
+    CHECK(world.http.sent.size() <= 16);
+    world.world.run(Millis(10'000));
+    CHECK(world.stores[0]->results.size() == 1);
+}
+
+TEST_CASE("a receiver that is down holds up no other and is not stormed") {
+    EdgeWorld world;
+    world.feed();
+    world.http.play = [](const HttpCall& call) { return call.to == kReceiver ? unreachable() : answer(200); };
+    std::vector<Grant> grants;
+    for (int i = 0; i < 50; ++i) {
+        grants.push_back(callbackGrant(world, "down-" + std::to_string(i)));
+        grants.push_back(callbackGrant(world, "up-" + std::to_string(i), kOtherReceiver));
+    }
+    world.push(0, grants);
+    world.world.run(Millis(1000));
+    CHECK(world.stores[0]->results.size() == 50);
+    CHECK(world.http.sentTo(kReceiver) <= 20);
+    // It comes back: everything reaches it.
+    world.http.play = [](const HttpCall&) { return answer(200); };
+    world.world.run(Millis(4000));
+    CHECK(world.stores[0]->results.size() == 100);
+}
+
+TEST_CASE("a receiver gets few connections, fewer where there are many edges") {
+    EdgeWorld world;
+    world.feed();
+    std::size_t most = 8;
+    SUBCASE("few edges") {}
+    SUBCASE("many edges") {
+        world.edge->setEdgeCount(20);
+        most = 3;
+    }
+    std::vector<Grant> grants;
+    for (int i = 0; i < 60; ++i) grants.push_back(callbackGrant(world, "id-" + std::to_string(i)));
+    world.http.play = [](const HttpCall&) { return answer(200); };
+    world.push(0, grants);
+    world.world.run(Millis(2000));
+    CHECK(world.http.most_open == most);
+    CHECK(world.stores[0]->results.size() == 60);
+}
+
+TEST_CASE("leaving: not ready, no new grants, what runs ends and is reported") {
+    EdgeWorld world;
+    world.feed();
+    world.http.play = [](const HttpCall&) { return std::nullopt; };
+    world.push(0, {withCallback(world, "id-1")});
+    bool left = false;
+    world.edge->leave([&] { left = true; });
+    CHECK_FALSE(world.edge->ready());
+    world.world.run(Millis(20));
+    for (const auto& store : world.stores) CHECK(store->syncs.back().leaving);
+    CHECK(world.push(0, {world.grant("id-2")}) == std::vector<bool>{false});
+    // A client on an open connection is still served, asked to go, and its message runs elsewhere.
+    const auto response = world.ask(world.request("/plain/x", "id-3"));
+    REQUIRE(response);
+    CHECK(response->status == 202);
+    CHECK(response->close);
+    CHECK_FALSE(world.stores[0]->accepts.at(0).wants_grant);
+    CHECK_FALSE(left);
+    world.http.release(success("s"));
+    world.world.run(Millis(200));
+    CHECK(left);
+    REQUIRE(world.stores[0]->results.size() >= 1);
+    CHECK(world.stores[0]->results[0].outcome == RunOutcome::completed);
+    CHECK_FALSE(world.stores[0]->results[0].callback_started);
+}
+
+TEST_CASE("leaving: what has not begun goes back at once") {
+    EdgeWorld world;
+    world.feed();
+    world.edge->setEdgeCount(4);
+    world.http.play = [](const HttpCall&) { return std::nullopt; };
+    Grant first = world.grant("id-1");
+    first.content.service = "partner";
+    Grant second = world.grant("id-2");
+    second.content.service = "partner";
+    world.push(0, {first, second});
+    world.edge->leave([] {});
+    world.world.run(Millis(20));
+    REQUIRE(world.stores[0]->results.size() == 1);
+    CHECK(world.stores[0]->results[0].id == "id-2");
+    CHECK(world.stores[0]->results[0].outcome == RunOutcome::not_run);
+}
+
+TEST_CASE("leaving: call-backs that wait go back, one on its way may still be taken") {
+    EdgeWorld world;
+    world.feed();
+    world.http.play = [](const HttpCall&) { return std::nullopt; };
+    std::vector<Grant> grants;
+    for (int i = 0; i < 10; ++i) grants.push_back(callbackGrant(world, "id-" + std::to_string(i)));
+    world.push(0, grants);
+    CHECK(world.http.held() == 8);
+    bool left = false;
+    world.edge->leave([&] { left = true; });
+    world.world.run(Millis(20));
+    CHECK(world.stores[0]->results.size() == 2);
+    for (int i = 0; i < 7; ++i) world.http.release(answer(200));
+    world.http.release(unreachable());
+    world.world.run(Millis(200));
+    CHECK(left);
+    CHECK(world.stores[0]->results.size() == 10);
+    CHECK(world.stores[0]->results.back().outcome == RunOutcome::callback_failed);
+}
+
+TEST_CASE("leaving ends a second before the grace is over at the latest") {
+    EdgeWorld world;
+    world.feed();
+    world.http.play = [](const HttpCall&) { return std::nullopt; };
+    world.push(0, {world.grant("id-1")});
+    bool left = false;
+    world.edge->leave([&] { left = true; });
+    world.world.run(Millis(4900));
+    CHECK_FALSE(left);
+    world.world.run(Millis(150));
+    CHECK(left);
+}
+
+TEST_CASE("leaving with nothing open is over at once") {
+    EdgeWorld world;
+    world.feed();
+    bool left = false;
+    world.edge->leave([&] { left = true; });
+    CHECK(left);
+}
--- /dev/null
+++ b/tests/cluster/edge_delivery_test.cpp
@@ -0,0 +1,474 @@
+// Deliveries of granted messages: what servers get, what owners are told, and what is never sent twice.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <map>
+
+#include "tests/cluster/edge_world.hpp"
+
+using namespace amberswitch::cluster;
+using namespace amberswitch::cluster::edge_test;
+
+namespace {
+
+std::string header(const HttpCall& call, const std::string& name) {
+    return std::string(headerValue(call.request.headers, name));
+}
+
+}  // namespace
+
+TEST_CASE("a message runs where it was accepted, exactly as it arrived, and its success is reported") {
+    EdgeWorld world;
+    world.feed();
+    const HttpHeaders more = {{"Content-Type", "text/x"}, {"Order-Key", "cab-1"}};
+    HttpRequest request = world.request("/ordered/x?a=b%20c", "id-1", more);
+    request.method = "PUT";
+    CHECK(world.statusOf(request) == 202);
+    world.world.run(Millis(100));
+    REQUIRE(world.http.sent.size() == 1);
+    const HttpCall& call = world.http.sent[0].call;
+    CHECK(call.request.method == "PUT");
+    CHECK(call.request.target == "/ordered/x?a=b%20c");
+    CHECK(call.request.body == "the body");
+    CHECK(header(call, "Host") == "host.example");
+    CHECK(header(call, "Request-Id") == "id-1");
+    CHECK(header(call, "Order-Key") == "cab-1");
+    CHECK(header(call, "Content-Type") == "text/x");
+    CHECK(header(call, "Deadline-Ms") == "2000");
+    CHECK(call.timeout == Millis(2100));
+    CHECK(call.max_connections == 86);  // 0.9 of 96
+    const std::string uid = header(call, "Expect-Instance");
+    REQUIRE(uid.size() == 3);
+    CHECK(call.to == serverAddress(static_cast<std::size_t>(uid[2] - '0')));
+    REQUIRE(world.results().size() == 1);
+    const RunResult result = world.results()[0];
+    CHECK(result.id == "id-1");
+    CHECK(result.outcome == RunOutcome::completed);
+    CHECK(result.stamp == "stamp");
+    CHECK(result.attempt == 1);
+    CHECK(result.epoch == 1);
+    CHECK_FALSE(result.callback_started);
+}
+
+TEST_CASE("without a grant nothing runs") {
+    EdgeWorld world;
+    world.feed();
+    world.replyToAccepts({AcceptStatus::stored, false, 0, 0});
+    CHECK(world.statusOf(world.request("/plain/x", "id-1")) == 202);
+    world.world.run(Millis(200));
+    CHECK(world.http.sent.empty());
+}
+
+TEST_CASE("an attempt that may have run ends the grant, with its own word") {
+    EdgeWorld world;
+    world.feed();
+    HttpOutcome outcome;
+    RunOutcome expected = RunOutcome::unknown;
+    SUBCASE("success") {
+        outcome = success("s"), expected = RunOutcome::completed;
+    }
+    SUBCASE("success without a stamp") {
+        outcome = answer(200);
+    }
+    SUBCASE("failure") {
+        outcome = answer(500), expected = RunOutcome::failed;
+    }
+    SUBCASE("refusal for good") {
+        outcome = answer(422), expected = RunOutcome::rejected;
+    }
+    SUBCASE("the server's time-out") {
+        outcome = answer(504);
+    }
+    SUBCASE("silence") {
+        outcome = silent();
+    }
+    SUBCASE("a broken connection") {
+        outcome = brokenOff();
+    }
+    SUBCASE("busy, but not saying that it did not run") {
+        outcome = answer(503);
+    }
+    SUBCASE("it runs now") {
+        outcome = notExecuted(409);
+    }
+    world.http.play = [&](const HttpCall&) { return outcome; };
+    CHECK(world.push(0, {world.grant("id-1")}) == std::vector<bool>{true});
+    world.world.run(Millis(5000));
+    CHECK(world.http.sent.size() == 1);
+    REQUIRE(world.stores[0]->results.size() == 1);
+    CHECK(world.stores[0]->results[0].outcome == expected);
+    CHECK_FALSE(world.stores[0]->results[0].destination_down);
+}
+
+TEST_CASE("an attempt that surely did not run is followed by another server inside the grant") {
+    EdgeWorld world;
+    world.feed();
+    HttpOutcome outcome;
+    SUBCASE("full") {
+        outcome = notExecuted(503);
+    }
+    SUBCASE("too many") {
+        outcome = notExecuted(429);
+    }
+    SUBCASE("another instance") {
+        outcome = answer(421);
+    }
+    SUBCASE("connection refused") {
+        outcome = unreachable();
+    }
+    int tries = 0;
+    world.http.play = [&](const HttpCall&) { return tries++ == 0 ? outcome : success("s"); };
+    world.push(0, {world.grant("id-1")});
+    world.world.run(Millis(1000));
+    REQUIRE(world.http.sent.size() == 2);
+    CHECK(world.http.sent[0].call.to != world.http.sent[1].call.to);
+    REQUIRE(world.stores[0]->results.size() == 1);
+    CHECK(world.stores[0]->results[0].outcome == RunOutcome::completed);
+}
+
+TEST_CASE("at most three sends inside a grant, then it goes back as not run") {
+    EdgeWorld world(1, 3, 6);
+    world.feed();
+    bool down = false;
+    SUBCASE("all full") {
+        world.http.play = [](const HttpCall&) { return notExecuted(503); };
+    }
+    SUBCASE("all unreachable") {
+        world.http.play = [](const HttpCall&) { return unreachable(); };
+        down = true;
+    }
+    world.push(0, {world.grant("id-1")});
+    world.world.run(Millis(3000));
+    CHECK(world.http.sent.size() == 3);
+    REQUIRE(world.stores[0]->results.size() == 1);
+    CHECK(world.stores[0]->results[0].outcome == RunOutcome::not_run);
+    CHECK(world.stores[0]->results[0].destination_down == down);
+}
+
+TEST_CASE("a service with a ceiling gets one arrival for a grant") {
+    EdgeWorld world;
+    world.feed();
+    world.http.play = [](const HttpCall&) { return notExecuted(429); };
+    Grant grant = world.grant("id-1");
+    grant.content.route = "capped";
+    grant.content.service = "partner";
+    world.push(0, {grant});
+    world.world.run(Millis(3000));
+    REQUIRE(world.http.sent.size() == 1);
+    CHECK(world.http.sent[0].call.to == NodeAddress{"172.20.0.3", 8066});
+    CHECK(header(world.http.sent[0].call, "Expect-Instance").empty());
+    REQUIRE(world.stores[0]->results.size() == 1);
+    CHECK(world.stores[0]->results[0].outcome == RunOutcome::not_run);
+    CHECK_FALSE(world.stores[0]->results[0].destination_down);
+}
+
+TEST_CASE("an endpoint that is down is told as such") {
+    EdgeWorld world;
+    world.feed();
+    world.http.play = [](const HttpCall&) { return unreachable(); };
+    Grant grant = world.grant("id-1");
+    grant.content.route = "capped";
+    grant.content.service = "partner";
+    world.push(0, {grant});
+    world.world.run(Millis(3000));
+    REQUIRE(world.stores[0]->results.size() == 1);
+    CHECK(world.stores[0]->results[0].outcome == RunOutcome::not_run);
+    CHECK(world.stores[0]->results[0].destination_down);
+}
+
+TEST_CASE("connections to a server stay within this edge's share, and work waits for them") {
+    EdgeWorld world;
+    world.feed();
+    world.edge->setEdgeCount(2);  // 4 connections for all: 1 for each of two edges
+    std::vector<Grant> grants;
+    for (std::uint64_t i = 0; i < 5; ++i) {
+        Grant grant = world.grant("id-" + std::to_string(i));
+        grant.content.route = "capped";
+        grant.content.service = "partner";
+        grants.push_back(grant);
+    }
+    world.push(0, grants);
+    world.world.run(Millis(500));
+    CHECK(world.http.sent.size() == 5);
+    CHECK(world.http.most_open == 1);
+    CHECK(world.stores[0]->results.size() == 5);
+}
+
+TEST_CASE("work that waits too long for a connection goes back") {
+    EdgeWorld world;
+    world.feed();
+    world.edge->setEdgeCount(4);
+    world.http.play = [](const HttpCall&) { return std::nullopt; };
+    Grant first = world.grant("id-1");
+    first.content.service = "partner";
+    Grant second = world.grant("id-2");
+    second.content.service = "partner";
+    world.push(0, {first, second});
+    world.world.run(Millis(1100));
+    REQUIRE(world.stores[0]->results.size() == 1);
+    CHECK(world.stores[0]->results[0].id == "id-2");
+    CHECK(world.stores[0]->results[0].outcome == RunOutcome::not_run);
+    CHECK(world.http.sent.size() == 1);
+}
+
+TEST_CASE("with no server listed a grant goes back at once") {
+    EdgeWorld world;
+    world.feed();
+    world.list({});
+    world.push(0, {world.grant("id-1")});
+    REQUIRE(world.stores[0]->results.size() == 1);
+    CHECK(world.stores[0]->results[0].outcome == RunOutcome::not_run);
+    CHECK(world.stores[0]->results[0].destination_down);
+}
+
+TEST_CASE("a server that drains or is gone gets nothing from the moment that the list says so") {
+    EdgeWorld world;
+    world.feed();
+    for (std::uint64_t i = 0; i < 30; ++i) world.push(0, {world.grant("a" + std::to_string(i))});
+    for (std::size_t i = 0; i < 3; ++i) CHECK(world.http.sentTo(serverAddress(i)) > 0);
+    const std::size_t drained = world.http.sentTo(serverAddress(0));
+    const std::size_t gone = world.http.sentTo(serverAddress(2));
+    world.list({server(0, true), server(1)});
+    for (std::uint64_t i = 0; i < 30; ++i) world.push(0, {world.grant("b" + std::to_string(i))});
+    CHECK(world.http.sentTo(serverAddress(0)) == drained);
+    CHECK(world.http.sentTo(serverAddress(2)) == gone);
+    CHECK(world.http.sent.size() == 60);
+    REQUIRE(world.http.forgotten.size() == 1);
+    CHECK(world.http.forgotten[0] == serverAddress(2));
+}
+
+TEST_CASE("a further send inside a grant heeds the newest list") {
+    EdgeWorld world;
+    world.feed();
+    world.http.play = [](const HttpCall&) { return std::nullopt; };
+    world.push(0, {world.grant("id-1")});
+    REQUIRE(world.http.held() == 1);
+    world.list({server(0, true), server(1, true), server(2, true)});
+    world.http.release(notExecuted(503));
+    world.world.run(Millis(3000));
+    CHECK(world.http.sent.size() == 1);
+    REQUIRE(world.stores[0]->results.size() == 1);
+    CHECK(world.stores[0]->results[0].outcome == RunOutcome::not_run);
+}
+
+TEST_CASE("work rotates over equal servers by the module's pick") {
+    EdgeWorld world(1, 3, 4);
+    world.feed();
+    for (std::uint64_t i = 0; i < 200; ++i) world.push(0, {world.grant("id-" + std::to_string(i))});
+    for (std::size_t i = 0; i < 4; ++i) {
+        CHECK(world.http.sentTo(serverAddress(i)) > 40);
+        CHECK(world.http.sentTo(serverAddress(i)) < 60);
+    }
+}
+
+TEST_CASE("a server that broke off comes back after a while") {
+    EdgeWorld world(1, 3, 2);
+    world.feed();
+    bool sick = true;
+    world.http.play = [&](const HttpCall& call) {
+        return sick && call.to == serverAddress(0) ? brokenOff() : success("s");
+    };
+    for (std::uint64_t i = 0; i < 40; ++i) world.push(0, {world.grant("a" + std::to_string(i))});
+    CHECK(world.http.sentTo(serverAddress(0)) <= 4);
+    sick = false;
+    const std::size_t before = world.http.sentTo(serverAddress(0));
+    for (std::uint64_t i = 0; i < 600; ++i) world.push(0, {world.grant("b" + std::to_string(i))});
+    CHECK(world.http.sentTo(serverAddress(0)) > before + 100);
+}
+
+TEST_CASE("slower servers get less") {
+    EdgeWorld world(1, 3, 2);
+    world.feed();
+    std::map<NodeAddress, Millis> work = {{serverAddress(0), Millis(20)}, {serverAddress(1), Millis(80)}};
+    world.http.play = [&](const HttpCall& call) {
+        world.http.work = work[call.to];
+        return success("s");
+    };
+    for (std::uint64_t i = 0; i < 600; ++i) world.push(0, {world.grant("id-" + std::to_string(i))});
+    CHECK(world.http.sentTo(serverAddress(0)) > world.http.sentTo(serverAddress(1)) * 3 / 2);
+}
+
+TEST_CASE("a repeated grant is taken and not begun twice; another attempt of the message is refused") {
+    EdgeWorld world;
+    world.feed();
+    world.http.play = [](const HttpCall&) { return std::nullopt; };
+    CHECK(world.push(0, {world.grant("id-1", 0, 1)}) == std::vector<bool>{true});
+    CHECK(world.push(0, {world.grant("id-1", 0, 1)}) == std::vector<bool>{true});
+    CHECK(world.push(0, {world.grant("id-1", 0, 2)}) == std::vector<bool>{false});
+    CHECK(world.http.sent.size() == 1);
+    world.http.release(success("s"));
+    world.world.run(Millis(50));
+    CHECK(world.stores[0]->results.size() == 1);
+    CHECK(world.push(0, {world.grant("id-1", 0, 3)}) == std::vector<bool>{true});
+}
+
+TEST_CASE("an attempt whose report was not taken yet counts as running") {
+    EdgeWorld world;
+    world.feed();
+    world.stores[0]->takes_reports = false;
+    world.push(0, {world.grant("id-1", 0, 1)});
+    world.world.run(Millis(50));
+    CHECK(world.push(0, {world.grant("id-1", 0, 2)}) == std::vector<bool>{false});
+    world.world.run(Millis(1000));
+    REQUIRE_FALSE(world.stores[0]->syncs.empty());
+    REQUIRE(world.stores[0]->syncs.back().running.size() == 1);
+    CHECK(world.stores[0]->syncs.back().running[0].id == "id-1");
+    CHECK(world.http.sent.size() == 1);
+}
+
+TEST_CASE("grants of a store that lost the partition are refused") {
+    EdgeWorld world;
+    world.feed();
+    world.edge->onView(world.viewWithout(2, 0));
+    CHECK(world.push(0, {world.grant("id-1")}) == std::vector<bool>{false});
+    CHECK(world.push(1, {world.grant("id-2")}) == std::vector<bool>{true});
+    Grant newer = world.grant("id-3");
+    newer.epoch = 3;  // of a view that this edge does not have yet
+    CHECK(world.push(0, {newer}) == std::vector<bool>{true});
+}
+
+TEST_CASE("grants over the bound are refused") {
+    EdgeWorld world;
+    world.feed();
+    world.http.play = [](const HttpCall&) { return std::nullopt; };
+    std::vector<Grant> grants;
+    for (std::uint64_t i = 0; i < 310; ++i) grants.push_back(world.grant("id-" + std::to_string(i)));
+    const std::vector<bool> taken = world.push(0, grants);
+    REQUIRE(taken.size() == 310);
+    CHECK(std::count(taken.begin(), taken.end(), true) == 300);
+    // A message is still accepted, but for another edge to run.
+    CHECK(world.statusOf(world.request("/plain/x", "more")) == 202);
+    CHECK_FALSE(world.stores[0]->accepts.at(0).wants_grant);
+}
+
+TEST_CASE("a route that a newer configuration dropped is not run any more") {
+    EdgeWorld world;
+    world.feed();
+    auto without = std::make_shared<Configuration>(*edge_test::configuration());
+    without->generation = 2;
+    std::erase_if(without->routes, [](const Route& route) { return route.name == "plain"; });
+    world.edge->onConfiguration(without);
+    world.push(0, {world.grant("id-1")});
+    CHECK(world.http.sent.empty());
+    REQUIRE(world.stores[0]->results.size() == 1);
+    CHECK(world.stores[0]->results[0].outcome == RunOutcome::not_run);
+    // A grant that rests on a newer configuration than this edge has is delivered.
+    Grant newer = world.grant("id-2");
+    newer.content.config_generation = 3;
+    newer.content.route = "brand-new";
+    world.push(0, {newer});
+    CHECK(world.http.sent.size() == 1);
+}
+
+TEST_CASE("a result is told again until the owner by the newest view has taken it") {
+    EdgeWorld world;
+    world.feed();
+    SUBCASE("the owner does not take it") {
+        world.stores[0]->takes_reports = false;
+    }
+    SUBCASE("the owner is dead") {
+        world.stores[0]->die();
+    }
+    SUBCASE("the owner is cut off") {
+        world.network.isolate("10.2.0.1");
+    }
+    // Granted by the store that the edge still believes to be the owner.
+    Grant grant = world.grant("id-1");
+    world.stores[1]->push(world.world, world.edge_address, {"store-0", {grant}});
+    world.world.run(Millis(2000));
+    CHECK(world.results().empty());
+    world.edge->onView(world.viewWithout(2, 0));
+    world.world.run(Millis(700));
+    REQUIRE(world.stores[1]->results.size() == 1);
+    CHECK(world.stores[1]->results[0].outcome == RunOutcome::completed);
+    world.world.run(Millis(3000));
+    CHECK(world.results().size() == 1);
+    CHECK(world.http.sent.size() == 1);
+}
+
+TEST_CASE("reports are batched while a call is open") {
+    EdgeWorld world;
+    world.feed();
+    world.http.work = Millis(1);
+    std::vector<Grant> grants;
+    for (std::uint64_t i = 0; i < 50; ++i) grants.push_back(world.grant("id-" + std::to_string(i)));
+    world.push(0, grants);
+    world.world.run(Millis(200));
+    CHECK(world.stores[0]->results.size() == 50);
+    CHECK(world.stores[0]->report_calls <= 4);
+}
+
+TEST_CASE("results survive a lossy network") {
+    EdgeWorld world(7);
+    world.feed();
+    world.network.loss = 0.3;
+    std::size_t taken = 0;
+    for (std::uint64_t i = 0; i < 40; ++i) {
+        // The store sees a lost answer as not taken and pushes again, as an owner does.
+        const std::string id = "id-" + std::to_string(i);
+        const std::vector<bool> answer = world.push(0, {world.grant(id)});
+        taken += !answer.empty() && answer[0];
+        world.world.run(Millis(500));
+    }
+    world.network.loss = 0;
+    world.world.run(Millis(3000));
+    std::map<std::string, int> sends;
+    for (const auto& sent : world.http.sent) ++sends[header(sent.call, "Request-Id")];
+    for (const auto& [id, count] : sends) CHECK(count == 1);
+    std::map<std::string, int> reported;
+    for (const RunResult& result : world.results()) ++reported[result.id];
+    CHECK(reported.size() == sends.size());
+    CHECK(sends.size() >= taken);
+}
+
+TEST_CASE("every live store hears what runs: with each view, and every second") {
+    EdgeWorld world;
+    world.feed();
+    world.http.play = [](const HttpCall&) { return std::nullopt; };
+    world.push(0, {world.grant("id-1")});
+    world.world.run(Millis(2500));
+    for (const auto& store : world.stores) {
+        CHECK(store->syncs.size() >= 3);
+        CHECK(store->syncs.back().edge == "edge-1");
+        CHECK(store->syncs.back().incarnation == 7);
+        REQUIRE(store->syncs.back().running.size() == 1);
+        CHECK(store->syncs.back().running[0].attempt == 1);
+        CHECK_FALSE(store->syncs.back().leaving);
+    }
+    const std::size_t before = world.stores[2]->syncs.size();
+    world.edge->onView(world.view(2));
+    world.world.run(Millis(5));
+    CHECK(world.stores[2]->syncs.size() == before + 1);
+    CHECK(world.stores[2]->syncs.back().view_epoch == 2);
+}
+
+TEST_CASE("the module is built anew for another number of edges without losing work") {
+    EdgeWorld world;
+    world.feed();
+    world.http.play = [](const HttpCall&) { return std::nullopt; };
+    for (std::uint64_t i = 0; i < 3; ++i) world.push(0, {world.grant("id-" + std::to_string(i))});
+    world.edge->setEdgeCount(8);
+    world.http.release(notExecuted(503));  // of the module that is gone: back to the owner
+    world.http.release(success("s"));
+    world.http.release(success("s"));
+    world.http.play = [](const HttpCall&) { return success("s"); };
+    world.push(0, {world.grant("after")});
+    world.world.run(Millis(200));
+    CHECK(world.stores[0]->results.size() == 4);
+    const std::string counters = world.edge->countersText();
+    CHECK(counters.find("not_run 1\n") != std::string::npos);
+    CHECK(counters.find("completed 3\n") != std::string::npos);
+    CHECK(counters.find("edges 8\n") != std::string::npos);
+}
+
+TEST_CASE("a fall of the number of edges counts only once it has lasted") {
+    EdgeWorld world;
+    world.feed();
+    world.edge->setEdgeCount(8);
+    world.edge->setEdgeCount(1);
+    world.world.run(Millis(9000));
+    CHECK(world.edge->countersText().find("edges 8\n") != std::string::npos);
+    world.edge->setEdgeCount(7);
+    world.world.run(Millis(1500));
+    CHECK(world.edge->countersText().find("edges 7\n") != std::string::npos);
+}
