--- a/src/cluster/common/messages.hpp
+++ b/src/cluster/common/messages.hpp
@@ -114,9 +114,10 @@
     std::string candidate;
     Incarnation incarnation = 0;
     std::int64_t duration_ms = 0;  // 0 gives the lease back
+    std::uint64_t round = 0;       // rises with each asking; what is given back is up to this round
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(candidate, incarnation, duration_ms);
+        archive(candidate, incarnation, duration_ms, round);
     }
 };
 struct LeaderLeaseReply {
--- /dev/null
+++ b/src/cluster/control/control_node.cpp
@@ -0,0 +1,315 @@
+#include "cluster/control/control_node.hpp"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "cluster/common/codec.hpp"
+#include "cluster/control/chosen_values.hpp"
+#include "cluster/control/control_status.hpp"
+#include "cluster/control/distribution.hpp"
+#include "cluster/control/leader_election.hpp"
+#include "cluster/control/lifetime.hpp"
+#include "cluster/control/membership.hpp"
+#include "cluster/control/operator_api.hpp"
+#include "cluster/control/register_proposer.hpp"
+#include "cluster/control/register_voter.hpp"
+#include "cluster/control/server_poller.hpp"
+#include "cluster/control/server_relay.hpp"
+#include "cluster/control/store_view_keeper.hpp"
+#include "cluster/control/typed_call.hpp"
+#include "cluster/control/voter_recovery.hpp"
+
+namespace amberswitch::cluster {
+namespace {
+
+constexpr Millis kCoreRenewInterval{500};
+constexpr Millis kRenewTimeout{400};
+constexpr Millis kLeaveTime{100};  // for the leave of a leader to reach the others
+
+}  // namespace
+
+class ControlNode::Impl {
+public:
+    Impl(Scheduler& scheduler, Transport& transport, HttpClient& cloud, RecordStore& disk,
+         const NodeSettings& settings, Incarnation incarnation);
+
+    void start();
+    void handleHttp(const HttpRequest& request, HttpResponder respond) {
+        operator_api_.handle(request, std::move(respond));
+    }
+    void leave(std::function<void()> done);
+    void setSeeds(const std::vector<NodeAddress>& seeds) { settings_.seeds = seeds; }
+    std::string statusJson() const;
+
+private:
+    NodeAddress self() const { return settings_.internal(PortOffset::core); }
+    std::vector<NodeAddress> seedAddresses() const;
+    std::vector<NodeAddress> coreAddresses() const;
+    std::vector<NodeAddress> peers() const;
+    std::optional<NodeAddress> leaderAddress() const;
+    std::string leaderName() const;
+    Member ownMember() const;
+
+    void connectModules();
+    void serve(const Envelope& request, const Responder& respond);
+    void renewAtPeers();
+    void onRegisterChange(const std::string& key);
+    RenewLeaseReply onRenew(const RenewLeaseRequest& request);
+
+    // Decodes a request, hands it to `handler` and sends what that returns.
+    template <class Request, class Handler>
+    void answerNow(const Envelope& request, const Responder& respond, Handler handler);
+
+    Scheduler& scheduler_;
+    Transport& transport_;
+    NodeSettings settings_;
+    Incarnation incarnation_;
+    RegisterVoter voter_;
+    RegisterProposer proposer_;
+    VoterRecovery recovery_;
+    ChosenValues chosen_;
+    Membership membership_;
+    LeaderElection election_;
+    StoreViewKeeper keeper_;
+    Distribution distribution_;
+    std::optional<ServerPoller> poller_;
+    ServerRelay relay_;
+    OperatorApi operator_api_;
+    bool leaving_ = false;
+    TimerHandle renew_timer_;
+    TimerHandle leave_timer_;
+    Lifetime lifetime_;
+};
+
+ControlNode::Impl::Impl(Scheduler& scheduler, Transport& transport, HttpClient& cloud, RecordStore& disk,
+                        const NodeSettings& settings, Incarnation incarnation)
+    : scheduler_(scheduler),
+      transport_(transport),
+      settings_(settings),
+      incarnation_(incarnation),
+      voter_(disk, self(), seedAddresses(), settings.bootstrap),
+      proposer_(scheduler, transport, voter_, settings.name + "#" + std::to_string(incarnation), incarnation),
+      recovery_(scheduler, transport, voter_, proposer_, settings.name, [this] { return peers(); }),
+      chosen_(scheduler, transport, voter_, proposer_, [this] { return peers(); }),
+      membership_(scheduler),
+      election_(scheduler, transport, {settings.name, incarnation, self()}, voter_.startedFirst(),
+                [this] { return voter_.voters(); }),
+      keeper_(scheduler, proposer_, chosen_, membership_, election_, settings.name,
+              settings.tolerated_machines),
+      distribution_(scheduler, [this] { return chosen_.isFresh(); }),
+      relay_(scheduler, transport, settings.name,
+             {.leader = [this] { return leaderAddress(); },
+              .known =
+                  [this] {
+                      const ServerList* list = distribution_.servers();
+                      return list == nullptr ? ServerListVersion{} : list->version;
+                  },
+              .learn = [this](ServerList list) { distribution_.setServers(std::move(list)); }}),
+      operator_api_(proposer_, chosen_,
+                    {.status = [this] { return statusJson(); },
+                     .is_store =
+                         [this](const std::string& name) {
+                             const MemberEntry* entry = membership_.find(name);
+                             return entry != nullptr && entry->member.kind == NodeKind::store;
+                         }}) {
+    if (settings_.cloud) {
+        poller_.emplace(scheduler, cloud, *settings_.cloud,
+                        ServerPoller::Hooks{
+                            .may_poll = [this] { return keeper_.isActing(); },
+                            .publish = [this](ServerList list) { distribution_.setServers(std::move(list)); },
+                            .published = [this] { return distribution_.servers(); }});
+    }
+    connectModules();
+}
+
+void ControlNode::Impl::connectModules() {
+    chosen_.onChange([this](const std::string& key) { onRegisterChange(key); });
+    membership_.onChange([this] { keeper_.check(); });
+    election_.onElected([this] { keeper_.onElected(); });
+    keeper_.onClaimed([this](std::uint64_t term) {
+        if (poller_) poller_->start(term);
+    });
+    transport_.serve(lifetime_.guard(
+        [this](const Envelope& request, const Responder& respond) { serve(request, respond); }));
+}
+
+void ControlNode::Impl::start() {
+    recovery_.start();
+    chosen_.start();
+    election_.start();
+    relay_.start();
+    renewAtPeers();
+}
+
+std::vector<NodeAddress> ControlNode::Impl::seedAddresses() const {
+    std::vector<NodeAddress> addresses;
+    for (const NodeAddress& seed : settings_.seeds)
+        addresses.push_back({seed.ip, settings_.portOf(PortOffset::core)});
+    return addresses;
+}
+
+std::vector<NodeAddress> ControlNode::Impl::coreAddresses() const {
+    std::set<NodeAddress> addresses(voter_.voters().begin(), voter_.voters().end());
+    if (addresses.empty()) {
+        const std::vector<NodeAddress> seeds = seedAddresses();
+        addresses.insert(seeds.begin(), seeds.end());
+    }
+    for (const MemberEntry& entry : membership_.live(NodeKind::core)) addresses.insert(entry.member.address);
+    return {addresses.begin(), addresses.end()};
+}
+
+std::vector<NodeAddress> ControlNode::Impl::peers() const {
+    std::vector<NodeAddress> addresses = coreAddresses();
+    std::erase(addresses, self());
+    return addresses;
+}
+
+std::string ControlNode::Impl::leaderName() const {
+    const StoreView* view = distribution_.view();
+    return view == nullptr ? std::string() : view->leader;
+}
+
+std::optional<NodeAddress> ControlNode::Impl::leaderAddress() const {
+    const std::string leader = leaderName();
+    const MemberEntry* entry = leader == settings_.name ? nullptr : membership_.find(leader);
+    if (entry == nullptr) return std::nullopt;
+    return entry->member.address;
+}
+
+Member ControlNode::Impl::ownMember() const {
+    Member member;
+    member.name = settings_.name;
+    member.kind = NodeKind::core;
+    member.zone = settings_.zone;
+    member.address = self();
+    member.incarnation = incarnation_;
+    member.leaving = leaving_;
+    member.bootstrap = settings_.bootstrap;
+    return member;
+}
+
+void ControlNode::Impl::renewAtPeers() {
+    RenewLeaseRequest request;
+    request.member = ownMember();
+    request.config_generation = distribution_.configurationGeneration();
+    request.view_epoch = distribution_.view() == nullptr ? 0 : distribution_.view()->epoch;
+    for (const NodeAddress& peer : peers()) {
+        const auto ignore = [](const std::optional<RenewLeaseReply>&) {};
+        callFor<RenewLeaseReply>(transport_, peer, MessageKind::renew_lease, request, kRenewTimeout, ignore);
+    }
+    membership_.expire();
+    renew_timer_ = scheduler_.after(kCoreRenewInterval, [this] { renewAtPeers(); });
+}
+
+RenewLeaseReply ControlNode::Impl::onRenew(const RenewLeaseRequest& request) {
+    membership_.renew(request);
+    RenewLeaseReply answer;
+    answer.leader = keeper_.isActing();
+    answer.leader_name = leaderName();
+    answer.core = coreAddresses();
+    answer.edges = membership_.edges();
+    return answer;
+}
+
+void ControlNode::Impl::onRegisterChange(const std::string& key) {
+    const ChosenValue* value = chosen_.find(key);
+    if (value == nullptr) return;
+    if (key == kConfigKey) {
+        if (auto state = decode<ConfigurationState>(value->value))
+            distribution_.setConfiguration(std::move(*state));
+    } else if (auto view = decode<StoreView>(value->value)) {
+        distribution_.setView(std::move(*view));
+    }
+}
+
+template <class Request, class Handler>
+void ControlNode::Impl::answerNow(const Envelope& request, const Responder& respond, Handler handler) {
+    const std::optional<Request> message = decode<Request>(request.body);
+    if (message) respond(reply(handler(*message)));
+}
+
+void ControlNode::Impl::serve(const Envelope& request, const Responder& respond) {
+    const auto kind = static_cast<MessageKind>(request.kind);
+    if (kind == kReadVoters) {
+        return answerNow<ReadVotersRequest>(
+            request, respond, [this](const ReadVotersRequest&) { return ReadVotersReply{voter_.voters()}; });
+    }
+    switch (kind) {
+        case MessageKind::register_prepare:
+            if (const auto message = decode<PrepareRequest>(request.body)) {
+                voter_.prepare(*message, [respond](const PrepareReply& answer) { respond(reply(answer)); });
+            }
+            return;
+        case MessageKind::register_accept:
+            if (const auto message = decode<AcceptRequest>(request.body)) {
+                voter_.accept(*message, [respond](const AcceptReply& answer) { respond(reply(answer)); });
+            }
+            return;
+        case MessageKind::register_chosen:
+            return answerNow<ChosenValue>(request, respond, [this](const ChosenValue& value) {
+                chosen_.learn(value);
+                return Acknowledgement{};
+            });
+        case MessageKind::register_read_chosen:
+            return answerNow<ReadChosenRequest>(request, respond, [this](const ReadChosenRequest& message) {
+                return chosen_.answer(message);
+            });
+        case MessageKind::leader_lease:
+            return answerNow<LeaderLeaseRequest>(request, respond, [this](const LeaderLeaseRequest& message) {
+                return election_.grantor().answer(message);
+            });
+        case MessageKind::renew_lease:
+            return answerNow<RenewLeaseRequest>(
+                request, respond, [this](const RenewLeaseRequest& message) { return onRenew(message); });
+        case MessageKind::watch:
+            if (const auto message = decode<WatchRequest>(request.body))
+                distribution_.watch(*message, respond);
+            return;
+        default:
+            LOG_EVERY_N(WARNING, 1000) << "message of unknown kind " << request.kind;
+    }
+}
+
+void ControlNode::Impl::leave(std::function<void()> done) {
+    leaving_ = true;
+    election_.leave();
+    renewAtPeers();
+    leave_timer_ = scheduler_.after(kLeaveTime, std::move(done));
+}
+
+std::string ControlNode::Impl::statusJson() const {
+    return statusAsJson({settings_, voter_, chosen_, election_, keeper_, membership_, distribution_},
+                        scheduler_.now());
+}
+
+ControlNode::ControlNode(Scheduler& scheduler, Transport& transport, HttpClient& cloud, RecordStore& disk,
+                         const NodeSettings& settings, Incarnation incarnation)
+    : impl_(std::make_unique<Impl>(scheduler, transport, cloud, disk, settings, incarnation)) {}
+
+ControlNode::~ControlNode() = default;
+
+void ControlNode::start() {
+    impl_->start();
+}
+
+void ControlNode::handleHttp(const HttpRequest& request, HttpResponder respond) {
+    impl_->handleHttp(request, std::move(respond));
+}
+
+void ControlNode::leave(std::function<void()> done) {
+    impl_->leave(std::move(done));
+}
+
+void ControlNode::setSeeds(const std::vector<NodeAddress>& seeds) {
+    impl_->setSeeds(seeds);
+}
+
+std::string ControlNode::statusJson() const {
+    return impl_->statusJson();
+}
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/control/control_status.cpp
@@ -0,0 +1,149 @@
+#include "cluster/control/control_status.hpp"
+
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <map>
+
+namespace amberswitch::cluster {
+namespace {
+
+using JsonWriter = rapidjson::Writer<rapidjson::StringBuffer>;
+
+void write(JsonWriter& json, const char* name, const std::string& value) {
+    json.Key(name);
+    json.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+}
+void write(JsonWriter& json, const char* name, bool value) {
+    json.Key(name);
+    json.Bool(value);
+}
+void write(JsonWriter& json, const char* name, std::uint64_t value) {
+    json.Key(name);
+    json.Uint64(value);
+}
+void write(JsonWriter& json, const char* name, std::int64_t value) {
+    json.Key(name);
+    json.Int64(value);
+}
+
+const char* textOf(NodeKind kind) {
+    switch (kind) {
+        case NodeKind::core:
+            return "core";
+        case NodeKind::edge:
+            return "edge";
+        case NodeKind::store:
+            return "store";
+    }
+    return "?";
+}
+
+void writeRegister(JsonWriter& json, const StatusSources& sources) {
+    json.Key("register");
+    json.StartObject();
+    write(json, "votes", sources.voter.votes());
+    write(json, "recovering", sources.voter.needsRecovery());
+    write(json, "proved", sources.chosen.isProved());
+    write(json, "majorityInContact", sources.chosen.isFresh());
+    json.Key("voters");
+    json.StartArray();
+    for (const NodeAddress& voter : sources.voter.voters()) json.String(voter.text().c_str());
+    json.EndArray();
+    json.EndObject();
+}
+
+void writeMembers(JsonWriter& json, const Membership& membership, SteadyTime now) {
+    json.Key("members");
+    json.StartArray();
+    for (const NodeKind kind : {NodeKind::core, NodeKind::store, NodeKind::edge}) {
+        for (const MemberEntry& entry : membership.known(kind)) {
+            const auto silent = std::chrono::duration_cast<Millis>(now - entry.last_seen);
+            json.StartObject();
+            write(json, "name", entry.member.name);
+            write(json, "kind", std::string(textOf(kind)));
+            write(json, "zone", entry.member.zone);
+            write(json, "address", entry.member.address.text());
+            write(json, "incarnation", entry.member.incarnation);
+            write(json, "lease", membership.holdsLease(entry));
+            write(json, "leaving", entry.member.leaving);
+            write(json, "silentMs", static_cast<std::int64_t>(silent.count()));
+            write(json, "configuration", entry.config_generation);
+            write(json, "viewEpoch", entry.view_epoch);
+            json.EndObject();
+        }
+    }
+    json.EndArray();
+}
+
+void writeView(JsonWriter& json, const StoreView* view) {
+    json.Key("view");
+    if (view == nullptr) {
+        json.Null();
+        return;
+    }
+    json.StartObject();
+    write(json, "epoch", view->epoch);
+    write(json, "leader", view->leader);
+    write(json, "leaderTerm", view->leader_term);
+    json.Key("stores");
+    json.StartArray();
+    for (const StoreMember& store : view->stores) {
+        json.StartObject();
+        write(json, "name", store.member.name);
+        write(json, "alive", store.alive);
+        write(json, "incarnation", store.member.incarnation);
+        json.EndObject();
+    }
+    json.EndArray();
+    json.Key("owners");
+    json.StartArray();
+    for (const PartitionOwner& partition : view->partitions) json.Int(partition.owner);
+    json.EndArray();
+    json.EndObject();
+}
+
+void writeServers(JsonWriter& json, const ServerList* list) {
+    json.Key("servers");
+    if (list == nullptr) {
+        json.Null();
+        return;
+    }
+    std::map<std::string, std::uint64_t> by_service;
+    std::uint64_t draining = 0;
+    for (const ServerEntry& server : list->servers) {
+        ++by_service[server.service];
+        if (server.draining) ++draining;
+    }
+    json.StartObject();
+    write(json, "term", list->version.term);
+    write(json, "count", list->version.count);
+    write(json, "draining", draining);
+    json.Key("byService");
+    json.StartObject();
+    for (const auto& [service, count] : by_service) write(json, service.c_str(), count);
+    json.EndObject();
+    json.EndObject();
+}
+
+}  // namespace
+
+std::string statusAsJson(const StatusSources& sources, SteadyTime now) {
+    rapidjson::StringBuffer buffer;
+    JsonWriter json(buffer);
+    json.StartObject();
+    write(json, "node", sources.settings.name);
+    write(json, "zone", sources.settings.zone);
+    write(json, "leads", sources.keeper.isActing());
+    write(json, "leaseHolder", sources.election.grantor().holder());
+    write(json, "configuration", sources.distribution.configurationGeneration());
+    write(json, "watchers", static_cast<std::uint64_t>(sources.distribution.watchers()));
+    writeRegister(json, sources);
+    writeView(json, sources.distribution.view());
+    writeServers(json, sources.distribution.servers());
+    writeMembers(json, sources.membership, now);
+    json.EndObject();
+    return std::string(buffer.GetString(), buffer.GetSize());
+}
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/control/core_client.cpp
@@ -0,0 +1,301 @@
+#include "cluster/control/core_client.hpp"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+
+#include "cluster/control/lifetime.hpp"
+#include "cluster/control/typed_call.hpp"
+
+namespace amberswitch::cluster {
+namespace {
+
+constexpr Millis kStoreRenewInterval{300};
+constexpr Millis kEdgeRenewInterval{500};
+constexpr Millis kLeaveRenewInterval{100};
+constexpr Millis kRenewTimeout{400};
+constexpr Millis kWatchWait{1000};
+constexpr Millis kWatchTimeout{1600};
+constexpr Millis kNextWatchPause{5};        // bounds the rate, whatever is answered
+constexpr std::int64_t kAllFailedMs = 100;  // shortest pause after all core machines failed in turn
+constexpr Millis kRecently{1500};           // an answer that makes a core machine preferred
+constexpr Millis kEdgeCountKept{2000};      // a count of edges that counts
+constexpr int kMissesToMove = 2;            // renewals missed in a row by the machine that is being watched
+
+}  // namespace
+
+class CoreClient::Impl {
+public:
+    Impl(Scheduler& scheduler, Transport& transport, Member self, std::vector<NodeAddress> core,
+         Callbacks callbacks);
+
+    void start();
+    void leave();
+    void setSeeds(std::vector<NodeAddress> core) { seeds_ = std::move(core); }
+
+    std::shared_ptr<const Configuration> configuration() const { return configuration_; }
+    std::shared_ptr<const ServerList> servers() const { return servers_; }
+    std::shared_ptr<const StoreView> view() const { return view_; }
+    std::uint32_t edges() const;
+    std::optional<SteadyTime> lastContact() const { return last_contact_; }
+
+private:
+    // What is known of one core machine.
+    struct CoreMachine {
+        std::optional<SteadyTime> last_answer;
+        std::uint32_t edges = 0;
+        int missed_renewals = 0;
+    };
+
+    std::vector<NodeAddress> addresses() const;
+    bool answeredLately(const NodeAddress& address) const;
+
+    void renewAll();
+    void renewAt(const NodeAddress& address);
+    void onRenewed(const NodeAddress& address, const std::optional<RenewLeaseReply>& reply);
+    void leaveSilentMachine(const NodeAddress& address);
+
+    void watchNext();
+    void watchAt(const NodeAddress& address);
+    void onWatched(std::uint64_t serial, const NodeAddress& address, std::optional<WatchReply> reply);
+    void planRound();
+
+    void take(WatchReply reply);
+    void takeConfiguration(const ConfigurationState& state);
+    void takeServers(ServerList servers);
+    void takeView(StoreView view);
+
+    Scheduler& scheduler_;
+    Transport& transport_;
+    Member self_;
+    std::vector<NodeAddress> seeds_;
+    std::vector<NodeAddress> learned_;
+    Callbacks callbacks_;
+    std::mt19937_64 random_;
+
+    std::map<NodeAddress, CoreMachine> machines_;
+    std::optional<SteadyTime> last_contact_;
+    std::vector<NodeAddress> round_;  // machines to watch next, the next one last
+    std::optional<NodeAddress> watched_;
+    std::uint64_t watch_serial_ = 0;  // answers to earlier watches move nothing on
+
+    std::int64_t seen_generation_ = 0;  // also of a configuration that could not be read
+    std::shared_ptr<const Configuration> configuration_;
+    std::shared_ptr<const ServerList> servers_;
+    std::shared_ptr<const StoreView> view_;
+    TimerHandle renew_timer_;
+    TimerHandle watch_timer_;
+    Lifetime lifetime_;
+};
+
+CoreClient::Impl::Impl(Scheduler& scheduler, Transport& transport, Member self, std::vector<NodeAddress> core,
+                       Callbacks callbacks)
+    : scheduler_(scheduler),
+      transport_(transport),
+      self_(std::move(self)),
+      seeds_(std::move(core)),
+      callbacks_(std::move(callbacks)),
+      random_(self_.incarnation) {}
+
+void CoreClient::Impl::start() {
+    renewAll();
+    watchNext();
+}
+
+void CoreClient::Impl::leave() {
+    self_.leaving = true;
+    renewAll();
+}
+
+std::vector<NodeAddress> CoreClient::Impl::addresses() const {
+    std::set<NodeAddress> all(seeds_.begin(), seeds_.end());
+    all.insert(learned_.begin(), learned_.end());
+    return {all.begin(), all.end()};
+}
+
+std::uint32_t CoreClient::Impl::edges() const {
+    std::uint32_t most = 1;
+    for (const auto& [address, machine] : machines_) {
+        const bool counts = machine.last_answer && scheduler_.now() - *machine.last_answer <= kEdgeCountKept;
+        if (counts) most = std::max(most, machine.edges);
+    }
+    return most;
+}
+
+bool CoreClient::Impl::answeredLately(const NodeAddress& address) const {
+    const auto found = machines_.find(address);
+    if (found == machines_.end() || !found->second.last_answer) return false;
+    return scheduler_.now() - *found->second.last_answer <= kRecently;
+}
+
+// --- The lease ---------------------------------------------------------------------------------------------
+
+void CoreClient::Impl::renewAll() {
+    for (const NodeAddress& address : addresses()) renewAt(address);
+    Millis pause = self_.kind == NodeKind::store ? kStoreRenewInterval : kEdgeRenewInterval;
+    if (self_.leaving) pause = kLeaveRenewInterval;
+    renew_timer_ = scheduler_.after(pause, [this] { renewAll(); });
+}
+
+void CoreClient::Impl::renewAt(const NodeAddress& address) {
+    RenewLeaseRequest request;
+    request.member = self_;
+    request.view_epoch = view_ ? view_->epoch : 0;
+    request.config_generation = configuration_ ? configuration_->generation : 0;
+    const auto done = [this, address](const std::optional<RenewLeaseReply>& reply) {
+        onRenewed(address, reply);
+    };
+    callFor<RenewLeaseReply>(transport_, address, MessageKind::renew_lease, request, kRenewTimeout,
+                             lifetime_.guard(done));
+}
+
+void CoreClient::Impl::onRenewed(const NodeAddress& address, const std::optional<RenewLeaseReply>& reply) {
+    CoreMachine& machine = machines_[address];
+    if (!reply) {
+        ++machine.missed_renewals;
+        return leaveSilentMachine(address);
+    }
+    machine.missed_renewals = 0;
+    machine.last_answer = last_contact_ = scheduler_.now();
+    machine.edges = reply->edges;
+    if (!reply->core.empty()) learned_ = reply->core;
+}
+
+// A machine without power never breaks the connection: the renewals tell sooner than the timeout of the
+// watch.
+void CoreClient::Impl::leaveSilentMachine(const NodeAddress& address) {
+    if (watched_ != address || machines_[address].missed_renewals < kMissesToMove) return;
+    const std::vector<NodeAddress> all = addresses();
+    const bool better = std::any_of(all.begin(), all.end(), [&](const NodeAddress& other) {
+        return other != address && machines_[other].missed_renewals == 0 && answeredLately(other);
+    });
+    if (better) watchNext();
+}
+
+// --- The watch ---------------------------------------------------------------------------------------------
+
+// A random order, with those that have answered lately before the others.
+void CoreClient::Impl::planRound() {
+    round_ = addresses();
+    std::shuffle(round_.begin(), round_.end(), random_);
+    std::stable_partition(round_.begin(), round_.end(),
+                          [this](const NodeAddress& address) { return !answeredLately(address); });
+}
+
+void CoreClient::Impl::watchNext() {
+    if (round_.empty()) planRound();
+    if (round_.empty()) {
+        watch_timer_ = scheduler_.after(Millis(kAllFailedMs), [this] { watchNext(); });
+        return;
+    }
+    const NodeAddress next = round_.back();
+    round_.pop_back();
+    watchAt(next);
+}
+
+void CoreClient::Impl::watchAt(const NodeAddress& address) {
+    watched_ = address;
+    const std::uint64_t serial = ++watch_serial_;
+    WatchRequest request;
+    request.name = self_.name;
+    request.config_generation = seen_generation_;
+    request.servers = servers_ ? servers_->version : ServerListVersion{};
+    request.view_epoch = view_ ? view_->epoch : 0;
+    request.max_wait_ms = kWatchWait.count();
+    const auto done = [this, serial, address](std::optional<WatchReply> reply) {
+        onWatched(serial, address, std::move(reply));
+    };
+    callFor<WatchReply>(transport_, address, MessageKind::watch, request, kWatchTimeout,
+                        lifetime_.guard(done));
+}
+
+void CoreClient::Impl::onWatched(std::uint64_t serial, const NodeAddress& address,
+                                 std::optional<WatchReply> reply) {
+    const bool answered = reply.has_value();
+    if (answered) take(std::move(*reply));
+    if (serial != watch_serial_) return;
+    if (answered) {
+        round_.clear();
+        watch_timer_ = scheduler_.after(kNextWatchPause, [this, address] { watchAt(address); });
+        return;
+    }
+    if (!round_.empty()) return watchNext();
+    const std::int64_t extra = std::uniform_int_distribution<std::int64_t>(0, kAllFailedMs)(random_);
+    watch_timer_ = scheduler_.after(Millis(kAllFailedMs + extra), [this] { watchNext(); });
+}
+
+void CoreClient::Impl::take(WatchReply reply) {
+    if (reply.config) takeConfiguration(*reply.config);
+    if (reply.view) takeView(std::move(*reply.view));
+    if (reply.servers) takeServers(std::move(*reply.servers));
+}
+
+void CoreClient::Impl::takeConfiguration(const ConfigurationState& state) {
+    if (state.generation <= seen_generation_) return;
+    seen_generation_ = state.generation;
+    try {
+        configuration_ = std::make_shared<const Configuration>(parseConfiguration(state.body));
+    } catch (const ConfigurationError& error) {
+        LOG(ERROR) << "configuration " << state.generation << " is skipped: " << error.what();
+        return;
+    }
+    if (callbacks_.on_configuration) callbacks_.on_configuration(configuration_);
+}
+
+void CoreClient::Impl::takeServers(ServerList servers) {
+    if (servers_ && servers.version <= servers_->version) return;
+    servers_ = std::make_shared<const ServerList>(std::move(servers));
+    if (callbacks_.on_servers) callbacks_.on_servers(servers_);
+}
+
+void CoreClient::Impl::takeView(StoreView view) {
+    const auto order = [](const StoreView& of) { return std::pair(of.epoch, of.leader_term); };
+    if (view_ && order(view) <= order(*view_)) return;
+    view_ = std::make_shared<const StoreView>(std::move(view));
+    if (callbacks_.on_view) callbacks_.on_view(view_);
+}
+
+CoreClient::CoreClient(Scheduler& scheduler, Transport& transport, Member self, std::vector<NodeAddress> core,
+                       Callbacks callbacks)
+    : impl_(std::make_unique<Impl>(scheduler, transport, std::move(self), std::move(core),
+                                   std::move(callbacks))) {}
+
+CoreClient::~CoreClient() = default;
+
+void CoreClient::start() {
+    impl_->start();
+}
+
+void CoreClient::leave() {
+    impl_->leave();
+}
+
+void CoreClient::setSeeds(std::vector<NodeAddress> core) {
+    impl_->setSeeds(std::move(core));
+}
+
+std::shared_ptr<const Configuration> CoreClient::configuration() const {
+    return impl_->configuration();
+}
+
+std::shared_ptr<const ServerList> CoreClient::servers() const {
+    return impl_->servers();
+}
+
+std::shared_ptr<const StoreView> CoreClient::view() const {
+    return impl_->view();
+}
+
+std::uint32_t CoreClient::edges() const {
+    return impl_->edges();
+}
+
+std::optional<SteadyTime> CoreClient::lastContact() const {
+    return impl_->lastContact();
+}
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/control/leader_election.cpp
@@ -0,0 +1,145 @@
+#include "cluster/control/leader_election.hpp"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "cluster/control/typed_call.hpp"
+
+namespace amberswitch::cluster {
+namespace {
+
+constexpr Millis kLease{1500};
+constexpr Millis kSafetyMargin{300};  // the holder stops this long before its lease ends
+constexpr Millis kRenewInterval{400};
+constexpr Millis kVoteTimeout{350};
+constexpr std::int64_t kCandidacyDelayMs = 250;  // longest random wait of a candidate
+constexpr Millis kFollowInterval{200};           // between a follower's looks at its vote
+
+}  // namespace
+
+LeaseGrantor::LeaseGrantor(Scheduler& scheduler, bool first_start) : scheduler_(scheduler) {
+    votes_from_ = scheduler.now() + (first_start ? Millis(0) : kLease);
+}
+
+std::string LeaseGrantor::holder() const {
+    return isHeld() ? holder_ : std::string();
+}
+
+LeaderLeaseReply LeaseGrantor::answer(const LeaderLeaseRequest& request) {
+    const bool same_name = request.candidate == holder_;
+    const bool same_process = same_name && request.incarnation == holder_incarnation_;
+    if (request.duration_ms <= 0) {
+        // A late message must not take back what a newer round was given.
+        if (same_process && request.round >= holder_round_) held_until_ = {};
+        return {true, holder()};
+    }
+    // A new process of the same node shows that the old one is gone.
+    if (scheduler_.now() < votes_from_ || (isHeld() && !same_name)) return {false, holder()};
+    holder_round_ = same_process ? std::max(holder_round_, request.round) : request.round;
+    holder_ = request.candidate;
+    holder_incarnation_ = request.incarnation;
+    held_until_ = std::max(held_until_, scheduler_.now() + Millis(request.duration_ms));
+    return {true, holder_};
+}
+
+struct LeaderElection::VoteRound {
+    std::uint64_t round = 0;
+    SteadyTime asked_at;
+    std::size_t electors = 0;
+    std::size_t answers = 0;
+    std::size_t granted = 0;
+    bool decided = false;
+};
+
+LeaderElection::LeaderElection(Scheduler& scheduler, Transport& transport, ElectionIdentity identity,
+                               bool first_start, ElectorsFunction electors)
+    : scheduler_(scheduler),
+      transport_(transport),
+      identity_(std::move(identity)),
+      electors_(std::move(electors)),
+      grantor_(scheduler, first_start),
+      random_(identity_.incarnation) {}
+
+Millis LeaderElection::candidacyDelay() {
+    return Millis(std::uniform_int_distribution<std::int64_t>(1, kCandidacyDelayMs)(random_));
+}
+
+void LeaderElection::start() {
+    timer_ = scheduler_.after(candidacyDelay(), [this] { tick(); });
+}
+
+void LeaderElection::tick() {
+    if (leaving_) return;
+    const std::vector<NodeAddress> electors = electors_();
+    const bool may_stand = std::find(electors.begin(), electors.end(), identity_.self) != electors.end();
+    const std::string holder = grantor_.holder();
+    const bool other_leads = !holder.empty() && holder != identity_.name;
+    if (may_stand && !other_leads) askAll();
+    const Millis pause = isLeader() ? kRenewInterval : kFollowInterval + candidacyDelay();
+    timer_ = scheduler_.after(pause, [this] { tick(); });
+}
+
+void LeaderElection::askAll() {
+    const auto votes = std::make_shared<VoteRound>();
+    const std::vector<NodeAddress> electors = electors_();
+    votes->round = ++round_;
+    votes->asked_at = scheduler_.now();
+    votes->electors = electors.size();
+    for (const NodeAddress& elector : electors) {
+        ask(elector, kLease, votes->round,
+            lifetime_.guard([this, votes](bool granted) { onVote(votes, granted); }));
+    }
+}
+
+void LeaderElection::ask(const NodeAddress& elector, Millis duration, std::uint64_t round,
+                         std::function<void(bool)> done) {
+    const LeaderLeaseRequest request{identity_.name, identity_.incarnation, duration.count(), round};
+    if (elector == identity_.self) return done(grantor_.answer(request).granted);
+    const auto answered = [done = std::move(done)](const std::optional<LeaderLeaseReply>& reply) {
+        done(reply && reply->granted);
+    };
+    callFor<LeaderLeaseReply>(transport_, elector, MessageKind::leader_lease, request, kVoteTimeout,
+                              answered);
+}
+
+void LeaderElection::onVote(const std::shared_ptr<VoteRound>& votes, bool granted) {
+    const std::size_t majority = votes->electors / 2 + 1;
+    ++votes->answers;
+    if (granted) ++votes->granted;
+    if (votes->decided || votes->round <= given_back_) return;
+    if (votes->granted >= majority) {
+        votes->decided = true;
+        return onMajority(votes->asked_at);
+    }
+    if (votes->answers < votes->electors) return;
+    votes->decided = true;
+    if (!isLeader()) giveBack(votes->round);
+}
+
+void LeaderElection::onMajority(SteadyTime asked_at) {
+    const SteadyTime until = asked_at + kLease - kSafetyMargin;
+    if (leaving_ || scheduler_.now() >= until) return;
+    const bool unbroken = isLeader();
+    acts_until_ = std::max(acts_until_, until);
+    if (unbroken) return;
+    ++reign_;
+    LOG(INFO) << identity_.name << " leads";
+    // From now on by the shorter rhythm of a holder.
+    timer_ = scheduler_.after(kRenewInterval, [this] { tick(); });
+    if (on_elected_) on_elected_();
+}
+
+void LeaderElection::giveBack(std::uint64_t round) {
+    given_back_ = std::max(given_back_, round);
+    for (const NodeAddress& elector : electors_()) ask(elector, Millis(0), round, [](bool) {});
+}
+
+void LeaderElection::leave() {
+    leaving_ = true;
+    acts_until_ = {};
+    giveBack(round_);
+}
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/control/leader_election.hpp
@@ -0,0 +1,96 @@
+// The leader lease: each voter of the register gives its vote to one candidate for 1.5 s; the holder of a
+// majority leads until 0.3 s before the lease ends by its own steady clock, counted from the time of asking.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "cluster/common/messages.hpp"
+#include "cluster/common/scheduler.hpp"
+#include "cluster/common/transport.hpp"
+#include "cluster/control/lifetime.hpp"
+
+namespace amberswitch::cluster {
+
+// This machine's vote.
+class LeaseGrantor {
+public:
+    // Without `first_start`, gives no vote for a whole lease: an earlier process here may have given one.
+    LeaseGrantor(Scheduler& scheduler, bool first_start);
+
+    LeaderLeaseReply answer(const LeaderLeaseRequest& request);
+    // Who holds the vote now; empty: nobody.
+    std::string holder() const;
+
+private:
+    bool isHeld() const { return scheduler_.now() < held_until_; }
+
+    Scheduler& scheduler_;
+    SteadyTime votes_from_;
+    std::string holder_;
+    Incarnation holder_incarnation_ = 0;
+    std::uint64_t holder_round_ = 0;
+    SteadyTime held_until_{};
+};
+
+struct ElectionIdentity {
+    std::string name;
+    Incarnation incarnation = 0;
+    NodeAddress self;  // internal address
+};
+
+class LeaderElection {
+public:
+    using ElectorsFunction = std::function<std::vector<NodeAddress>()>;
+
+    // `electors`: the voters of the register; only a machine among them stands as candidate.
+    LeaderElection(Scheduler& scheduler, Transport& transport, ElectionIdentity identity, bool first_start,
+                   ElectorsFunction electors);
+
+    void start();
+    // Stops leading at once and gives the votes back; stands no more.
+    void leave();
+    // Runs when a new reign begins.
+    void onElected(std::function<void()> listener) { on_elected_ = std::move(listener); }
+
+    // Compared with the clock at each call, so a process that was frozen finds its lease gone.
+    bool isLeader() const { return scheduler_.now() < acts_until_; }
+    // Counts the unbroken spans of leadership of this process.
+    std::uint64_t reign() const { return reign_; }
+    LeaseGrantor& grantor() { return grantor_; }
+    const LeaseGrantor& grantor() const { return grantor_; }
+
+private:
+    struct VoteRound;  // one round of asking
+
+    void tick();
+    void askAll();
+    void onVote(const std::shared_ptr<VoteRound>& votes, bool granted);
+    void onMajority(SteadyTime asked_at);
+    void giveBack(std::uint64_t round);
+    void ask(const NodeAddress& elector, Millis duration, std::uint64_t round,
+             std::function<void(bool)> done);
+    Millis candidacyDelay();
+
+    Scheduler& scheduler_;
+    Transport& transport_;
+    ElectionIdentity identity_;
+    ElectorsFunction electors_;
+    LeaseGrantor grantor_;
+    std::mt19937_64 random_;
+    std::function<void()> on_elected_;
+    SteadyTime acts_until_{};
+    std::uint64_t reign_ = 0;
+    std::uint64_t round_ = 0;
+    std::uint64_t given_back_ = 0;  // votes of rounds up to this one count no more
+    bool leaving_ = false;
+    TimerHandle timer_;
+    Lifetime lifetime_;
+};
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/control/lifetime.hpp
@@ -0,0 +1,24 @@
+// Ties callbacks to the life of the object that made them: a guarded callback does nothing once its owner is
+// gone.
+#pragma once
+
+#include <memory>
+#include <utility>
+
+namespace amberswitch::cluster {
+
+class Lifetime {
+public:
+    // A callable like `work` that is ignored after this Lifetime was destroyed.
+    template <class Work>
+    auto guard(Work work) const {
+        return [alive = std::weak_ptr<int>(token_), work = std::move(work)](auto&&... arguments) {
+            if (!alive.expired()) work(std::forward<decltype(arguments)>(arguments)...);
+        };
+    }
+
+private:
+    std::shared_ptr<int> token_ = std::make_shared<int>(0);
+};
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/control/operator_api.cpp
@@ -0,0 +1,158 @@
+#include "cluster/control/operator_api.hpp"
+
+#include <glog/logging.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include "cluster/common/codec.hpp"
+#include "cluster/common/configuration.hpp"
+
+namespace amberswitch::cluster {
+namespace {
+
+constexpr std::size_t kMaxBodyBytes = 1024 * 1024;
+constexpr std::size_t kTakenKept = 512;
+constexpr Millis kReplaceTimeout{1500};
+constexpr Millis kReadTimeout{1500};
+constexpr std::string_view kReplacePath = "/Config.Replace";
+constexpr std::string_view kReadPath = "/Config.Read";
+constexpr std::string_view kRetireStartPath = "/Retire.Start/";
+constexpr std::string_view kRetireReadPath = "/Retire.Read/";
+constexpr std::string_view kStatusPath = "/status";
+
+HttpResponse textAnswer(int status, const std::string& text) {
+    HttpResponse response;
+    response.status = status;
+    response.headers.push_back({"Content-Type", "text/plain"});
+    response.body = text + "\n";
+    return response;
+}
+
+HttpResponse jsonAnswer(std::string body) {
+    HttpResponse response;
+    response.headers.push_back({"Content-Type", "application/json"});
+    response.body = std::move(body);
+    return response;
+}
+
+HttpResponse unknownOutcome() {
+    HttpResponse response =
+        textAnswer(503, "no majority of the core answered in time; the outcome is not known");
+    response.headers.push_back({"Retry-After", "1"});
+    return response;
+}
+
+std::optional<std::int64_t> parseVersion(std::string_view text) {
+    std::int64_t version = 0;
+    const char* end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, version);
+    if (text.empty() || error != std::errc() || rest != end || version < 0) return std::nullopt;
+    return version;
+}
+
+ConfigurationState decodeState(const std::string& bytes) {
+    if (bytes.empty()) return {};
+    std::optional<ConfigurationState> state = decode<ConfigurationState>(bytes);
+    if (!state) LOG(ERROR) << "the configuration in the register is not readable";
+    return state ? std::move(*state) : ConfigurationState{};
+}
+
+HttpResponse answerOf(ReplaceVerdict verdict) {
+    switch (verdict) {
+        case ReplaceVerdict::taken:
+            return textAnswer(200, "taken");
+        case ReplaceVerdict::other_base:
+            return textAnswer(412, "Base-Version is not the current version");
+        case ReplaceVerdict::generation_too_low:
+            break;
+    }
+    return textAnswer(400, "generation: must be above the current one");
+}
+
+}  // namespace
+
+ReplaceDecision decideReplace(const ConfigurationState& current, const TakenChange& change,
+                              const std::string& body) {
+    const bool known = std::find(current.taken.begin(), current.taken.end(), change) != current.taken.end();
+    if (known) return {ReplaceVerdict::taken, false, {}};
+    if (current.generation != change.base) return {ReplaceVerdict::other_base, false, {}};
+    if (change.generation <= current.generation) return {ReplaceVerdict::generation_too_low, false, {}};
+    ReplaceDecision decision{ReplaceVerdict::taken, true, {change.generation, body, current.taken}};
+    std::vector<TakenChange>& taken = decision.next.taken;
+    taken.push_back(change);
+    if (taken.size() > kTakenKept) taken.erase(taken.begin(), taken.end() - kTakenKept);
+    return decision;
+}
+
+OperatorApi::OperatorApi(RegisterProposer& proposer, ChosenValues& chosen, Hooks hooks)
+    : proposer_(proposer), chosen_(chosen), hooks_(std::move(hooks)) {}
+
+void OperatorApi::handle(const HttpRequest& request, HttpResponder respond) {
+    const std::string path = request.target.substr(0, request.target.find('?'));
+    const bool is_get = request.method == "GET";
+    const bool is_post = request.method == "POST";
+    if (is_post && path == kReplacePath) return replaceConfiguration(request, std::move(respond));
+    if (is_get && path == kReadPath) return readConfiguration(std::move(respond));
+    if (is_get && path == kStatusPath) return respond(jsonAnswer(hooks_.status()));
+    if (is_post && path.starts_with(kRetireStartPath)) {
+        return answerRetire(path.substr(kRetireStartPath.size()), respond);
+    }
+    if (is_get && path.starts_with(kRetireReadPath))
+        return answerRetire(path.substr(kRetireReadPath.size()), respond);
+    respond(textAnswer(404, "no such call"));
+}
+
+void OperatorApi::replaceConfiguration(const HttpRequest& request, HttpResponder respond) {
+    if (request.body.size() > kMaxBodyBytes)
+        return respond(textAnswer(413, "the configuration is too large"));
+    const std::optional<std::int64_t> base = parseVersion(headerValue(request.headers, "Base-Version"));
+    if (!base) return respond(textAnswer(400, "Base-Version: must be a whole number, 0 or more"));
+    TakenChange change;
+    try {
+        change.generation = parseConfiguration(request.body).generation;
+    } catch (const ConfigurationError& error) {
+        return respond(textAnswer(400, error.what()));
+    }
+    change.base = *base;
+    change.digest = XXH64(request.body.data(), request.body.size(), 0);
+    proposeConfiguration(change, request.body, std::move(respond));
+}
+
+void OperatorApi::proposeConfiguration(const TakenChange& change, std::string body, HttpResponder respond) {
+    const auto verdict = std::make_shared<ReplaceVerdict>(ReplaceVerdict::taken);
+    const auto decide = [verdict, change, body = std::move(body)](const std::string& current) {
+        const ReplaceDecision decision = decideReplace(decodeState(current), change, body);
+        *verdict = decision.verdict;
+        return decision.write ? Decision::replaceBy(encode(decision.next)) : Decision::keep();
+    };
+    const auto done = [this, verdict, respond = std::move(respond)](const ChangeOutcome& outcome) {
+        if (!outcome.known) return respond(unknownOutcome());
+        chosen_.chosenHere(kConfigKey, outcome);
+        respond(answerOf(*verdict));
+    };
+    proposer_.change(kConfigKey, decide, ChangeOptions{.timeout = kReplaceTimeout}, lifetime_.guard(done));
+}
+
+void OperatorApi::readConfiguration(HttpResponder respond) {
+    const auto keep = [](const std::string&) { return Decision::keep(); };
+    const auto done = [respond = std::move(respond)](const ChangeOutcome& outcome) {
+        if (!outcome.known) return respond(unknownOutcome());
+        ConfigurationState state = decodeState(outcome.value);
+        if (state.generation == 0) return respond(textAnswer(404, "no configuration has been taken yet"));
+        respond(jsonAnswer(std::move(state.body)));
+    };
+    proposer_.change(kConfigKey, keep, ChangeOptions{.timeout = kReadTimeout}, lifetime_.guard(done));
+}
+
+void OperatorApi::answerRetire(const std::string& node, const HttpResponder& respond) {
+    if (!hooks_.is_store(node)) return respond(textAnswer(404, "there is no such storage machine"));
+    respond(textAnswer(409, "moving a storage machine empty is not supported yet"));
+}
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/control/operator_api.hpp
@@ -0,0 +1,52 @@
+// The operator's HTTP interface: Config.Replace, Config.Read, Retire.Start, Retire.Read and status.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "cluster/common/http.hpp"
+#include "cluster/common/messages.hpp"
+#include "cluster/control/chosen_values.hpp"
+#include "cluster/control/lifetime.hpp"
+#include "cluster/control/register_proposer.hpp"
+
+namespace amberswitch::cluster {
+
+// What became of a change of the configuration at its last decision.
+enum class ReplaceVerdict : std::uint8_t { taken, other_base, generation_too_low };
+
+// The state after `change` is applied to `current`, with the verdict; a change that was taken before leaves
+// the state as it is.
+struct ReplaceDecision {
+    ReplaceVerdict verdict = ReplaceVerdict::taken;
+    bool write = false;
+    ConfigurationState next;  // only where write
+};
+ReplaceDecision decideReplace(const ConfigurationState& current, const TakenChange& change,
+                              const std::string& body);
+
+class OperatorApi {
+public:
+    struct Hooks {
+        std::function<std::string()> status;                    // JSON
+        std::function<bool(const std::string& name)> is_store;  // a storage machine that is known
+    };
+
+    OperatorApi(RegisterProposer& proposer, ChosenValues& chosen, Hooks hooks);
+
+    void handle(const HttpRequest& request, HttpResponder respond);
+
+private:
+    void replaceConfiguration(const HttpRequest& request, HttpResponder respond);
+    void proposeConfiguration(const TakenChange& change, std::string body, HttpResponder respond);
+    void readConfiguration(HttpResponder respond);
+    // Moving a store empty is not built yet: 404 for an unknown one, 409 for a known one.
+    void answerRetire(const std::string& node, const HttpResponder& respond);
+
+    RegisterProposer& proposer_;
+    ChosenValues& chosen_;
+    Hooks hooks_;
+    Lifetime lifetime_;
+};
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/control/register_proposer.hpp
@@ -0,0 +1,86 @@
+// The proposer of the register (CASPaxos): a change is a prepare round and an accept round at a majority of
+// the voters. Values that are kept are written back too, so every known outcome rests on a chosen value.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "cluster/common/scheduler.hpp"
+#include "cluster/common/transport.hpp"
+#include "cluster/control/lifetime.hpp"
+#include "cluster/control/register_voter.hpp"
+
+namespace amberswitch::cluster {
+
+// What a change makes of the current value.
+struct Decision {
+    bool write = false;  // false: keep the current value
+    std::string value;
+    static Decision keep() { return {}; }
+    static Decision replaceBy(std::string value) { return {true, std::move(value)}; }
+};
+// May run several times, with a newer value each time; it must then recognise its own earlier write.
+using DecideFunction = std::function<Decision(const std::string& current)>;
+
+struct ChangeOutcome {
+    bool known = false;  // false: no majority in time; the change may or may not be chosen, now or later
+    bool wrote = false;  // the last decision was to write
+    Ballot ballot;       // of the chosen value
+    std::string value;   // chosen; empty where nothing was ever written
+};
+
+struct ChangeOptions {
+    Millis timeout{1500};
+    // Leaves out this machine's own vote and jumps far ahead of all ballots; for a voter without data.
+    bool recovery = false;
+};
+
+class RegisterProposer {
+public:
+    // `identity`: of this process, never used by another one (node name and incarnation).
+    RegisterProposer(Scheduler& scheduler, Transport& transport, RegisterVoter& voter, std::string identity,
+                     std::uint64_t seed);
+
+    // Changes of one key run one after the other. `done` never runs inside change().
+    void change(const std::string& key, DecideFunction decide, ChangeOptions options,
+                std::function<void(ChangeOutcome)> done);
+
+private:
+    struct Change;
+    using ChangeHandle = std::shared_ptr<Change>;
+
+    using Step = void (RegisterProposer::*)(const ChangeHandle&);
+
+    void startNext(const std::string& key);
+    void startAttempt(const ChangeHandle& change);
+    void sendPrepare(const ChangeHandle& change);
+    void onPrepareReply(const ChangeHandle& change, std::uint64_t attempt, std::optional<PrepareReply> reply);
+    void onPromised(const ChangeHandle& change);
+    void sendAccept(const ChangeHandle& change);
+    void onAcceptReply(const ChangeHandle& change, std::uint64_t attempt, std::optional<AcceptReply> reply);
+    void retryLater(const ChangeHandle& change);
+    void giveUp(const ChangeHandle& change);
+    TimerHandle later(const ChangeHandle& change, Millis delay, Step step);
+    void finish(const ChangeHandle& change, ChangeOutcome outcome);
+    void noteRound(const Ballot& ballot);
+    std::vector<NodeAddress> electorate(const Change& change) const;
+    std::size_t majority() const { return voter_.voters().size() / 2 + 1; }
+
+    Scheduler& scheduler_;
+    Transport& transport_;
+    RegisterVoter& voter_;
+    std::string identity_;
+    std::mt19937_64 random_;
+    std::uint64_t highest_round_ = 0;
+    std::map<std::string, std::deque<ChangeHandle>> queues_;  // by key; the first one runs
+    Lifetime lifetime_;
+};
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/control/register_voter.cpp
@@ -0,0 +1,144 @@
+#include "cluster/control/register_voter.hpp"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "cluster/common/codec.hpp"
+
+namespace amberswitch::cluster {
+namespace {
+
+const std::string kVotersRecord = "register/voters";
+const std::string kPromisePrefix = "register/promised/";
+const std::string kAcceptedPrefix = "register/accepted/";
+
+}  // namespace
+
+RegisterVoter::RegisterVoter(RecordStore& disk, NodeAddress self,
+                             const std::vector<NodeAddress>& first_voters, bool bootstrap)
+    : disk_(disk), self_(std::move(self)) {
+    load();
+    if (!valid_ && bootstrap) startFirst(first_voters);
+}
+
+void RegisterVoter::load() {
+    const std::optional<std::string> stored_voters = disk_.read(kVotersRecord);
+    if (!stored_voters) return;
+    const auto voter_set = decode<VoterSetRecord>(*stored_voters);
+    if (!voter_set) {
+        LOG(ERROR) << "the voter set on disk is not readable; this machine votes only after recovery";
+        return;
+    }
+    voters_ = voter_set->voters;
+    valid_ = true;
+    for (const std::string key : {kConfigKey, kViewKey}) {
+        KeyState& state = keys_[key];
+        if (const auto stored = disk_.read(kPromisePrefix + key)) {
+            const auto promised = decode<Ballot>(*stored);
+            valid_ = valid_ && promised.has_value();
+            if (promised) state.promised = *promised;
+        }
+        if (const auto stored = disk_.read(kAcceptedPrefix + key)) {
+            auto accepted = decode<AcceptedRecord>(*stored);
+            valid_ = valid_ && accepted.has_value();
+            if (accepted) state.accepted = std::move(*accepted);
+        }
+        state.promised = std::max(state.promised, state.accepted.ballot);
+    }
+}
+
+// Safe without wasEmpty(): a machine that has ever answered as a voter has its voter set on disk.
+void RegisterVoter::startFirst(const std::vector<NodeAddress>& first_voters) {
+    voters_ = first_voters;
+    started_first_ = true;
+    valid_ = storeVoters();
+    afterSync([](bool) {});
+}
+
+bool RegisterVoter::storeVoters() {
+    return disk_.put(kVotersRecord, encode(VoterSetRecord{voters_}));
+}
+
+bool RegisterVoter::storePromise(const std::string& key, const Ballot& ballot) {
+    if (!disk_.put(kPromisePrefix + key, encode(ballot))) return false;
+    keys_[key].promised = ballot;
+    return true;
+}
+
+bool RegisterVoter::storeAccepted(const std::string& key, AcceptedRecord accepted) {
+    if (!disk_.put(kAcceptedPrefix + key, encode(accepted))) return false;
+    KeyState& state = keys_[key];
+    state.promised = std::max(state.promised, accepted.ballot);
+    state.accepted = std::move(accepted);
+    return true;
+}
+
+void RegisterVoter::afterSync(std::function<void(bool)> done) {
+    disk_.sync(lifetime_.guard([this, done = std::move(done)](bool synced) {
+        if (!synced && !disk_failed_) LOG(ERROR) << "the disk failed; this machine votes no more";
+        disk_failed_ = disk_failed_ || !synced;
+        done(synced);
+    }));
+}
+
+bool RegisterVoter::isAmongVoters() const {
+    return std::find(voters_.begin(), voters_.end(), self_) != voters_.end();
+}
+
+bool RegisterVoter::votes() const {
+    return valid_ && !disk_failed_ && isAmongVoters();
+}
+
+void RegisterVoter::learnVoters(std::vector<NodeAddress> voters) {
+    if (voters_.empty()) voters_ = std::move(voters);
+}
+
+void RegisterVoter::prepare(const PrepareRequest& request, std::function<void(PrepareReply)> done) {
+    PrepareReply answer;
+    if (!votes()) return done(answer);
+    const KeyState& state = keys_[request.key];
+    answer.voter = true;
+    answer.highest = state.promised;
+    if (request.ballot <= state.promised) return done(answer);
+    if (!storePromise(request.key, request.ballot)) return done(answer);
+    answer.promised = true;
+    answer.highest = request.ballot;
+    answer.accepted = state.accepted.ballot;
+    answer.value = state.accepted.value;
+    afterSync([answer = std::move(answer), done = std::move(done)](bool synced) {
+        done(synced ? answer : PrepareReply{});
+    });
+}
+
+void RegisterVoter::accept(const AcceptRequest& request, std::function<void(AcceptReply)> done) {
+    AcceptReply answer;
+    if (!votes()) return done(answer);
+    const KeyState& state = keys_[request.key];
+    answer.voter = true;
+    answer.highest = state.promised;
+    if (request.ballot < state.promised) return done(answer);
+    if (!storeAccepted(request.key, {request.ballot, request.value})) return done(answer);
+    answer.accepted = true;
+    answer.highest = request.ballot;
+    afterSync([answer, done = std::move(done)](bool synced) { done(synced ? answer : AcceptReply{}); });
+}
+
+void RegisterVoter::recover(const std::vector<RecoveredRegister>& registers, std::function<void(bool)> done) {
+    bool stored = true;
+    for (const RecoveredRegister& recovered : registers) {
+        stored = stored && storeAccepted(recovered.key, {recovered.ballot, recovered.value});
+    }
+    if (!stored) return done(false);
+    // The voter set says that the registers are whole, so it must not become durable before them.
+    afterSync([this, done = std::move(done)](bool synced) {
+        if (!synced || !storeVoters()) return done(false);
+        afterSync([this, done](bool voters_synced) {
+            valid_ = voters_synced;
+            done(voters_synced);
+        });
+    });
+}
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/control/store_view_keeper.cpp
@@ -0,0 +1,157 @@
+#include "cluster/control/store_view_keeper.hpp"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "cluster/common/codec.hpp"
+
+namespace amberswitch::cluster {
+namespace {
+
+constexpr Millis kCheckInterval{100};
+constexpr Millis kSilence{1000};         // of a store that counts as gone
+constexpr Millis kListenFirst{1200};     // of a new leader, before it counts anyone as gone
+constexpr Millis kFirstViewQuiet{1000};  // without a new store, before the first view is made
+constexpr Millis kOwnPause{500};         // between two looks: this process stood still itself
+constexpr Millis kSettledAfter{3000};    // grants of an old owner end after this
+constexpr Millis kChangeTimeout{1000};
+
+StoreView decodeView(const std::string& bytes) {
+    if (bytes.empty()) return {};
+    std::optional<StoreView> view = decode<StoreView>(bytes);
+    if (!view) LOG(ERROR) << "the store view in the register is not readable";
+    return view ? std::move(*view) : StoreView{};
+}
+
+bool hasDoubt(const StoreView& view) {
+    return std::any_of(view.partitions.begin(), view.partitions.end(),
+                       [](const PartitionOwner& owner) { return !owner.previous_stopped; });
+}
+
+}  // namespace
+
+StoreViewKeeper::StoreViewKeeper(Scheduler& scheduler, RegisterProposer& proposer, ChosenValues& chosen,
+                                 Membership& membership, LeaderElection& election, std::string self,
+                                 std::uint32_t tolerated)
+    : scheduler_(scheduler),
+      proposer_(proposer),
+      chosen_(chosen),
+      membership_(membership),
+      election_(election),
+      self_(std::move(self)),
+      tolerated_(tolerated) {}
+
+bool StoreViewKeeper::isActing() const {
+    return election_.isLeader() && claimed_reign_ != 0 && claimed_reign_ == election_.reign();
+}
+
+void StoreViewKeeper::onElected() {
+    listens_since_ = last_tick_ = doubt_since_ = scheduler_.now();
+    last_new_store_ = scheduler_.now();
+    stores_seen_ = 0;
+    claim();
+}
+
+void StoreViewKeeper::claim() {
+    const std::uint64_t reign = election_.reign();
+    const auto decide = [this, reign](const std::string& current) {
+        if (!election_.isLeader() || election_.reign() != reign) return Decision::keep();
+        StoreView view = decodeView(current);
+        view.leader = self_;
+        view.leader_term += 1;
+        view.tolerated = tolerated_;
+        return Decision::replaceBy(encode(view));
+    };
+    const auto done = [this, reign](const ChangeOutcome& outcome) { onClaimOutcome(reign, outcome); };
+    proposer_.change(kViewKey, decide, ChangeOptions{.timeout = kChangeTimeout}, lifetime_.guard(done));
+}
+
+void StoreViewKeeper::onClaimOutcome(std::uint64_t reign, const ChangeOutcome& outcome) {
+    if (outcome.known) chosen_.chosenHere(kViewKey, outcome);
+    if (!election_.isLeader() || election_.reign() != reign) return;
+    if (!outcome.known || !outcome.wrote) return claim();
+    claimed_reign_ = reign;
+    term_ = decodeView(outcome.value).leader_term;
+    changing_ = false;
+    if (on_claimed_) on_claimed_(term_);
+    tick();
+}
+
+void StoreViewKeeper::tick() {
+    if (!isActing()) return;
+    if (scheduler_.now() - last_tick_ > kOwnPause) listens_since_ = scheduler_.now();
+    last_tick_ = scheduler_.now();
+    check();
+    timer_ = scheduler_.after(kCheckInterval, [this] { tick(); });
+}
+
+void StoreViewKeeper::check() {
+    if (!isActing() || changing_) return;
+    const ChosenValue* value = chosen_.find(kViewKey);
+    if (value == nullptr) return;
+    const StoreView view = decodeView(value->value);
+    if (view.stores.empty() && !firstViewMayBeMade()) return;
+    if (nextView(view, observeStores(), {})) propose();
+}
+
+bool StoreViewKeeper::hasListened() const {
+    return scheduler_.now() - listens_since_ >= kListenFirst;
+}
+
+bool StoreViewKeeper::firstViewMayBeMade() {
+    const std::size_t count = membership_.live(NodeKind::store).size();
+    if (count > stores_seen_) last_new_store_ = scheduler_.now();
+    stores_seen_ = std::max(stores_seen_, count);
+    return count > 0 && scheduler_.now() - last_new_store_ >= kFirstViewQuiet;
+}
+
+std::vector<StoreObservation> StoreViewKeeper::observeStores() const {
+    std::vector<StoreObservation> observed;
+    std::vector<MemberEntry> known = membership_.known(NodeKind::store);
+    for (const MemberEntry& entry : known) {
+        const bool silent = scheduler_.now() - entry.last_seen > kSilence;
+        // Before it has listened for long enough, a leader neither drops a silent store nor takes it back.
+        if (!silent || hasListened()) observed.push_back({entry.member, silent});
+    }
+    if (!hasListened()) return observed;
+    // A store of the view that has never renewed its lease here is silent too.
+    const ChosenValue* value = chosen_.find(kViewKey);
+    if (value == nullptr) return observed;
+    for (const StoreMember& store : decodeView(value->value).stores) {
+        if (membership_.find(store.member.name) == nullptr) observed.push_back({store.member, true});
+    }
+    return observed;
+}
+
+void StoreViewKeeper::propose() {
+    changing_ = true;
+    const auto decide = [this](const std::string& current) { return this->decide(current); };
+    const auto done = [this, reign = claimed_reign_](const ChangeOutcome& outcome) {
+        if (claimed_reign_ == reign) onProposed(outcome);
+    };
+    proposer_.change(kViewKey, decide, ChangeOptions{.timeout = kChangeTimeout}, lifetime_.guard(done));
+}
+
+Decision StoreViewKeeper::decide(const std::string& current) {
+    const StoreView view = decodeView(current);
+    const bool own = view.leader == self_ && view.leader_term == term_;
+    if (!isActing() || !own) return Decision::keep();
+    const bool settled = scheduler_.now() - doubt_since_ >= kSettledAfter;
+    const std::optional<StoreView> next = nextView(view, observeStores(), ViewRules{.settled = settled});
+    return next ? Decision::replaceBy(encode(*next)) : Decision::keep();
+}
+
+void StoreViewKeeper::onProposed(const ChangeOutcome& outcome) {
+    changing_ = false;
+    if (!outcome.known) return;  // the next look tries again
+    chosen_.chosenHere(kViewKey, outcome);
+    const StoreView view = decodeView(outcome.value);
+    if (outcome.wrote && hasDoubt(view)) doubt_since_ = scheduler_.now();
+    if (outcome.wrote)
+        LOG(INFO) << "store view " << view.epoch << " with " << view.stores.size() << " stores";
+}
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/control/voter_recovery.cpp
@@ -0,0 +1,73 @@
+#include "cluster/control/voter_recovery.hpp"
+
+#include <glog/logging.h>
+
+#include <array>
+#include <utility>
+
+#include "cluster/control/typed_call.hpp"
+
+namespace amberswitch::cluster {
+namespace {
+
+constexpr Millis kRetryInterval{200};
+constexpr Millis kAskTimeout{400};
+constexpr Millis kRoundsTimeout{3000};
+const std::array<std::string, 2> kKeys{kConfigKey, kViewKey};
+
+}  // namespace
+
+VoterRecovery::VoterRecovery(Scheduler& scheduler, Transport& transport, RegisterVoter& voter,
+                             RegisterProposer& proposer, std::string name, PeersFunction peers)
+    : scheduler_(scheduler),
+      transport_(transport),
+      voter_(voter),
+      proposer_(proposer),
+      name_(std::move(name)),
+      peers_(std::move(peers)) {}
+
+void VoterRecovery::start() {
+    step();
+}
+
+void VoterRecovery::step() {
+    if (!voter_.needsRecovery()) return;
+    if (voter_.voters().empty()) return askForVoters();
+    if (voter_.isAmongVoters()) recoverNext();
+}
+
+void VoterRecovery::stepLater() {
+    timer_ = scheduler_.after(kRetryInterval, [this] { step(); });
+}
+
+void VoterRecovery::askForVoters() {
+    for (const NodeAddress& peer : peers_()) {
+        const auto done = [this](const std::optional<ReadVotersReply>& reply) {
+            if (reply) voter_.learnVoters(reply->voters);
+        };
+        callFor<ReadVotersReply>(transport_, peer, kReadVoters, ReadVotersRequest{name_}, kAskTimeout,
+                                 lifetime_.guard(done));
+    }
+    stepLater();
+}
+
+void VoterRecovery::recoverNext() {
+    if (recovered_.size() == kKeys.size()) return store();
+    const std::string& key = kKeys[recovered_.size()];
+    const auto keep = [](const std::string&) { return Decision::keep(); };
+    const auto done = [this, key](ChangeOutcome outcome) {
+        if (!outcome.known) return stepLater();
+        recovered_.push_back({key, outcome.ballot, std::move(outcome.value)});
+        recoverNext();
+    };
+    const ChangeOptions options{.timeout = kRoundsTimeout, .recovery = true};
+    proposer_.change(key, keep, options, lifetime_.guard(done));
+}
+
+void VoterRecovery::store() {
+    voter_.recover(recovered_, lifetime_.guard([](bool stored) {
+        if (stored) LOG(INFO) << "the register is copied; this machine votes again";
+    }));
+}
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/control/voter_recovery.hpp
@@ -0,0 +1,49 @@
+// Makes a core machine that started without its data able to vote again.
+//
+// It learns the voters from the others, then has a majority counted without itself accept each register's
+// value at a ballot far above every one that it may have promised before its data was lost. After that round
+// no older proposal can still be chosen with a vote that was forgotten here, and what was chosen with one is
+// among the values read. Only then are the registers stored here, and this machine votes.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "cluster/common/scheduler.hpp"
+#include "cluster/common/transport.hpp"
+#include "cluster/control/lifetime.hpp"
+#include "cluster/control/register_proposer.hpp"
+#include "cluster/control/register_voter.hpp"
+
+namespace amberswitch::cluster {
+
+class VoterRecovery {
+public:
+    using PeersFunction = std::function<std::vector<NodeAddress>()>;
+
+    VoterRecovery(Scheduler& scheduler, Transport& transport, RegisterVoter& voter,
+                  RegisterProposer& proposer, std::string name, PeersFunction peers);
+
+    // Does nothing where the voter has its data.
+    void start();
+
+private:
+    void step();
+    void stepLater();
+    void askForVoters();
+    void recoverNext();
+    void store();
+
+    Scheduler& scheduler_;
+    Transport& transport_;
+    RegisterVoter& voter_;
+    RegisterProposer& proposer_;
+    std::string name_;
+    PeersFunction peers_;
+    std::vector<RecoveredRegister> recovered_;
+    TimerHandle timer_;
+    Lifetime lifetime_;
+};
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/tests/cluster/control_node_test.cpp
@@ -0,0 +1,341 @@
+// The control plane end to end: three core machines, dispatchers, an operator.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <limits>
+
+#include "tests/cluster/control_world.hpp"
+
+using namespace amberswitch::cluster;
+using namespace amberswitch::cluster::simulation;
+
+namespace {
+
+void addStores(ControlWorld& play, int count = 3) {
+    for (int index = 1; index <= count; ++index) {
+        const std::string number = std::to_string(index);
+        play.addClient("storage-" + number, NodeKind::store, "10.1.0." + number);
+    }
+}
+
+void addEdges(ControlWorld& play, int count) {
+    for (int index = 1; index <= count; ++index) {
+        const std::string number = std::to_string(index);
+        play.addClient("edge-" + number, NodeKind::edge, "10.2.0." + number);
+    }
+}
+
+bool allHaveGeneration(ControlWorld& play, std::int64_t generation) {
+    return std::all_of(play.clients.begin(), play.clients.end(), [&](const auto& client) {
+        const auto configuration = client.second->client().configuration();
+        return configuration && configuration->generation == generation;
+    });
+}
+
+bool allHaveView(ControlWorld& play, std::size_t alive) {
+    return std::all_of(play.clients.begin(), play.clients.end(), [&](const auto& client) {
+        const auto view = client.second->client().view();
+        if (!view) return false;
+        const auto count = std::count_if(view->stores.begin(), view->stores.end(),
+                                         [](const StoreMember& store) { return store.alive; });
+        return static_cast<std::size_t>(count) == alive;
+    });
+}
+
+bool allHaveServers(ControlWorld& play, std::size_t count) {
+    return std::all_of(play.clients.begin(), play.clients.end(), [&](const auto& client) {
+        const auto servers = client.second->client().servers();
+        return servers && servers->servers.size() == count;
+    });
+}
+
+template <class Version>
+bool onlyRises(const std::vector<Version>& versions) {
+    return std::adjacent_find(versions.begin(), versions.end(), std::greater_equal<>()) == versions.end();
+}
+
+void checkNobodyWentBack(ControlWorld& play) {
+    for (const auto& [name, client] : play.clients) {
+        CHECK_MESSAGE(onlyRises(client->generations), name);
+        CHECK_MESSAGE(onlyRises(client->server_versions), name);
+        CHECK_MESSAGE(onlyRises(client->epochs), name);
+    }
+}
+
+}  // namespace
+
+TEST_CASE("a first start brings view, servers and configuration to everybody") {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        INFO("seed " << seed);
+        ControlWorld play(seed);
+        addEdges(play, 8);
+        addStores(play);
+        play.startAll();
+        REQUIRE(play.world.runUntil([&] { return play.leader() != nullptr; }, Millis(2000)));
+        CHECK(play.world.runUntil([&] { return allHaveView(play, 3); }, Millis(5000)));
+        CHECK(play.world.runUntil([&] { return allHaveServers(play, 1); }, Millis(2000)));
+        CHECK(play.replace(*play.core[seed % 3], 0, configurationJson(3)) == 200);
+        const SteadyTime acknowledged = play.world.now();
+        CHECK(play.world.runUntil([&] { return allHaveGeneration(play, 3); }, Millis(5000)));
+        CHECK(play.world.now() - acknowledged < Millis(1000));
+        CHECK(play.clients["edge-1"]->client().edges() == 8);
+        const auto view = play.clients["edge-1"]->client().view();
+        CHECK(view->tolerated == 1);
+        CHECK(view->partitions.size() == 24);
+        for (int store = 0; store < 3; ++store) {
+            CHECK(std::count_if(view->partitions.begin(), view->partitions.end(),
+                                [&](const PartitionOwner& partition) { return partition.owner == store; }) ==
+                  8);
+        }
+        checkNobodyWentBack(play);
+    }
+}
+
+TEST_CASE("the operator's answers") {
+    ControlWorld play(5);
+    play.startAll();
+    play.world.run(Millis(2000));
+    CoreMachine& first = *play.core[0];
+    CoreMachine& second = *play.core[1];
+    CHECK(play.read(first).status == 404);
+    CHECK(play.replace(first, 0, "{\"generation\":") == 400);
+    CHECK(play.replace(first, 0, configurationJson(0)) >= 400);
+    CHECK(play.replace(first, 4, configurationJson(5)) == 412);
+    const std::string body = configurationJson(5);
+    CHECK(play.replace(first, 0, body) == 200);
+    CHECK(play.read(second).body == body);
+    SUBCASE("a repeat is acknowledged again, also at another machine and after newer ones") {
+        CHECK(play.replace(second, 0, body) == 200);
+        CHECK(play.replace(second, 5, configurationJson(9)) == 200);
+        CHECK(play.replace(first, 0, body) == 200);
+        CHECK(play.read(first).body == configurationJson(9));
+    }
+    SUBCASE("another body with the same number on the old base is refused") {
+        CHECK(play.replace(second, 0, configurationJson(5, "other")) == 412);
+        CHECK(play.read(first).body == body);
+    }
+    SUBCASE("a generation that is not above the current one is invalid") {
+        CHECK(play.replace(second, 5, configurationJson(5, "other")) == 400);
+        CHECK(play.replace(second, 5, configurationJson(4)) == 400);
+    }
+    SUBCASE("a base that is missing or garbled") {
+        HttpRequest request = ControlWorld::replaceRequest(5, configurationJson(6));
+        request.headers[0].value = "5x";
+        CHECK(play.call(first, request).status == 400);
+        request.headers[0].value = "";
+        CHECK(play.call(first, request).status == 400);
+        request.headers.clear();
+        CHECK(play.call(first, request).status == 400);
+    }
+    SUBCASE("too large, unknown calls, retiring") {
+        CHECK(play.replace(first, 5, std::string(1024 * 1024 + 1, ' ')) == 413);
+        CHECK(play.call(first, {"GET", "/else", {}, {}}).status == 404);
+        CHECK(play.call(first, {"DELETE", "/Config.Read", {}, {}}).status == 404);
+        CHECK(play.call(first, {"POST", "/Retire.Start/storage-1", {}, "{}"}).status == 404);
+        addStores(play, 1);
+        play.world.run(Millis(1000));
+        CHECK(play.call(first, {"POST", "/Retire.Start/storage-1", {}, "{}"}).status == 409);
+        CHECK(play.call(first, {"GET", "/Retire.Read/storage-2", {}, {}}).status == 404);
+    }
+    SUBCASE("the state of the system is readable") {
+        addStores(play, 1);
+        play.world.run(Millis(1000));
+        const HttpResponse status = play.call(first, {"GET", "/status", {}, {}});
+        CHECK(status.status == 200);
+        CHECK(status.body.find("\"storage-1\"") != std::string::npos);
+        CHECK(status.body.find("\"configuration\":5") != std::string::npos);
+    }
+}
+
+TEST_CASE("two changes on one base at two machines: one wins") {
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        INFO("seed " << seed);
+        ControlWorld play(seed);
+        play.startAll();
+        play.world.run(Millis(2000));
+        std::vector<int> answers;
+        for (const std::string note : {"left", "right"}) {
+            CoreMachine& machine = *play.core[note == "left" ? 0 : 1];
+            machine.node().handleHttp(
+                ControlWorld::replaceRequest(0, configurationJson(4, note)),
+                [&](const HttpResponse& response) { answers.push_back(response.status); });
+        }
+        play.world.run(Millis(2000));
+        std::sort(answers.begin(), answers.end());
+        CHECK(answers == std::vector<int>{200, 412});
+    }
+}
+
+TEST_CASE("without a majority the answer is 503 in time, and the same change is taken later") {
+    ControlWorld play(9);
+    play.startAll();
+    play.world.run(Millis(2000));
+    play.network.isolate(play.core[0]->ip());
+    const SteadyTime asked = play.world.now();
+    CHECK(play.replace(*play.core[0], 0, configurationJson(2)) == 503);
+    CHECK(play.world.now() - asked <= Millis(1600));
+    play.network.healAll();
+    CHECK(play.replace(*play.core[1], 0, configurationJson(2)) == 200);
+    CHECK(play.read(*play.core[0]).body == configurationJson(2));
+}
+
+TEST_CASE(
+    "the whole core is killed right after an acknowledgement: nothing is lost, and a lost disk neither") {
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        INFO("seed " << seed);
+        ControlWorld play(seed);
+        addEdges(play, 2);
+        addStores(play);
+        play.startAll();
+        play.world.run(Millis(3000));
+        REQUIRE(play.replace(*play.core[0], 0, configurationJson(2)) == 200);
+        for (auto& machine : play.core) machine->kill();
+        if (seed % 2 == 0) play.core[seed % 3]->wipe();
+        play.world.run(Millis(500));
+        play.startAll();
+        CHECK(play.world.runUntil([&] { return allHaveGeneration(play, 2); }, Millis(4000)));
+        CHECK(play.world.runUntil([&] { return play.core[seed % 3]->votes(); }, Millis(4000)));
+        CHECK(play.read(*play.core[seed % 3]).body == configurationJson(2));
+        CHECK(play.replace(*play.core[1], 2, configurationJson(3)) == 200);
+        CHECK(play.world.runUntil([&] { return allHaveGeneration(play, 3); }, Millis(1000)));
+        CHECK(play.world.runUntil([&] { return play.leader() != nullptr; }, Millis(4000)));
+        checkNobodyWentBack(play);
+    }
+}
+
+TEST_CASE("operators send under loss, kills and a lost disk; what they are told holds") {
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        INFO("seed " << seed);
+        ControlWorld play(seed);
+        addEdges(play, 3);
+        play.startAll();
+        play.world.run(Millis(2000));
+        play.network.loss = 0.03;
+        std::int64_t current = 0;
+        std::string current_body;
+        for (std::int64_t generation = 1; generation <= 25; ++generation) {
+            const std::string body = configurationJson(generation);
+            int status = 0;
+            for (int attempt = 0; attempt < 20 && status != 200; ++attempt) {
+                CoreMachine& machine = *play.core[play.world.random()() % 3];
+                if (machine.runs()) status = play.replace(machine, current, body);
+                // A change on the newest base may only be unclear, never refused.
+                CHECK((status == 0 || status == 200 || status == 503));
+                if (play.world.chance() < 0.15) {
+                    CoreMachine& victim = *play.core[play.world.random()() % 3];
+                    const bool others_vote = std::all_of(
+                        play.core.begin(), play.core.end(),
+                        [&](const auto& other) { return other.get() == &victim || other->votes(); });
+                    victim.kill();
+                    if (others_vote && play.world.chance() < 0.5) victim.wipe();
+                    play.world.run(Millis(300));
+                    victim.start();
+                }
+            }
+            REQUIRE(status == 200);
+            current = generation;
+            current_body = body;
+            const int lost_race =
+                play.replace(*play.core[0], current - 1, configurationJson(generation, "rival"));
+            CHECK((lost_race == 412 || lost_race == 503));
+        }
+        play.network.loss = 0;
+        play.world.run(Millis(3000));
+        for (auto& machine : play.core) CHECK(play.read(*machine).body == current_body);
+        CHECK(allHaveGeneration(play, current));
+        checkNobodyWentBack(play);
+    }
+}
+
+TEST_CASE("a leader that goes is replaced, and a store that ends is out of the view at once") {
+    ControlWorld play(21);
+    addEdges(play, 2);
+    addStores(play);
+    play.startAll();
+    REQUIRE(play.world.runUntil([&] { return allHaveView(play, 3); }, Millis(5000)));
+    CoreMachine* leader = play.leader();
+    REQUIRE(leader != nullptr);
+    SUBCASE("a killed leader") {
+        leader->kill();
+        REQUIRE(play.world.runUntil([&] { return play.leader() != nullptr; }, Millis(3000)));
+        leader->start();
+    }
+    SUBCASE("a leader that leaves gives its lease back") {
+        bool left = false;
+        leader->node().leave([&] { left = true; });
+        REQUIRE(play.world.runUntil([&] { return play.leader() != nullptr; }, Millis(1000)));
+        CHECK(play.leader() != leader);
+        CHECK(left);
+    }
+    SUBCASE("a leader that is cut off") {
+        play.network.isolate(leader->ip());
+        play.world.run(Millis(1300));
+        CHECK_FALSE(leader->leads());
+        REQUIRE(play.world.runUntil([&] { return play.leader() != nullptr; }, Millis(3000)));
+        CHECK(play.leader() != leader);
+    }
+    play.world.run(Millis(2000));
+    play.clients["storage-2"]->client().leave();
+    const SteadyTime left_at = play.world.now();
+    CHECK(play.world.runUntil([&] { return allHaveView(play, 2); }, Millis(2000)));
+    CHECK(play.world.now() - left_at < Millis(500));
+    const auto view = play.clients["edge-1"]->client().view();
+    for (const PartitionOwner& partition : view->partitions) {
+        CHECK(partition.owner >= 0);
+        CHECK(partition.previous_stopped);
+        CHECK(view->stores[static_cast<std::size_t>(partition.owner)].alive);
+    }
+    checkNobodyWentBack(play);
+}
+
+TEST_CASE("a store that falls silent is replaced in about a second and comes back") {
+    ControlWorld play(22);
+    addEdges(play, 1);
+    addStores(play);
+    play.startAll();
+    REQUIRE(play.world.runUntil([&] { return allHaveView(play, 3); }, Millis(5000)));
+    play.world.run(Millis(4000));
+    play.clients.erase("storage-1");
+    const SteadyTime killed_at = play.world.now();
+    CHECK(play.world.runUntil([&] { return allHaveView(play, 2); }, Millis(3000)));
+    CHECK(play.world.now() - killed_at < Millis(1600));
+    const auto view = play.clients["edge-1"]->client().view();
+    CHECK(std::count_if(view->partitions.begin(), view->partitions.end(),
+                        [](const PartitionOwner& partition) { return !partition.previous_stopped; }) == 8);
+    addStores(play, 1);
+    CHECK(play.world.runUntil([&] { return allHaveView(play, 3); }, Millis(1500)));
+    checkNobodyWentBack(play);
+}
+
+TEST_CASE("a whole-core stop leaves view and configuration as they are") {
+    ControlWorld play(23);
+    addEdges(play, 2);
+    addStores(play);
+    play.startAll();
+    REQUIRE(play.world.runUntil([&] { return allHaveView(play, 3); }, Millis(5000)));
+    REQUIRE(play.replace(*play.core[0], 0, configurationJson(2)) == 200);
+    play.world.run(Millis(500));
+    const Epoch epoch = play.clients["edge-1"]->client().view()->epoch;
+    for (auto& machine : play.core) machine->kill();
+    play.world.run(Millis(5000));
+    play.startAll();
+    play.world.run(Millis(6000));
+    CHECK(allHaveGeneration(play, 2));
+    CHECK(play.clients["edge-1"]->client().view()->epoch == epoch);
+}
+
+TEST_CASE("a core machine that is cut off from the others sends its watchers on") {
+    ControlWorld play(24);
+    addEdges(play, 6);
+    play.startAll();
+    play.world.run(Millis(2000));
+    REQUIRE(play.replace(*play.core[0], 0, configurationJson(2)) == 200);
+    play.world.run(Millis(1000));
+    // Reached by the edges, but by no other core machine.
+    play.network.cutBoth(play.core[2]->ip(), play.core[0]->ip());
+    play.network.cutBoth(play.core[2]->ip(), play.core[1]->ip());
+    play.world.run(Millis(1500));
+    REQUIRE(play.replace(*play.core[0], 2, configurationJson(3)) == 200);
+    CHECK(play.world.runUntil([&] { return allHaveGeneration(play, 3); }, Millis(2000)));
+}
