--- a/src/cluster/common/messages.hpp
+++ b/src/cluster/common/messages.hpp
@@ -36,6 +36,7 @@
     replicate,
     pull_partition,
     peering_done,
+    replica_body,  // store -> store: StateQuery, answered by any replica that holds the body
 };
 
 enum class NodeKind : std::uint8_t { core, edge, store };
@@ -489,9 +490,10 @@
     std::string stamp;
     std::int64_t ended_wall_ms = 0;
     bool callback_done = false;
+    std::int64_t keep_until_wall_ms = 0;  // when the message may be forgotten
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(partition, id, phase, failures, stamp, ended_wall_ms, callback_done);
+        archive(partition, id, phase, failures, stamp, ended_wall_ms, callback_done, keep_until_wall_ms);
     }
 };
 struct ReplicateRequest {
@@ -514,6 +516,22 @@
         archive(stored, promised);
     }
 };
+// What goes to one replica in one call (kind `replicate`), for any number of partitions.
+struct ReplicateBatch {
+    std::int64_t wall_ms = 0;  // the sender's clock, so that times of day can be translated
+    std::vector<ReplicateRequest> requests;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(wall_ms, requests);
+    }
+};
+struct ReplicateBatchReply {
+    std::vector<ReplicateReply> replies;  // by request; empty: the disk failed
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(replies);
+    }
+};
 
 // The owner of a new epoch asks every store for all it has of a partition. The replica promises, durably, to
 // take nothing from an older epoch any more; an older owner stops there.
@@ -521,9 +539,10 @@
     std::string store;
     PartitionId partition = 0;
     Epoch epoch = 0;
+    std::vector<MessageId> known;  // live messages whose content the owner holds already
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(store, partition, epoch);
+        archive(store, partition, epoch, known);
     }
 };
 struct PullReply {
@@ -531,11 +550,13 @@
     // Whether what this replica was ever given of the partition is still there; false after a lost disk until
     // the owner has said peering_done.
     bool valid = false;
-    std::vector<MessageRecord> records;
+    std::int64_t wall_ms = 0;             // the replica's clock
+    std::vector<MessageRecord> records;   // live messages that the owner does not know
+    std::vector<RecordUpdate> states;     // all others
     std::vector<RunningAttempt> running;  // where it was the owner: what it has granted
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(promised, valid, records, running);
+        archive(promised, valid, wall_ms, records, states, running);
     }
 };
 // Every live message of the partition stands on tolerated + 1 disks of this view: its replicas are valid.
--- /dev/null
+++ b/src/cluster/storage/edge_watch.cpp
@@ -0,0 +1,165 @@
+#include "cluster/storage/edge_watch.hpp"
+
+#include <set>
+#include <tuple>
+
+#include "cluster/common/codec.hpp"
+
+namespace amberswitch::cluster::storage {
+
+namespace {
+
+constexpr Millis kPingTimeout{400};
+// An attempt younger than this may not be in the edge's list yet.
+constexpr Millis kListedAfter{1000};
+// A report may still be under way for this long after an edge's list first lacked the attempt.
+constexpr Millis kMissingFor{800};
+// Answers to accepts that a restarted edge cannot have been told before its restart are younger than this.
+constexpr Millis kNewestAtRestart{300};
+
+}  // namespace
+
+EdgeWatch::EdgeWatch(Transport& transport, OwnedPartitions& owned, GrantBook& book, Outcomes& outcomes,
+                     Granter& granter, const StoreClock& clock, std::string self)
+    : transport_(transport),
+      owned_(owned),
+      book_(book),
+      outcomes_(outcomes),
+      granter_(granter),
+      clock_(clock),
+      self_(std::move(self)) {}
+
+void EdgeWatch::heard(const std::string& name, const NodeAddress& address) {
+    Edge* const known = book_.edges.find(name);
+    const bool was_usable = known != nullptr && known->usable;
+    book_.edges.heard(name, address, clock_.now());
+    if (!was_usable) granter_.schedule();
+}
+
+void EdgeWatch::onSync(const EdgeSync& sync) {
+    Edge& edge = book_.edges.heard(sync.edge, sync.edge_address, clock_.now());
+    const bool restarted = edge.incarnation != 0 && edge.incarnation != sync.incarnation;
+    edge.incarnation = sync.incarnation;
+    edge.zone = sync.zone;
+    edge.leaving = sync.leaving;
+    edge.synced_epoch = sync.view_epoch;
+    edge.running = sync.running;
+    for (const RunningAttempt& running : sync.running) granter_.adoptRunning(sync.edge, running);
+    takeBackMissing(edge, sync, restarted);
+    settleWherePossible();
+    granter_.schedule();
+}
+
+void EdgeWatch::takeBackMissing(Edge& edge, const EdgeSync& sync, bool restarted) {
+    using Name = std::tuple<PartitionId, MessageId, AttemptId>;
+    std::set<Name> listed;
+    for (const RunningAttempt& running : sync.running) {
+        listed.emplace(running.partition, running.id, AttemptId{running.epoch, running.attempt});
+    }
+    std::vector<QueueItem*> lost;
+    for (QueueItem* item : edge.grants) {
+        if (listed.contains({item->partition, item->id, item->grant->id})) continue;
+        if (lostAt(*item, restarted)) {
+            lost.push_back(item);
+        } else if (!item->grant->missing_since && item->grant->granted + kListedAfter < clock_.now()) {
+            item->grant->missing_since = clock_.now();
+        }
+    }
+    for (QueueItem* item : lost) takeBack(*item);
+}
+
+bool EdgeWatch::lostAt(const QueueItem& item, bool restarted) const {
+    const SteadyTime now = clock_.now();
+    if (restarted) return item.grant->granted + kNewestAtRestart < now;
+    return item.grant->missing_since && *item.grant->missing_since + kMissingFor <= now;
+}
+
+void EdgeWatch::takeBack(QueueItem& item) {
+    if (OwnedPartition* const owned = findOwned(owned_, item.partition)) {
+        outcomes_.giveBack(*owned, item, DestinationSign::nothing);
+    }
+}
+
+void EdgeWatch::takeBackAll(Edge& edge) {
+    const std::vector<QueueItem*> items(edge.grants.begin(), edge.grants.end());
+    for (QueueItem* item : items) takeBack(*item);
+    if (!items.empty()) granter_.schedule();
+}
+
+void EdgeWatch::takeBackExpired(Edge& edge) {
+    const SteadyTime now = clock_.now();
+    std::vector<QueueItem*> expired;
+    for (QueueItem* item : edge.grants) {
+        const bool unclaimed = edge.name == kUnknownEdge && item->grant->missing_since &&
+                               *item->grant->missing_since + kMissingFor <= now;
+        if (unclaimed || item->grant->expiry <= now) expired.push_back(item);
+    }
+    for (QueueItem* item : expired) takeBack(*item);
+    if (!expired.empty()) granter_.schedule();
+}
+
+void EdgeWatch::onActive(OwnedPartition& owned, const std::vector<RunningAttempt>& running) {
+    for (const RunningAttempt& attempt : running) {
+        if (attempt.partition == owned.id) granter_.adoptRunning(kUnknownEdge, attempt);
+    }
+    book_.edges.forEach([&](Edge& edge) {
+        if (edge.synced_epoch < owned.epoch) return;
+        for (const RunningAttempt& attempt : edge.running) {
+            if (attempt.partition == owned.id) granter_.adoptRunning(edge.name, attempt);
+        }
+    });
+    settleWherePossible();
+}
+
+void EdgeWatch::settleWherePossible() {
+    const SteadyTime now = clock_.now();
+    for (auto& [partition, owned] : owned_) {
+        if (!owned->active || owned->settled) continue;
+        const bool told = book_.edges.allSynced(owned->epoch, expected_edges_, now);
+        if (!told && now < owned->settle_by) continue;
+        owned->settled = true;
+        owned->queue.forEach([now](QueueItem& item) {
+            if (item.grant && item.grant->edge == kUnknownEdge) item.grant->missing_since = now;
+        });
+        owned->queue.settle();
+        granter_.schedule();
+    }
+}
+
+void EdgeWatch::tick() {
+    book_.edges.forEach([this](Edge& edge) { checkEdge(edge); });
+    settleWherePossible();
+    book_.edges.forgetSilent(clock_.now());
+}
+
+void EdgeWatch::checkEdge(Edge& edge) {
+    takeBackExpired(edge);
+    if (edge.name == kUnknownEdge || edge.grants.empty()) return;
+    const SteadyTime now = clock_.now();
+    if (edge.heard + kEdgeSilentAfter < now && !edge.ping_pending) {
+        edge.usable = false;
+        takeBackAll(edge);
+    } else if (edge.heard + kEdgePingAfter < now && !edge.ping_pending) {
+        ping(edge);
+    }
+}
+
+void EdgeWatch::ping(Edge& edge) {
+    edge.ping_pending = true;
+    GrantPush nothing;
+    nothing.store = self_;
+    transport_.call(edge.address, envelope(MessageKind::grant_push, nothing), kPingTimeout,
+                    [this, name = edge.name, address = edge.address](const CallResult& result) {
+                        Edge* const pinged = book_.edges.find(name);
+                        if (pinged == nullptr) return;
+                        pinged->ping_pending = false;
+                        if (result.verdict == Verdict::answered) {
+                            heard(name, address);
+                        } else if (result.verdict == Verdict::not_executed) {
+                            pinged->usable = false;
+                            takeBackAll(*pinged);
+                        }
+                    });
+}
+
+}  // namespace amberswitch::cluster::storage
--- /dev/null
+++ b/src/cluster/storage/edges.hpp
@@ -0,0 +1,63 @@
+// The dispatchers that are connected to this store, and what has been granted to each.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include "cluster/common/messages.hpp"
+#include "cluster/storage/queue_item.hpp"
+
+namespace amberswitch::cluster::storage {
+
+constexpr Millis kEdgeAliveFor{2500};     // heard within this: it counts as connected
+constexpr Millis kEdgeSilentAfter{1500};  // its grants are given again
+constexpr Millis kEdgePingAfter{1200};    // it is asked whether it is there
+constexpr std::size_t kMaxGrantsPerEdge = 256;
+// Holds the grants of which a previous owner told without naming the edge.
+inline const std::string kUnknownEdge;
+
+struct Edge {
+    std::string name;
+    std::string zone;  // empty until its first edge_sync
+    NodeAddress address;
+    Incarnation incarnation = 0;
+    SteadyTime heard;
+    Epoch synced_epoch = 0;  // of the newest view for which it told what it runs
+    bool usable = true;      // false after a push that failed, until heard again
+    bool leaving = false;
+    bool ping_pending = false;
+    std::vector<RunningAttempt> running;  // as of its last edge_sync
+    std::unordered_set<QueueItem*> grants;
+};
+
+class Edges {
+public:
+    explicit Edges(std::string own_zone, std::uint64_t seed)
+        : own_zone_(std::move(own_zone)), random_(seed) {}
+
+    // Something arrived from the edge.
+    Edge& heard(const std::string& name, const NodeAddress& address, SteadyTime now);
+    Edge* find(const std::string& name);
+    void attach(const std::string& name, QueueItem& item);
+    void detach(const std::string& name, QueueItem& item);
+    // Whom to give the next grant: in this store's zone if possible, the less busy of two drawn at random.
+    // Null if nobody may take one.
+    Edge* choose(SteadyTime now);
+    // Whether all edges that are connected, and at least `expected`, have told what they run in that view.
+    bool allSynced(Epoch epoch, std::size_t expected, SteadyTime now) const;
+    void forEach(const std::function<void(Edge&)>& visit);
+    std::size_t outstanding() const;
+    // Forgets edges that have been silent for long and hold no grants.
+    void forgetSilent(SteadyTime now);
+
+private:
+    std::string own_zone_;
+    std::mt19937_64 random_;
+    std::map<std::string, Edge> edges_;
+};
+
+}  // namespace amberswitch::cluster::storage
--- /dev/null
+++ b/src/cluster/storage/granter.cpp
@@ -0,0 +1,176 @@
+#include "cluster/storage/granter.hpp"
+
+#include <algorithm>
+
+#include "cluster/common/codec.hpp"
+
+namespace amberswitch::cluster::storage {
+
+namespace {
+
+constexpr Millis kPushTimeout{1000};
+constexpr std::size_t kMostBytesPerPush = 1u << 20;
+constexpr Millis kShortestSleep{1};
+constexpr Millis kCallbackTimeout{5000};
+
+}  // namespace
+
+Granter::Granter(Scheduler& scheduler, Transport& transport, OwnedPartitions& owned, GrantBook& book,
+                 Outcomes& outcomes, const Replica& replica, const QueueItemFactory& items, std::string self)
+    : scheduler_(scheduler),
+      transport_(transport),
+      owned_(owned),
+      book_(book),
+      outcomes_(outcomes),
+      replica_(replica),
+      items_(items),
+      self_(std::move(self)) {}
+
+std::optional<AttemptId> Granter::grantAtAccept(OwnedPartition& owned, QueueItem& item,
+                                                const std::string& edge) {
+    const SteadyTime now = scheduler_.now();
+    if (stopped_ || !owned.queue.grantable(item, now)) return std::nullopt;
+    if (!book_.ready.empty(item.service) || !book_.limiter.mayGrant(item.service, now)) return std::nullopt;
+    const AttemptId id{owned.epoch, ++last_attempt_};
+    book_.give(owned, item, edge, id, now, items_.timeoutOf(item));
+    return id;
+}
+
+void Granter::adoptRunning(const std::string& edge, const RunningAttempt& running) {
+    OwnedPartition* const owned = findActive(owned_, running.partition);
+    QueueItem* const item = owned == nullptr ? nullptr : owned->queue.find(running.id);
+    if (item == nullptr || item->callback != running.callback) return;
+    const AttemptId id{running.epoch, running.attempt};
+    const SteadyTime now = scheduler_.now();
+    const Millis timeout = item->callback ? kCallbackTimeout : items_.timeoutOf(*item);
+    if (item->grant) {
+        if (item->grant->id != id) return;
+        if (edge == kUnknownEdge) return;
+        if (item->grant->edge != edge) book_.move(*item, edge);
+        item->grant->missing_since.reset();
+        item->grant->expiry = std::max(item->grant->expiry, now + kGrantExpiryMargin);
+        return;
+    }
+    if (item->state == ItemState::storing) return;
+    book_.adopt(*owned, *item, edge, id, now, timeout);
+}
+
+void Granter::schedule() {
+    if (std::exchange(scheduled_, true)) return;
+    scheduler_.post([this] {
+        scheduled_ = false;
+        pump();
+    });
+}
+
+void Granter::pump() {
+    if (stopped_) return;
+    const SteadyTime now = scheduler_.now();
+    for (auto& [partition, owned] : owned_) {
+        if (owned->active) owned->queue.collectReady(now);
+    }
+    Pushes pushes;
+    for (const std::string& service : book_.ready.services(now)) drainService(service, pushes);
+    for (auto& [edge, batches] : pushes) {
+        for (Push& push : batches) send(edge, std::move(push.message));
+    }
+    planWakeUp();
+}
+
+void Granter::drainService(const std::string& service, Pushes& pushes) {
+    const SteadyTime now = scheduler_.now();
+    while (QueueItem* const item = book_.ready.head(service, now)) {
+        if (!book_.limiter.mayGrant(service, now)) return;
+        Edge* const edge = book_.edges.choose(now);
+        if (edge == nullptr) return;
+        if (!grantTo(*edge, *item, pushes)) return;
+    }
+}
+
+bool Granter::grantTo(Edge& edge, QueueItem& item, Pushes& pushes) {
+    OwnedPartition* const owned = findOwned(owned_, item.partition);
+    auto content = replica_.content(item.partition, item.id);
+    if (owned == nullptr || !content) return false;
+    Grant grant;
+    grant.content = std::move(*content);
+    if (item.callback) grant.content.body.clear();
+    grant.partition = item.partition;
+    grant.epoch = owned->epoch;
+    grant.attempt = ++last_attempt_;
+    grant.callback = item.callback;
+    const auto& message = replica_.messages(item.partition).at(item.id);
+    grant.phase = message.phase;
+    grant.stamp = message.stamp;
+    const Millis timeout = item.callback ? kCallbackTimeout : items_.timeoutOf(item);
+    grant.timeout_ms = timeout.count();
+    book_.give(*owned, item, edge.name, {grant.epoch, grant.attempt}, scheduler_.now(), timeout);
+    std::vector<Push>& batches = pushes[edge.name];
+    if (batches.empty() || batches.back().bytes >= kMostBytesPerPush) batches.emplace_back();
+    batches.back().bytes += grant.content.body.size();
+    batches.back().message.grants.push_back(std::move(grant));
+    return true;
+}
+
+void Granter::send(const std::string& edge, GrantPush push) {
+    const Edge* const to = book_.edges.find(edge);
+    std::vector<RunningAttempt> sent;
+    for (const Grant& grant : push.grants) {
+        sent.push_back({grant.partition, grant.content.id, grant.attempt, grant.epoch, grant.callback});
+    }
+    push.store = self_;
+    transport_.call(
+        to->address, envelope(MessageKind::grant_push, push), kPushTimeout,
+        [this, edge, sent = std::move(sent)](const CallResult& result) { onPushResult(edge, sent, result); });
+}
+
+void Granter::onPushResult(const std::string& edge, const std::vector<RunningAttempt>& sent,
+                           const CallResult& result) {
+    if (result.verdict == Verdict::answered) {
+        const auto reply = decode<GrantPushReply>(result.reply.body);
+        if (!reply || reply->taken.size() != sent.size()) return;
+        for (std::size_t i = 0; i < sent.size(); ++i) {
+            if (!reply->taken[i]) giveBack(sent[i]);
+        }
+        schedule();
+        return;
+    }
+    if (Edge* const pushed = book_.edges.find(edge)) pushed->usable = false;
+    if (result.verdict != Verdict::not_executed) return;
+    for (const RunningAttempt& attempt : sent) giveBack(attempt);
+    schedule();
+}
+
+void Granter::giveBack(const RunningAttempt& attempt) {
+    OwnedPartition* const owned = findActive(owned_, attempt.partition);
+    QueueItem* const item = owned == nullptr ? nullptr : owned->queue.find(attempt.id);
+    if (item == nullptr || !item->grant) return;
+    if (item->grant->id != AttemptId{attempt.epoch, attempt.attempt}) return;
+    outcomes_.giveBack(*owned, *item, DestinationSign::nothing);
+}
+
+void Granter::planWakeUp() {
+    const SteadyTime now = scheduler_.now();
+    std::optional<SteadyTime> next;
+    const auto consider = [&next](std::optional<SteadyTime> when) {
+        if (when && (!next || *when < *next)) next = when;
+    };
+    for (const auto& [partition, owned] : owned_) {
+        if (owned->active) consider(owned->queue.nextDue());
+    }
+    // Where only an edge is missing, the next edge to be heard starts the next look.
+    for (const std::string& service : book_.ready.services(now)) {
+        const auto chance = book_.limiter.nextChance(service, now);
+        if (chance && *chance > now) consider(chance);
+    }
+    if (next == wake_up_at_) return;
+    wake_up_at_ = next;
+    wake_up_.reset();
+    if (!next) return;
+    const Millis sleep = std::max(kShortestSleep, std::chrono::ceil<Millis>(*next - now));
+    wake_up_ = scheduler_.after(sleep, [this] {
+        wake_up_at_.reset();
+        pump();
+    });
+}
+
+}  // namespace amberswitch::cluster::storage
--- /dev/null
+++ b/src/cluster/storage/peering.cpp
@@ -0,0 +1,105 @@
+#include "cluster/storage/peering.hpp"
+
+#include <algorithm>
+
+namespace amberswitch::cluster::storage {
+
+PeeringRound::PeeringRound(PartitionId partition, std::vector<PeerStore> others, std::uint32_t tolerated,
+                           bool own_valid)
+    : partition_(partition),
+      others_(std::move(others)),
+      tolerated_(tolerated),
+      valid_answers_(own_valid ? 1 : 0),
+      copies_wanted_(1) {
+    for (const PeerStore& other : others_) copies_wanted_ += other.alive ? 1 : 0;
+    copies_wanted_ = std::min<std::size_t>(copies_wanted_, tolerated + 1);
+}
+
+void PeeringRound::onReply(const std::string& store, const PullReply& reply) {
+    if (!answered_.insert(store).second) return;
+    Listing& listing = listings_[store];
+    for (const MessageRecord& record : reply.records) {
+        listing[record.content.id] = {record.phase, record.failures, record.callback_done, true};
+    }
+    for (const RecordUpdate& state : reply.states) {
+        // A pending state is listed only for a content that this replica holds.
+        listing[state.id] = {state.phase, state.failures, state.callback_done, state.phase == Phase::pending};
+    }
+    const bool newcomer = std::any_of(others_.begin(), others_.end(), [&](const PeerStore& other) {
+        return other.name == store && other.newcomer;
+    });
+    if (reply.valid || newcomer) ++valid_answers_;
+}
+
+bool PeeringRound::enough() const {
+    const std::size_t stores = others_.size() + 1;
+    if (answered_.size() == others_.size()) return true;
+    const std::size_t needed = stores > tolerated_ ? stores - tolerated_ : 1;
+    return valid_answers_ >= needed;
+}
+
+bool PeeringRound::allAliveAnswered() const {
+    return std::all_of(others_.begin(), others_.end(),
+                       [this](const PeerStore& other) { return !other.alive || answered(other.name); });
+}
+
+const PeeringRound::Listed* PeeringRound::listed(const std::string& store, const MessageId& id) const {
+    const auto listing = listings_.find(store);
+    if (listing == listings_.end()) return nullptr;
+    const auto found = listing->second.find(id);
+    return found == listing->second.end() ? nullptr : &found->second;
+}
+
+bool PeeringRound::behind(const Listed& listed, const StoredMessage& message) {
+    if (phaseRank(listed.phase) < phaseRank(message.phase)) return true;
+    if (message.phase == Phase::pending) return listed.failures < message.failures;
+    return listed.phase == message.phase && message.callback_done && !listed.callback_done;
+}
+
+std::vector<MissingCopy> PeeringRound::missing(const Replica& replica,
+                                               const std::function<bool(const MessageId&)>& skip) const {
+    std::vector<MissingCopy> missing;
+    for (const auto& [id, message] : replica.messages(partition_)) {
+        if (!skip(id)) addMissing(id, message, missing);
+    }
+    return missing;
+}
+
+void PeeringRound::addMissing(const MessageId& id, const StoredMessage& message,
+                              std::vector<MissingCopy>& missing) const {
+    const bool needs_content = message.live() && message.content_on_disk;
+    std::size_t copies = 1;
+    for (const PeerStore& other : others_) {
+        const Listed* const known = listed(other.name, id);
+        if (!other.alive || known == nullptr) continue;
+        if (behind(*known, message)) missing.push_back({other.name, id, false});
+        if (known->content || !needs_content) ++copies;
+    }
+    for (const PeerStore& other : others_) {
+        if (copies >= copies_wanted_) return;
+        const Listed* const known = listed(other.name, id);
+        const bool has_it = known != nullptr && (known->content || !needs_content);
+        if (!other.alive || has_it) continue;
+        missing.push_back({other.name, id, needs_content});
+        ++copies;
+    }
+}
+
+std::vector<std::string> PeeringRound::holders(const MessageId& id) const {
+    std::vector<std::string> names;
+    for (const auto& [store, listing] : listings_) {
+        const auto found = listing.find(id);
+        if (found != listing.end() && found->second.content) names.push_back(store);
+    }
+    return names;
+}
+
+void PeeringRound::copied(const MissingCopy& copy, const RecordUpdate& state) {
+    Listed& listed = listings_[copy.store][copy.id];
+    listed.content = listed.content || copy.with_content;
+    listed.phase = state.phase;
+    listed.failures = state.failures;
+    listed.callback_done = state.callback_done;
+}
+
+}  // namespace amberswitch::cluster::storage
--- /dev/null
+++ b/src/cluster/storage/peering.hpp
@@ -0,0 +1,78 @@
+// What the owner of a new epoch learns from the other stores about one partition: whether enough have
+// answered, and which copies are missing. Pure logic; the calls are made by PeeringDriver.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cluster/common/messages.hpp"
+#include "cluster/storage/replica.hpp"
+
+namespace amberswitch::cluster::storage {
+
+struct PeerStore {
+    std::string name;
+    bool alive = true;
+    bool newcomer = false;  // it has never been given anything before this view, so it lacks nothing
+};
+
+// One copy that another store should get.
+struct MissingCopy {
+    std::string store;
+    MessageId id;
+    bool with_content = false;  // else only the state
+};
+
+class PeeringRound {
+public:
+    // `others`: all stores of the view but this one, in the order in which they are to hold copies.
+    PeeringRound(PartitionId partition, std::vector<PeerStore> others, std::uint32_t tolerated,
+                 bool own_valid);
+
+    void onReply(const std::string& store, const PullReply& reply);
+    bool answered(const std::string& store) const { return answered_.contains(store); }
+    // Everything that was ever accepted is among the answers: n - f replicas that lack nothing have answered.
+    // Once all have, nothing more can be learned, and it is enough too.
+    bool enough() const;
+    bool allAliveAnswered() const;
+    // f + 1 copies can be made; else no replica may be called valid.
+    bool enoughAlive() const { return copies_wanted_ == std::size_t{tolerated_} + 1; }
+    // What must be copied so that each live message, and each end, stands on f + 1 live stores, and so that
+    // no store that answered is behind. `skip` leaves out messages whose accept is still under way.
+    std::vector<MissingCopy> missing(const Replica& replica,
+                                     const std::function<bool(const MessageId&)>& skip) const;
+    // The stores that hold the content of a live message.
+    std::vector<std::string> holders(const MessageId& id) const;
+    const std::vector<PeerStore>& others() const { return others_; }
+    PartitionId partition() const { return partition_; }
+    // The copy has been made.
+    void copied(const MissingCopy& copy, const RecordUpdate& state);
+
+private:
+    struct Listed {
+        Phase phase = Phase::pending;
+        std::uint32_t failures = 0;
+        bool callback_done = false;
+        bool content = false;
+    };
+    using Listing = std::unordered_map<MessageId, Listed>;
+
+    const Listed* listed(const std::string& store, const MessageId& id) const;
+    static bool behind(const Listed& listed, const StoredMessage& message);
+    void addMissing(const MessageId& id, const StoredMessage& message,
+                    std::vector<MissingCopy>& missing) const;
+
+    PartitionId partition_;
+    std::vector<PeerStore> others_;
+    std::uint32_t tolerated_;
+    std::size_t valid_answers_;
+    std::size_t copies_wanted_;  // with this store's own
+    std::set<std::string> answered_;
+    std::map<std::string, Listing> listings_;  // by store: what it holds
+};
+
+}  // namespace amberswitch::cluster::storage
--- /dev/null
+++ b/src/cluster/storage/peering_driver.cpp
@@ -0,0 +1,265 @@
+#include "cluster/storage/peering_driver.hpp"
+
+#include "cluster/common/codec.hpp"
+#include "cluster/storage/wall_shift.hpp"
+
+namespace amberswitch::cluster::storage {
+
+namespace {
+
+constexpr Millis kPullTimeout{1000};
+constexpr Millis kPullRetry{200};
+constexpr Millis kPullRetryOfDead{1000};
+constexpr Millis kCopyRetry{200};
+constexpr Millis kDoneTimeout{1000};
+// Live stores that have not answered are waited for this long though enough others have.
+constexpr Millis kWaitForLive{300};
+constexpr int kMostPullsOfLive = 16;
+constexpr int kMostPullsOfDead = 8;
+
+}  // namespace
+
+PeeringDriver::PeeringDriver(Scheduler& scheduler, Transport& transport, RecordStore& disk, Replica& replica,
+                             Replicator& replicator, const Placement& placement, const StoreClock& clock,
+                             Hooks hooks)
+    : scheduler_(scheduler),
+      transport_(transport),
+      disk_(disk),
+      replica_(replica),
+      replicator_(replicator),
+      placement_(placement),
+      clock_(clock),
+      hooks_(std::move(hooks)) {}
+
+void PeeringDriver::start(PartitionId partition, std::vector<PeerStore> others) {
+    rounds_.erase(partition);
+    PeeringRound logic(partition, std::move(others), placement_.tolerated(), replica_.valid(partition));
+    Round& round = rounds_.emplace(partition, Round(std::move(logic))).first->second;
+    const std::uint64_t id = ++last_round_;
+    round.id = id;
+    round.epoch = placement_.epoch();
+    round.started = clock_.now();
+    replica_.promise(partition, round.epoch);
+    disk_.sync([this, partition, id](bool durable) {
+        Round* const promised = findRound(partition, id);
+        if (promised == nullptr || !durable) return;
+        promised->own_promise_durable = true;
+        advance(partition, id);
+    });
+    pullWherePossible();
+}
+
+PeeringDriver::Round* PeeringDriver::findRound(PartitionId partition, std::uint64_t id) {
+    const auto found = rounds_.find(partition);
+    return found == rounds_.end() || found->second.id != id ? nullptr : &found->second;
+}
+
+void PeeringDriver::tick() {
+    pullWherePossible();
+    std::vector<std::pair<PartitionId, std::uint64_t>> rounds;
+    for (const auto& [partition, round] : rounds_) rounds.emplace_back(partition, round.id);
+    for (const auto& [partition, id] : rounds) advance(partition, id);
+}
+
+void PeeringDriver::pullWherePossible() {
+    for (auto& [partition, round] : rounds_) {
+        for (const PeerStore& store : round.logic.others()) {
+            const bool room =
+                store.alive ? pulls_of_live_ < kMostPullsOfLive : pulls_of_dead_ < kMostPullsOfDead;
+            if (room && wantsPull(round, store)) pull(partition, round, store);
+        }
+    }
+}
+
+bool PeeringDriver::wantsPull(const Round& round, const PeerStore& store) const {
+    if (round.logic.answered(store.name)) return false;
+    if (!store.alive && round.enough) return false;
+    const auto pull = round.pulls.find(store.name);
+    return pull == round.pulls.end() || (!pull->second.under_way && pull->second.next <= clock_.now());
+}
+
+void PeeringDriver::pull(PartitionId partition, Round& round, const PeerStore& store) {
+    const StoreMember* const member = placement_.member(store.name);
+    if (member == nullptr) return;
+    PullRequest request;
+    request.store = placement_.self();
+    request.partition = partition;
+    request.epoch = round.epoch;
+    for (const auto& [id, message] : replica_.messages(partition)) {
+        if (message.live() && message.content_on_disk) request.known.push_back(id);
+    }
+    Pull& pull = round.pulls[store.name];
+    pull.under_way = true;
+    pull.next = clock_.now() + (store.alive ? kPullRetry : kPullRetryOfDead);
+    int& counter = store.alive ? pulls_of_live_ : pulls_of_dead_;
+    ++counter;
+    transport_.call(member->member.address, envelope(MessageKind::pull_partition, request), kPullTimeout,
+                    [this, partition, id = round.id, name = store.name, &counter](const CallResult& result) {
+                        --counter;
+                        onPullResult(partition, id, name, result);
+                        pullWherePossible();
+                    });
+}
+
+void PeeringDriver::onPullResult(PartitionId partition, std::uint64_t id, const std::string& store,
+                                 const CallResult& result) {
+    Round* const round = findRound(partition, id);
+    if (round == nullptr) return;
+    round->pulls[store].under_way = false;
+    if (result.verdict != Verdict::answered) return;
+    auto reply = decode<PullReply>(result.reply.body);
+    if (!reply) return;
+    if (!reply->promised) {  // a newer epoch is out; its view will come
+        rounds_.erase(partition);
+        return;
+    }
+    round->logic.onReply(store, *reply);
+    for (const MessageRecord& record : reply->records) hooks_.on_holder(partition, record.content.id, store);
+    for (const RecordUpdate& state : reply->states) {
+        if (state.phase == Phase::pending) hooks_.on_holder(partition, state.id, store);
+    }
+    round->running.insert(round->running.end(), reply->running.begin(), reply->running.end());
+    const bool active = round->enough;
+    const std::vector<MessageId> touched = merge(partition, *reply);
+    if (active) {
+        round->copies_made = false;
+        round->next_copies = clock_.now();
+        hooks_.on_merged(partition, touched);
+    }
+    advance(partition, id);
+}
+
+std::vector<MessageId> PeeringDriver::merge(PartitionId partition, PullReply& reply) {
+    const std::int64_t shift_ms = clock_.wallMillis() - reply.wall_ms;
+    std::vector<MessageId> touched;
+    for (MessageRecord& record : reply.records) {
+        shiftTimes(record, shift_ms);
+        record.partition = partition;
+        touched.push_back(record.content.id);
+        replica_.store(record, true);
+    }
+    for (RecordUpdate& update : reply.states) {
+        shiftTimes(update, shift_ms);
+        update.partition = partition;
+        if (replica_.merge(update).changed) touched.push_back(update.id);
+    }
+    return touched;
+}
+
+void PeeringDriver::advance(PartitionId partition, std::uint64_t id) {
+    Round* round = findRound(partition, id);
+    if (round == nullptr || !round->own_promise_durable) return;
+    if (!round->enough) {
+        const bool waited = round->started + kWaitForLive <= clock_.now();
+        if (!round->logic.enough() || !(round->logic.allAliveAnswered() || waited)) return;
+        round->enough = true;
+        hooks_.on_enough(partition, round->running);
+        round = findRound(partition, id);
+        if (round == nullptr) return;
+    }
+    if (round->copies_made) {
+        tellDone(partition, *round);
+    } else if (round->copies_under_way == 0 && round->next_copies <= clock_.now()) {
+        makeCopies(partition, *round);
+    }
+}
+
+void PeeringDriver::makeCopies(PartitionId partition, Round& round) {
+    const auto skip = [this, partition](const MessageId& id) { return hooks_.is_storing(partition, id); };
+    const std::vector<MissingCopy> missing = round.logic.missing(replica_, skip);
+    round.copy_failed = false;
+    round.next_copies = clock_.now() + kCopyRetry;
+    for (const MissingCopy& copy : missing) makeCopy(partition, round, copy);
+    if (round.copies_under_way == 0 && !round.copy_failed) onCopiesMade(partition, round);
+}
+
+void PeeringDriver::makeCopy(PartitionId partition, Round& round, const MissingCopy& copy) {
+    const auto& messages = replica_.messages(partition);
+    const auto found = messages.find(copy.id);
+    if (found == messages.end()) return;
+    const RecordUpdate state = replica_.state(partition, copy.id, found->second);
+    const auto done = [this, partition, id = round.id, copy, state](ReplicateOutcome outcome) {
+        onCopy(partition, id, copy, state, outcome);
+    };
+    if (!copy.with_content) {
+        ++round.copies_under_way;
+        replicator_.sendState(copy.store, round.epoch, state, done);
+        return;
+    }
+    auto record = replica_.record(partition, copy.id);
+    if (!record) {
+        round.copy_failed = true;
+        return;
+    }
+    ++round.copies_under_way;
+    replicator_.sendRecord(copy.store, round.epoch, std::make_shared<MessageRecord>(std::move(*record)),
+                           done);
+}
+
+void PeeringDriver::onCopy(PartitionId partition, std::uint64_t id, const MissingCopy& copy,
+                           const RecordUpdate& state, ReplicateOutcome outcome) {
+    Round* const round = findRound(partition, id);
+    if (round == nullptr) return;
+    --round->copies_under_way;
+    if (outcome == ReplicateOutcome::stored) {
+        round->logic.copied(copy, state);
+        if (copy.with_content) hooks_.on_holder(partition, copy.id, copy.store);
+    } else {
+        round->copy_failed = true;
+    }
+    if (round->copies_under_way > 0 || round->copy_failed) return;
+    // What changed meanwhile is sent as usual to those that hold the content.
+    onCopiesMade(partition, *round);
+}
+
+void PeeringDriver::onCopiesMade(PartitionId partition, Round& round) {
+    const std::uint64_t id = round.id;
+    round.next_copies = clock_.now() + kCopyRetry;
+    disk_.sync([this, partition, id](bool durable) {
+        Round* const finished = findRound(partition, id);
+        if (finished == nullptr || !durable || finished->copies_under_way > 0) return;
+        finished->copies_made = true;
+        if (!finished->logic.enoughAlive()) return;
+        replica_.markValid(partition, finished->epoch);
+        hooks_.on_done(partition, finished->epoch);
+        tellDone(partition, *finished);
+    });
+}
+
+void PeeringDriver::tellDone(PartitionId partition, Round& round) {
+    if (!round.logic.enoughAlive()) return;
+    for (const PeerStore& store : round.logic.others()) {
+        if (!store.alive || !round.logic.answered(store.name) || round.told_done.contains(store.name))
+            continue;
+        const StoreMember* const member = placement_.member(store.name);
+        if (member == nullptr) continue;
+        round.told_done.insert(store.name);
+        const PeeringDone message{placement_.self(), partition, round.epoch};
+        transport_.call(member->member.address, envelope(MessageKind::peering_done, message), kDoneTimeout,
+                        [this, partition, id = round.id, name = store.name](const CallResult& result) {
+                            Round* const told = findRound(partition, id);
+                            if (told == nullptr || result.verdict == Verdict::answered) return;
+                            told->told_done.erase(name);  // the next tick tries again
+                        });
+    }
+}
+
+std::vector<std::string> PeeringDriver::holders(PartitionId partition, const MessageId& id) const {
+    const auto round = rounds_.find(partition);
+    if (round == rounds_.end()) return {};
+    return round->second.logic.holders(id);
+}
+
+std::size_t PeeringDriver::unfinished() const {
+    std::size_t sum = 0;
+    for (const auto& [partition, round] : rounds_) sum += round.copies_made ? 0 : 1;
+    return sum;
+}
+
+std::size_t PeeringDriver::copiesLacking() const {
+    std::size_t sum = 0;
+    for (const auto& [partition, round] : rounds_) sum += round.copies_under_way;
+    return sum;
+}
+
+}  // namespace amberswitch::cluster::storage
--- /dev/null
+++ b/src/cluster/storage/queue_item.hpp
@@ -0,0 +1,67 @@
+// One message that waits or runs at the owner of its partition.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cluster/common/messages.hpp"
+
+namespace amberswitch::cluster::storage {
+
+// Names one attempt of one message.
+struct AttemptId {
+    Epoch epoch = 0;
+    std::uint64_t attempt = 0;
+    auto operator<=>(const AttemptId&) const = default;
+};
+
+// A grant that has been given out and not been reported yet.
+struct OutstandingGrant {
+    AttemptId id;
+    std::string edge;
+    SteadyTime granted;
+    SteadyTime expiry;                        // then taken as unknown
+    std::optional<SteadyTime> missing_since;  // the edge's lists lack it since then
+};
+
+enum class ItemState : std::uint8_t {
+    storing,  // not yet on enough disks
+    blocked,  // an earlier message of its order key has not ended
+    held,     // recovered; the edges have not told yet what they run
+    waiting,  // for its due time
+    ready,    // in a service's queue
+    granted,
+};
+
+struct QueueItem {
+    PartitionId partition = 0;
+    MessageId id;
+    std::string route;
+    std::string service;    // the key of its limits; for call-backs that of the receiver
+    std::string order_key;  // empty: unordered
+    Epoch epoch = 0;        // with sequence: the order of accepts
+    std::uint64_t sequence = 0;
+    std::int64_t config_generation = 0;
+    Millis timeout{0};  // of one delivery, if the configuration does not tell
+    int priority = 0;
+    bool callback_owed = false;  // when it ends
+    bool callback = false;       // it has ended; its call-back is what waits or runs
+    std::uint32_t failures = 0;
+    std::uint32_t max_failures = 1;
+    std::vector<AttemptId> counted;  // attempts whose failure has been counted
+    SteadyTime wanted;               // when it was first due; orders the ready ones
+    SteadyTime due;                  // not granted earlier
+    SteadyTime deadline;             // given up then
+    std::uint32_t retries = 0;       // for the backoff
+    bool recovered = false;
+    ItemState state = ItemState::storing;
+    std::optional<OutstandingGrant> grant;
+    std::set<std::string> holders;  // stores that have the content, without this one
+
+    bool ordered() const { return !order_key.empty() && !callback; }
+};
+
+}  // namespace amberswitch::cluster::storage
--- /dev/null
+++ b/src/cluster/storage/queue_items.cpp
@@ -0,0 +1,74 @@
+#include "cluster/storage/queue_items.hpp"
+
+#include <algorithm>
+
+namespace amberswitch::cluster::storage {
+
+namespace {
+
+constexpr std::string_view kCallbackPrefix = "call-back ";
+constexpr std::string_view kSchemeEnd = "://";
+
+}  // namespace
+
+std::string callbackDestination(const std::string& callback_url) {
+    const std::size_t scheme = callback_url.find(kSchemeEnd);
+    const std::size_t begin = scheme == std::string::npos ? 0 : scheme + kSchemeEnd.size();
+    const std::size_t end = callback_url.find('/', begin);
+    return std::string(kCallbackPrefix) +
+           callback_url.substr(begin, end == std::string::npos ? end : end - begin);
+}
+
+QueueItem QueueItemFactory::make(PartitionId partition, const MessageContent& content,
+                                 const StoredMessage& message) const {
+    QueueItem item;
+    item.partition = partition;
+    item.id = content.id;
+    item.route = content.route;
+    item.service = content.service;
+    if (content.ordered) item.order_key = content.order_key;
+    item.epoch = message.epoch;
+    item.sequence = message.sequence;
+    item.config_generation = content.config_generation;
+    item.timeout = kDefaultTimeout;
+    item.priority = priorityOf(content.route);
+    item.callback_owed = !content.callback_url.empty() && !message.callback_done;
+    item.failures = message.failures;
+    item.max_failures = message.max_failures;
+    item.wanted = clock_.steadyOf(message.accepted_wall_ms + content.delay_ms);
+    item.due = item.wanted;
+    item.deadline = clock_.steadyOf(message.accepted_wall_ms + message.retention_ms) + kRetentionMargin;
+    if (message.phase != Phase::pending) turnIntoCallback(item, content.callback_url);
+    return item;
+}
+
+void QueueItemFactory::turnIntoCallback(QueueItem& item, const std::string& callback_url) const {
+    item.callback = true;
+    item.service = callbackDestination(callback_url);
+    item.wanted = clock_.now();
+    item.due = item.wanted;
+    item.deadline = item.wanted + status_kept_;
+}
+
+Millis QueueItemFactory::timeoutOf(const QueueItem& item) const {
+    const Route* const route = configuration_ ? configuration_->route(item.route) : nullptr;
+    return route ? route->timeout : item.timeout;
+}
+
+std::uint32_t QueueItemFactory::maxFailuresOf(const QueueItem& item) const {
+    const Route* const route = configuration_ ? configuration_->route(item.route) : nullptr;
+    return std::max(item.max_failures, route ? route->max_retries : 0);
+}
+
+int QueueItemFactory::priorityOf(const std::string& name) const {
+    const Route* const route = configuration_ ? configuration_->route(name) : nullptr;
+    return route ? route->priority : 0;
+}
+
+bool QueueItemFactory::routeDropped(const QueueItem& item) const {
+    if (configuration_ == nullptr || item.callback) return false;
+    if (configuration_->generation < item.config_generation) return false;
+    return configuration_->route(item.route) == nullptr;
+}
+
+}  // namespace amberswitch::cluster::storage
--- /dev/null
+++ b/src/cluster/storage/queue_items.hpp
@@ -0,0 +1,41 @@
+// Makes the queue's entry of a message from its record and the configuration in force.
+#pragma once
+
+#include "cluster/common/configuration.hpp"
+#include "cluster/storage/queue_item.hpp"
+#include "cluster/storage/replica.hpp"
+
+namespace amberswitch::cluster::storage {
+
+// A delivery takes this long if neither configuration nor accept tell.
+constexpr Millis kDefaultTimeout{2500};
+
+// The key of the limits of a call-back's receiver: its host and port.
+std::string callbackDestination(const std::string& callback_url);
+
+class QueueItemFactory {
+public:
+    QueueItemFactory(const StoreClock& clock, Millis status_kept)
+        : clock_(clock), status_kept_(status_kept) {}
+
+    void configure(const Configuration* configuration) { configuration_ = configuration; }
+    // `content` may lack its body. The message must be live.
+    QueueItem make(PartitionId partition, const MessageContent& content, const StoredMessage& message) const;
+    // Changes what differs for the call-back of an ended message.
+    void turnIntoCallback(QueueItem& item, const std::string& callback_url) const;
+    // Of one delivery of that item.
+    Millis timeoutOf(const QueueItem& item) const;
+    // Answers of 500 that end the item.
+    std::uint32_t maxFailuresOf(const QueueItem& item) const;
+    int priorityOf(const std::string& route) const;
+    // The configuration in force is as new as the one under which it was accepted, and does not have its
+    // route.
+    bool routeDropped(const QueueItem& item) const;
+
+private:
+    const StoreClock& clock_;
+    const Millis status_kept_;
+    const Configuration* configuration_ = nullptr;
+};
+
+}  // namespace amberswitch::cluster::storage
--- /dev/null
+++ b/src/cluster/storage/replica.cpp
@@ -0,0 +1,324 @@
+#include "cluster/storage/replica.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include "cluster/common/codec.hpp"
+
+namespace amberswitch::cluster::storage {
+
+namespace {
+
+constexpr std::string_view kContentPrefix = "c/";
+constexpr std::string_view kStatePrefix = "s/";
+constexpr std::string_view kPromisePrefix = "p/";
+constexpr std::string_view kDefaultKey = "meta/valid_by_default";
+constexpr std::int64_t kMillisPerSecond = 1000;
+
+struct StoredPromise {
+    Epoch promised = 0;
+    bool valid = false;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(promised, valid);
+    }
+};
+
+std::string messageKey(std::string_view prefix, PartitionId partition, const MessageId& id) {
+    return std::string(prefix) + std::to_string(partition) + "/" + id;
+}
+
+RecordUpdate stateOf(const MessageRecord& record) {
+    return {record.partition, record.content.id,    record.phase,         record.failures,
+            record.stamp,     record.ended_wall_ms, record.callback_done, 0};
+}
+
+}  // namespace
+
+int phaseRank(Phase phase) {
+    if (phase == Phase::pending) return 0;
+    return phase == Phase::dead_letter ? 1 : 2;
+}
+
+Replica::Replica(RecordStore& disk, const StoreClock& clock, bool bootstrap, Millis status_kept)
+    : disk_(disk), clock_(clock), bootstrap_(bootstrap), status_kept_(status_kept) {}
+
+void Replica::load() {
+    const auto by_default = disk_.read(kDefaultKey);
+    if (by_default) {
+        valid_by_default_ = *by_default == "1";
+    } else {
+        valid_by_default_ = bootstrap_;
+        disk_.put(kDefaultKey, valid_by_default_ ? "1" : "0");
+    }
+    std::vector<std::string> states;
+    disk_.forEach([&](std::string_view key, const std::string& value) {
+        if (key.starts_with(kContentPrefix)) loadContent(value);
+        if (key.starts_with(kStatePrefix)) states.push_back(value);
+        if (key.starts_with(kPromisePrefix)) loadPromise(key, value);
+    });
+    for (const std::string& value : states) loadState(value);
+}
+
+void Replica::loadContent(const std::string& value) {
+    auto record = decode<MessageRecord>(value);
+    if (!record) return;
+    record->accepted_wall_ms = std::min(record->accepted_wall_ms, clock_.wallMillis());
+    StoredMessage& message = partitions_[record->partition].messages[record->content.id];
+    adopt(message, *record, false);
+    scheduleTrim(record->partition, record->content.id, message);
+}
+
+void Replica::loadState(const std::string& value) {
+    const auto update = decode<RecordUpdate>(value);
+    if (!update) return;
+    StoredMessage& message = partitions_[update->partition].messages[update->id];
+    message.phase = update->phase;
+    message.failures = update->failures;
+    message.stamp = update->stamp;
+    message.ended_wall_ms = std::min(update->ended_wall_ms, clock_.wallMillis());
+    message.callback_done = update->callback_done;
+    message.keep_until_wall_ms = message.content_on_disk ? keepUntil(message) : update->keep_until_wall_ms;
+    if (!message.live()) releaseContent(message);
+    scheduleTrim(update->partition, update->id, message);
+}
+
+void Replica::loadPromise(std::string_view key, const std::string& value) {
+    const auto stored = decode<StoredPromise>(value);
+    PartitionId partition = 0;
+    const char* const begin = key.data() + kPromisePrefix.size();
+    const auto parsed = std::from_chars(begin, key.data() + key.size(), partition);
+    if (!stored || parsed.ec != std::errc()) return;
+    partitions_[partition].promised = stored->promised;
+    partitions_[partition].valid = stored->valid;
+}
+
+Epoch Replica::promised(PartitionId partition) const {
+    const auto found = partitions_.find(partition);
+    return found == partitions_.end() ? 0 : found->second.promised;
+}
+
+bool Replica::valid(PartitionId partition) const {
+    const auto found = partitions_.find(partition);
+    return found == partitions_.end() ? valid_by_default_ : found->second.valid.value_or(valid_by_default_);
+}
+
+void Replica::promise(PartitionId partition, Epoch epoch) {
+    Partition& kept = partitions_[partition];
+    if (kept.promised >= epoch) return;
+    kept.promised = epoch;
+    writePromise(partition);
+}
+
+bool Replica::markValid(PartitionId partition, Epoch epoch) {
+    Partition& kept = partitions_[partition];
+    if (kept.promised > epoch) return false;
+    if (valid(partition) && kept.promised == epoch) return true;
+    kept.promised = epoch;
+    kept.valid = true;
+    writePromise(partition);
+    return true;
+}
+
+void Replica::writePromise(PartitionId partition) {
+    const StoredPromise stored{promised(partition), valid(partition)};
+    disk_.put(std::string(kPromisePrefix) + std::to_string(partition), encode(stored));
+}
+
+bool Replica::store(const MessageRecord& record, bool keep_body) {
+    const MessageId& id = record.content.id;
+    StoredMessage* known = find(record.partition, id);
+    if (known == nullptr || !known->content_on_disk) {
+        if (!disk_.put(messageKey(kContentPrefix, record.partition, id), encode(record))) return false;
+    }
+    if (known == nullptr) {
+        StoredMessage& message = partitions_[record.partition].messages[id];
+        adopt(message, record, keep_body);
+        scheduleTrim(record.partition, id, message);
+        return true;
+    }
+    if (!known->content_on_disk) {
+        // The state came before the content; it is kept, and the content is only for the disk if all is over.
+        const RecordUpdate state = this->state(record.partition, id, *known);
+        adopt(*known, record, keep_body);
+        known->keep_until_wall_ms = std::max(known->keep_until_wall_ms, state.keep_until_wall_ms);
+        mergeInto(record.partition, id, *known, state);
+    }
+    correctAcceptTime(*known, record.accepted_wall_ms);
+    mergeInto(record.partition, id, *known, stateOf(record));
+    return true;
+}
+
+void Replica::adopt(StoredMessage& message, const MessageRecord& record, bool keep_body) {
+    message.content_on_disk = true;
+    message.epoch = record.epoch;
+    message.sequence = record.sequence;
+    message.accepted_wall_ms = record.accepted_wall_ms;
+    message.retention_ms = record.retention_ms;
+    message.max_failures = record.max_failures;
+    message.phase = record.phase;
+    message.failures = record.failures;
+    message.stamp = record.stamp;
+    message.ended_wall_ms = record.ended_wall_ms;
+    message.callback_done = record.callback_done;
+    message.keep_until_wall_ms = keepUntil(message);
+    if (!message.live()) return;
+    message.content = std::make_unique<MessageContent>(record.content);
+    const std::size_t bytes = record.content.body.size();
+    message.body_resident = keep_body && resident_body_bytes_ + bytes <= kResidentBodyBytes;
+    if (message.body_resident) {
+        resident_body_bytes_ += bytes;
+    } else {
+        message.content->body = std::string();
+    }
+}
+
+MergeResult Replica::merge(const RecordUpdate& update) {
+    StoredMessage* known = find(update.partition, update.id);
+    if (known == nullptr && update.phase == Phase::pending) return {};
+    if (known == nullptr) known = &partitions_[update.partition].messages[update.id];
+    return mergeInto(update.partition, update.id, *known, update);
+}
+
+MergeResult Replica::mergeInto(PartitionId partition, const MessageId& id, StoredMessage& message,
+                               const RecordUpdate& update) {
+    MergeResult result;
+    if (phaseRank(update.phase) > phaseRank(message.phase)) {
+        result.ended = message.phase == Phase::pending;
+        result.changed = true;
+        message.phase = update.phase;
+        message.stamp = update.stamp;
+        message.ended_wall_ms = std::min(update.ended_wall_ms, clock_.wallMillis());
+    }
+    if (update.failures > message.failures) {
+        result.changed = true;
+        message.failures = update.failures;
+    }
+    if (update.callback_done && !message.callback_done && message.phase != Phase::pending) {
+        result.changed = true;
+        message.callback_done = true;
+    }
+    if (!result.changed) return result;
+    const std::int64_t kept = message.content_on_disk ? keepUntil(message) : update.keep_until_wall_ms;
+    message.keep_until_wall_ms = result.ended ? kept : std::max(kept, message.keep_until_wall_ms);
+    if (!message.live()) releaseContent(message);
+    writeState(partition, id, message);
+    scheduleTrim(partition, id, message);
+    return result;
+}
+
+bool Replica::writeState(PartitionId partition, const MessageId& id, const StoredMessage& message) {
+    return disk_.put(messageKey(kStatePrefix, partition, id), encode(state(partition, id, message)));
+}
+
+void Replica::releaseContent(StoredMessage& message) {
+    if (message.body_resident) resident_body_bytes_ -= message.content->body.size();
+    message.body_resident = false;
+    message.content.reset();
+}
+
+StoredMessage* Replica::find(PartitionId partition, const MessageId& id) {
+    const auto kept = partitions_.find(partition);
+    if (kept == partitions_.end()) return nullptr;
+    const auto message = kept->second.messages.find(id);
+    return message == kept->second.messages.end() ? nullptr : &message->second;
+}
+
+const Replica::Messages& Replica::messages(PartitionId partition) const {
+    static const Messages kNone;
+    const auto found = partitions_.find(partition);
+    return found == partitions_.end() ? kNone : found->second.messages;
+}
+
+std::optional<MessageContent> Replica::content(PartitionId partition, const MessageId& id) const {
+    const auto& all = messages(partition);
+    const auto found = all.find(id);
+    if (found == all.end() || !found->second.content_on_disk) return std::nullopt;
+    if (found->second.body_resident) return *found->second.content;
+    const auto bytes = disk_.read(messageKey(kContentPrefix, partition, id));
+    if (!bytes) return std::nullopt;
+    auto record = decode<MessageRecord>(*bytes);
+    if (!record) return std::nullopt;
+    return std::move(record->content);
+}
+
+std::optional<MessageRecord> Replica::record(PartitionId partition, const MessageId& id) const {
+    auto content = this->content(partition, id);
+    if (!content) return std::nullopt;
+    const StoredMessage& message = messages(partition).at(id);
+    MessageRecord record;
+    record.content = std::move(*content);
+    record.partition = partition;
+    record.epoch = message.epoch;
+    record.sequence = message.sequence;
+    record.accepted_wall_ms = message.accepted_wall_ms;
+    record.retention_ms = message.retention_ms;
+    record.max_failures = message.max_failures;
+    record.phase = message.phase;
+    record.failures = message.failures;
+    record.stamp = message.stamp;
+    record.ended_wall_ms = message.ended_wall_ms;
+    record.callback_done = message.callback_done;
+    return record;
+}
+
+RecordUpdate Replica::state(PartitionId partition, const MessageId& id, const StoredMessage& message) const {
+    return {partition,
+            id,
+            message.phase,
+            message.failures,
+            message.stamp,
+            message.ended_wall_ms,
+            message.callback_done,
+            message.keep_until_wall_ms};
+}
+
+void Replica::correctAcceptTime(StoredMessage& message, std::int64_t accepted_wall_ms) {
+    accepted_wall_ms = std::min(accepted_wall_ms, clock_.wallMillis());
+    if (accepted_wall_ms <= message.accepted_wall_ms) return;
+    message.accepted_wall_ms = accepted_wall_ms;
+    message.keep_until_wall_ms = keepUntil(message);
+}
+
+std::int64_t Replica::keepUntil(const StoredMessage& message) const {
+    const std::int64_t retained = message.accepted_wall_ms + message.retention_ms;
+    const std::int64_t last_end = retained + kRetentionMargin.count();
+    const std::int64_t ended = message.phase == Phase::pending ? last_end : message.ended_wall_ms;
+    return std::max(ended + status_kept_.count(), retained) + kTrimMargin.count();
+}
+
+void Replica::scheduleTrim(PartitionId partition, const MessageId& id, const StoredMessage& message) {
+    trims_[message.keep_until_wall_ms / kMillisPerSecond + 1].emplace_back(partition, id);
+}
+
+void Replica::trim(std::size_t limit) {
+    const std::int64_t now_ms = clock_.wallMillis();
+    while (!trims_.empty() && trims_.begin()->first <= now_ms / kMillisPerSecond) {
+        auto& due = trims_.begin()->second;
+        while (!due.empty()) {
+            if (limit-- == 0) return;
+            const auto [partition, id] = std::move(due.back());
+            due.pop_back();
+            StoredMessage* message = find(partition, id);
+            if (message == nullptr) continue;
+            if (message->keep_until_wall_ms > now_ms) {
+                scheduleTrim(partition, id, *message);
+                continue;
+            }
+            releaseContent(*message);
+            // The content first: a state alone can never be run again.
+            disk_.erase(messageKey(kContentPrefix, partition, id));
+            disk_.erase(messageKey(kStatePrefix, partition, id));
+            partitions_[partition].messages.erase(id);
+        }
+        trims_.erase(trims_.begin());
+    }
+}
+
+std::size_t Replica::size() const {
+    std::size_t sum = 0;
+    for (const auto& [partition, kept] : partitions_) sum += kept.messages.size();
+    return sum;
+}
+
+}  // namespace amberswitch::cluster::storage
--- /dev/null
+++ b/src/cluster/storage/replica.hpp
@@ -0,0 +1,126 @@
+// What this machine keeps of each partition: message contents, their states, and the promises made to owners.
+// Knows nothing of ownership or of other machines. All changes are staged on the disk; callers that must wait
+// for durability call RecordStore::sync themselves.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cluster/common/messages.hpp"
+#include "cluster/storage/record_store.hpp"
+#include "cluster/storage/store_clock.hpp"
+
+namespace amberswitch::cluster::storage {
+
+// Bodies of live messages that stay in memory; others are read back from the disk.
+constexpr std::size_t kResidentBodyBytes = 48u << 20;
+// A message is forgotten this long after the last moment at which somebody may ask for it.
+constexpr Millis kTrimMargin{5000};
+// An unfinished message ends this long after its retention is over.
+constexpr Millis kRetentionMargin{2000};
+
+// One message as this replica knows it.
+struct StoredMessage {
+    // Kept while the message is live (pending, or its call-back is owed); the body may be absent
+    // (body_resident).
+    std::unique_ptr<MessageContent> content;
+    bool content_on_disk = false;
+    bool body_resident = false;
+    Epoch epoch = 0;
+    std::uint64_t sequence = 0;
+    std::int64_t accepted_wall_ms = 0;
+    std::int64_t retention_ms = 0;
+    std::uint32_t max_failures = 1;
+    Phase phase = Phase::pending;
+    std::uint32_t failures = 0;
+    std::string stamp;
+    std::int64_t ended_wall_ms = 0;
+    bool callback_done = false;
+    std::int64_t keep_until_wall_ms = 0;
+
+    bool live() const { return phase == Phase::pending || !callback_done; }
+};
+
+// The order in which states override each other: pending, dead_letter, completed.
+int phaseRank(Phase phase);
+
+struct MergeResult {
+    bool changed = false;
+    bool ended = false;  // the message was pending before
+};
+
+class Replica {
+public:
+    using Messages = std::unordered_map<MessageId, StoredMessage>;
+
+    // `bootstrap`: the whole system starts for the first time, so that an empty disk lacks nothing.
+    Replica(RecordStore& disk, const StoreClock& clock, bool bootstrap, Millis status_kept);
+
+    // Reads everything back from the disk. Call once before anything else.
+    void load();
+
+    // --- Promises ---
+    Epoch promised(PartitionId partition) const;
+    bool valid(PartitionId partition) const;
+    // Takes nothing from epochs before `epoch` any more; durable after the next sync.
+    void promise(PartitionId partition, Epoch epoch);
+    // False where a newer epoch has been promised.
+    bool markValid(PartitionId partition, Epoch epoch);
+
+    // --- Messages ---
+    // Writes a record, or merges it into the one that is there. False: the disk has no room, nothing changed.
+    bool store(const MessageRecord& record, bool keep_body);
+    // Applies an end or a count. Ends of unknown messages are kept too; counts of unknown ones are ignored.
+    MergeResult merge(const RecordUpdate& update);
+    StoredMessage* find(PartitionId partition, const MessageId& id);
+    const Messages& messages(PartitionId partition) const;
+    // The content with its body; nothing where this disk does not hold it.
+    std::optional<MessageContent> content(PartitionId partition, const MessageId& id) const;
+    std::optional<MessageRecord> record(PartitionId partition, const MessageId& id) const;
+    RecordUpdate state(PartitionId partition, const MessageId& id, const StoredMessage& message) const;
+    // Takes a later time of accept that another replica knows (this machine's clock may have been stepped).
+    void correctAcceptTime(StoredMessage& message, std::int64_t accepted_wall_ms);
+
+    // Forgets what nobody may ask for any more. At most `limit` messages at a time.
+    void trim(std::size_t limit);
+
+    std::size_t residentBodyBytes() const { return resident_body_bytes_; }
+    std::size_t size() const;
+
+private:
+    struct Partition {
+        Epoch promised = 0;
+        std::optional<bool> valid;  // nothing: as the machine started
+        Messages messages;
+    };
+
+    void loadContent(const std::string& value);
+    void loadState(const std::string& value);
+    void loadPromise(std::string_view key, const std::string& value);
+    void writePromise(PartitionId partition);
+    bool writeState(PartitionId partition, const MessageId& id, const StoredMessage& message);
+    void adopt(StoredMessage& message, const MessageRecord& record, bool keep_body);
+    MergeResult mergeInto(PartitionId partition, const MessageId& id, StoredMessage& message,
+                          const RecordUpdate& update);
+    void releaseContent(StoredMessage& message);
+    void scheduleTrim(PartitionId partition, const MessageId& id, const StoredMessage& message);
+    std::int64_t keepUntil(const StoredMessage& message) const;
+
+    RecordStore& disk_;
+    const StoreClock& clock_;
+    const bool bootstrap_;
+    const Millis status_kept_;
+    bool valid_by_default_ = false;
+    std::map<PartitionId, Partition> partitions_;
+    std::size_t resident_body_bytes_ = 0;
+    // By second of the day's clock; entries that were prolonged are put back when their second comes.
+    std::map<std::int64_t, std::vector<std::pair<PartitionId, MessageId>>> trims_;
+};
+
+}  // namespace amberswitch::cluster::storage
--- /dev/null
+++ b/src/cluster/storage/store_node.cpp
@@ -0,0 +1,293 @@
+#include "cluster/storage/store_node.hpp"
+
+#include <glog/logging.h>
+
+#include "cluster/storage/store_node_impl.hpp"
+
+namespace amberswitch::cluster {
+
+using storage::findActive;
+using storage::findOwned;
+using storage::PeerStore;
+using storage::QueueItem;
+
+namespace {
+
+constexpr Millis kTick{100};
+constexpr std::uint64_t kTicksPerTrim = 10;
+constexpr std::size_t kMostTrimmedAtOnce = 2000;
+// A previous owner that may still run uses its share of the ceilings for this long after it was replaced.
+constexpr Millis kPreviousOwnerRuns{3000};
+constexpr Millis kFormerGrantsKept{10000};
+constexpr Millis kExitBeforeGrace{1500};
+// Answers to the last pulls leave the machine within this time.
+constexpr Millis kLastAnswers{200};
+
+}  // namespace
+
+StoreNode::StoreNode(Scheduler& scheduler, Transport& transport, RecordStore& disk,
+                     const NodeSettings& settings, Incarnation incarnation)
+    : impl_(std::make_unique<Impl>(scheduler, transport, disk, settings, incarnation)) {}
+StoreNode::~StoreNode() = default;
+void StoreNode::start() {
+    impl_->start();
+}
+void StoreNode::onView(std::shared_ptr<const StoreView> view) {
+    impl_->onView(std::move(view));
+}
+void StoreNode::onConfiguration(std::shared_ptr<const Configuration> configuration) {
+    impl_->onConfiguration(std::move(configuration));
+}
+void StoreNode::setEdgeCount(std::uint32_t edges) {
+    impl_->setEdgeCount(edges);
+}
+void StoreNode::leave(std::function<void()> done) {
+    impl_->leave(std::move(done));
+}
+std::string StoreNode::statusJson() const {
+    return impl_->statusJson();
+}
+
+StoreNode::Impl::Impl(Scheduler& scheduler, Transport& transport, RecordStore& disk,
+                      const NodeSettings& settings, Incarnation incarnation)
+    : scheduler_(scheduler),
+      transport_(transport),
+      disk_(disk),
+      settings_(settings),
+      incarnation_(incarnation),
+      clock_(scheduler),
+      placement_(settings.name),
+      replica_(disk, clock_, settings.bootstrap && disk.wasEmpty(), settings.bounds.status_kept),
+      replicator_(scheduler, transport, placement_, replica_, clock_),
+      book_(settings.zone, incarnation),
+      items_(clock_, settings.bounds.status_kept),
+      outcomes_(owned_, book_, replica_, replicator_, items_, clock_, incarnation),
+      granter_(scheduler, transport, owned_, book_, outcomes_, replica_, items_, settings.name),
+      edge_watch_(transport, owned_, book_, outcomes_, granter_, clock_, settings.name),
+      accepts_(disk, replica_, replicator_, placement_, clock_, owned_, items_, granter_),
+      peering_(scheduler, transport, disk, replica_, replicator_, placement_, clock_, peeringHooks()) {}
+
+storage::PeeringDriver::Hooks StoreNode::Impl::peeringHooks() {
+    storage::PeeringDriver::Hooks hooks;
+    hooks.on_enough = [this](PartitionId partition, const std::vector<RunningAttempt>& running) {
+        onEnough(partition, running);
+    };
+    hooks.on_merged = [this](PartitionId partition, const std::vector<MessageId>& touched) {
+        onMerged(partition, touched);
+    };
+    hooks.on_holder = [this](PartitionId partition, const MessageId& id, const std::string& store) {
+        OwnedPartition* const owned = findActive(owned_, partition);
+        QueueItem* const item = owned == nullptr ? nullptr : owned->queue.find(id);
+        if (item != nullptr) item->holders.insert(store);
+    };
+    hooks.is_storing = [this](PartitionId partition, const MessageId& id) {
+        return accepts_.underWay(partition, id);
+    };
+    hooks.on_done = [this](PartitionId partition, Epoch epoch) {
+        Epoch& newest = last_peering_done_[partition];
+        newest = std::max(newest, epoch);
+    };
+    return hooks;
+}
+
+void StoreNode::Impl::start() {
+    replica_.load();
+    LOG(INFO) << "store " << settings_.name << ": " << replica_.size() << " messages on disk";
+    transport_.serve(
+        [this](const Envelope& request, Responder respond) { serve(request, std::move(respond)); });
+    tick_timer_ = scheduler_.after(kTick, [this] { tick(); });
+}
+
+void StoreNode::Impl::tick() {
+    tick_timer_ = scheduler_.after(kTick, [this] { tick(); });
+    peering_.tick();
+    edge_watch_.tick();
+    for (auto& [partition, owned] : owned_) {
+        if (owned->active) outcomes_.endOverdue(*owned);
+    }
+    replicator_.flush();
+    updateShare();
+    if (book_.ready.size() > 0) granter_.schedule();
+    if (++ticks_ % kTicksPerTrim == 0) replica_.trim(kMostTrimmedAtOnce);
+    std::erase_if(former_grants_, [this](const auto& entry) { return entry.second.until < clock_.now(); });
+    finishLeaving();
+}
+
+bool StoreNode::Impl::ownsInView(const StoreView& view, PartitionId partition) const {
+    const std::int32_t owner = view.partitions[partition].owner;
+    if (owner < 0 || static_cast<std::size_t>(owner) >= view.stores.size()) return false;
+    const Member& member = view.stores[static_cast<std::size_t>(owner)].member;
+    return member.name == settings_.name && member.incarnation == incarnation_;
+}
+
+void StoreNode::Impl::onView(std::shared_ptr<const StoreView> view) {
+    if (view_ && view->epoch <= view_->epoch) return;
+    const Epoch previous_epoch = view_ ? view_->epoch : 0;
+    view_ = std::move(view);
+    placement_.update(view_);
+    noteStores(*view_);
+    const auto partitions = static_cast<PartitionId>(view_->partitions.size());
+    for (PartitionId partition = 0; partition < partitions; ++partition) {
+        const bool mine = ownsInView(*view_, partition) && replica_.promised(partition) <= view_->epoch;
+        if (mine) {
+            takeOver(partition, *view_, previous_epoch);
+        } else if (findOwned(owned_, partition) != nullptr) {
+            relinquish(partition);
+        }
+    }
+    updateShare();
+    LOG(INFO) << "store " << settings_.name << ": view " << view_->epoch << ", " << owned_.size()
+              << " partitions";
+}
+
+void StoreNode::Impl::noteStores(const StoreView& view) {
+    if (first_view_epoch_ == 0) first_view_epoch_ = view.epoch;
+    for (const StoreMember& store : view.stores) first_seen_.emplace(store.member.name, view.epoch);
+}
+
+std::vector<PeerStore> StoreNode::Impl::peersOf(PartitionId partition) const {
+    const auto done = last_peering_done_.find(partition);
+    const Epoch newest_done = done == last_peering_done_.end() ? 0 : done->second;
+    const auto peer = [&](const std::string& name, bool alive) {
+        const Epoch seen = first_seen_.at(name);
+        return PeerStore{name, alive, seen > first_view_epoch_ && seen > newest_done};
+    };
+    std::vector<PeerStore> peers;
+    for (const std::string& name : placement_.replicaOrder(partition)) peers.push_back(peer(name, true));
+    for (const StoreMember& store : view_->stores) {
+        if (!store.alive && store.member.name != settings_.name)
+            peers.push_back(peer(store.member.name, false));
+    }
+    return peers;
+}
+
+void StoreNode::Impl::takeOver(PartitionId partition, const StoreView& view, Epoch previous_epoch) {
+    OwnedPartition* owned = findOwned(owned_, partition);
+    // Nobody else can have accepted anything between two consecutive views in both of which this store is
+    // owner.
+    const bool continuous = owned != nullptr && owned->active && owned->epoch == previous_epoch &&
+                            view.epoch == previous_epoch + 1;
+    if (owned != nullptr && !continuous) relinquish(partition);
+    if (!continuous) {
+        auto fresh = std::make_unique<OwnedPartition>(partition, book_.ready);
+        owned = owned_.emplace(partition, std::move(fresh)).first->second.get();
+        const PartitionOwner& assignment = view.partitions[partition];
+        const bool previous_runs = !assignment.previous_stopped && assignment.previous >= 0 &&
+                                   assignment.previous != assignment.owner;
+        owned->share_from = clock_.now() + (previous_runs ? kPreviousOwnerRuns : Millis(0));
+    } else {
+        owned->queue.forEach([this](QueueItem& item) {
+            if (!accepts_.underWay(item.partition, item.id)) item.holders.clear();
+        });
+    }
+    owned->epoch = view.epoch;
+    owned->last_sequence = 0;
+    if (leaving_) awaiting_pull_.insert(partition);
+    peering_.start(partition, peersOf(partition));
+}
+
+void StoreNode::Impl::relinquish(PartitionId partition) {
+    OwnedPartition& owned = *findOwned(owned_, partition);
+    if (owned.active) {
+        FormerGrants& former = former_grants_[partition];
+        former.running.clear();
+        former.until = clock_.now() + kFormerGrantsKept;
+        owned.queue.forEach([&former](QueueItem& item) {
+            if (!item.grant) return;
+            former.running.push_back(
+                {item.partition, item.id, item.grant->id.attempt, item.grant->id.epoch, item.callback});
+        });
+    }
+    book_.forget(owned, clock_.now());
+    peering_.cancel(partition);
+    owned_.erase(partition);
+}
+
+void StoreNode::Impl::onEnough(PartitionId partition, const std::vector<RunningAttempt>& running) {
+    OwnedPartition* const owned = findOwned(owned_, partition);
+    if (owned == nullptr) return;
+    if (owned->active) {  // it was the owner all along
+        owned->queue.forEach([this](QueueItem& item) { setHolders(item); });
+        recoverAll(*owned);
+        return;
+    }
+    owned->active = true;
+    owned->settle_by = clock_.now() + storage::kSettleAtMost;
+    recoverAll(*owned);
+    std::vector<RunningAttempt> granted = running;
+    const auto former = former_grants_.find(partition);
+    if (former != former_grants_.end()) {
+        granted.insert(granted.end(), former->second.running.begin(), former->second.running.end());
+        former_grants_.erase(former);
+    }
+    edge_watch_.onActive(*owned, granted);
+    outcomes_.endDropped(*owned);
+    updateShare();
+    granter_.schedule();
+}
+
+void StoreNode::Impl::recoverAll(OwnedPartition& owned) {
+    std::vector<MessageId> live;
+    for (const auto& [id, message] : replica_.messages(owned.id)) {
+        if (message.live() || owned.queue.find(id) != nullptr) live.push_back(id);
+    }
+    onMerged(owned.id, live);
+}
+
+void StoreNode::Impl::onMerged(PartitionId partition, const std::vector<MessageId>& touched) {
+    OwnedPartition* const owned = findActive(owned_, partition);
+    if (owned == nullptr) return;
+    for (const MessageId& id : touched) {
+        outcomes_.refresh(*owned, id);
+        if (QueueItem* const item = owned->queue.find(id)) setHolders(*item);
+    }
+    granter_.schedule();
+}
+
+void StoreNode::Impl::setHolders(QueueItem& item) {
+    for (const std::string& store : peering_.holders(item.partition, item.id)) item.holders.insert(store);
+}
+
+void StoreNode::Impl::updateShare() {
+    if (!view_ || view_->partitions.empty()) return;
+    std::size_t counted = 0;
+    for (const auto& [partition, owned] : owned_) {
+        if (owned->active && owned->share_from <= clock_.now()) ++counted;
+    }
+    const double share = static_cast<double>(counted) / static_cast<double>(view_->partitions.size());
+    book_.limiter.setShare(share, clock_.now());
+}
+
+void StoreNode::Impl::onConfiguration(std::shared_ptr<const Configuration> configuration) {
+    if (configuration_ && configuration->generation <= configuration_->generation) return;
+    configuration_ = std::move(configuration);
+    items_.configure(configuration_.get());
+    book_.limiter.configure(*configuration_);
+    for (auto& [partition, owned] : owned_) {
+        if (owned->active) outcomes_.endDropped(*owned);
+    }
+    granter_.schedule();
+}
+
+void StoreNode::Impl::leave(std::function<void()> done) {
+    if (std::exchange(leaving_, true)) return;
+    on_left_ = std::move(done);
+    accepts_.stop();
+    granter_.stop();
+    for (const auto& [partition, owned] : owned_) awaiting_pull_.insert(partition);
+    const Millis wait = std::max(Millis(0), settings_.bounds.grace - kExitBeforeGrace);
+    grace_timer_ = scheduler_.after(wait, [this] {
+        if (on_left_) std::exchange(on_left_, nullptr)();
+    });
+}
+
+void StoreNode::Impl::finishLeaving() {
+    if (!leaving_ || successors_done_) return;
+    if (!awaiting_pull_.empty() || accepts_.underWay() > 0 || !replicator_.idle()) return;
+    successors_done_ = true;
+    grace_timer_ = scheduler_.after(kLastAnswers, [this] {
+        if (on_left_) std::exchange(on_left_, nullptr)();
+    });
+}
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/storage/store_node_impl.hpp
@@ -0,0 +1,103 @@
+// The parts of a StoreNode and how they are tied together. Only store_node*.cpp include this.
+#pragma once
+
+#include <map>
+#include <set>
+
+#include "cluster/storage/accepts.hpp"
+#include "cluster/storage/edge_watch.hpp"
+#include "cluster/storage/peering_driver.hpp"
+#include "cluster/storage/store_node.hpp"
+
+namespace amberswitch::cluster {
+
+class StoreNode::Impl {
+public:
+    Impl(Scheduler& scheduler, Transport& transport, RecordStore& disk, const NodeSettings& settings,
+         Incarnation incarnation);
+
+    void start();
+    void onView(std::shared_ptr<const StoreView> view);
+    void onConfiguration(std::shared_ptr<const Configuration> configuration);
+    void setEdgeCount(std::uint32_t edges) { edge_watch_.setEdgeCount(edges); }
+    void leave(std::function<void()> done);
+    std::string statusJson() const;
+
+private:
+    using OwnedPartition = storage::OwnedPartition;
+    // What a partition's last owner here had granted, for its successor.
+    struct FormerGrants {
+        std::vector<RunningAttempt> running;
+        SteadyTime until;
+    };
+
+    // --- Ownership (store_node.cpp) ---
+    void tick();
+    bool ownsInView(const StoreView& view, PartitionId partition) const;
+    void takeOver(PartitionId partition, const StoreView& view, Epoch previous_epoch);
+    void relinquish(PartitionId partition);
+    void noteStores(const StoreView& view);
+    std::vector<storage::PeerStore> peersOf(PartitionId partition) const;
+    void onEnough(PartitionId partition, const std::vector<RunningAttempt>& running);
+    void onMerged(PartitionId partition, const std::vector<MessageId>& touched);
+    void recoverAll(OwnedPartition& owned);
+    void setHolders(storage::QueueItem& item);
+    void updateShare();
+    void finishLeaving();
+    storage::PeeringDriver::Hooks peeringHooks();
+
+    // --- Requests (store_node_requests.cpp) ---
+    void serve(const Envelope& request, Responder respond);
+    template <class Message>
+    void dispatch(const Envelope& request, const Responder& respond,
+                  void (Impl::*handle)(Message, const Responder&));
+    void onAccept(AcceptMessageRequest request, const Responder& respond);
+    void onReport(RunReport report, const Responder& respond);
+    void onEdgeSync(EdgeSync sync, const Responder& respond);
+    void onStateQuery(StateQuery query, const Responder& respond);
+    void onBodyQuery(StateQuery query, const Responder& respond);
+    void onReplicaBody(StateQuery query, const Responder& respond);
+    void onReplicate(ReplicateBatch batch, const Responder& respond);
+    void onPull(PullRequest request, const Responder& respond);
+    void onPeeringDone(PeeringDone done, const Responder& respond);
+    StateReply stateOf(const StateQuery& query);
+    void fetchBody(const StateQuery& query, StateReply reply, std::vector<std::string> stores,
+                   const Responder& respond);
+    ReplicateReply applyReplicate(ReplicateRequest& request, std::int64_t shift_ms);
+    PullReply pullReply(const PullRequest& request);
+
+    Scheduler& scheduler_;
+    Transport& transport_;
+    RecordStore& disk_;
+    NodeSettings settings_;
+    Incarnation incarnation_;
+
+    storage::StoreClock clock_;
+    storage::Placement placement_;
+    storage::Replica replica_;
+    storage::Replicator replicator_;
+    storage::GrantBook book_;  // before owned_: the queues refer to it
+    storage::OwnedPartitions owned_;
+    storage::QueueItemFactory items_;
+    storage::Outcomes outcomes_;
+    storage::Granter granter_;
+    storage::EdgeWatch edge_watch_;
+    storage::Accepts accepts_;
+    storage::PeeringDriver peering_;
+
+    std::shared_ptr<const StoreView> view_;
+    std::shared_ptr<const Configuration> configuration_;
+    std::map<PartitionId, FormerGrants> former_grants_;
+    Epoch first_view_epoch_ = 0;
+    std::map<std::string, Epoch> first_seen_;         // by store: the first view that named it
+    std::map<PartitionId, Epoch> last_peering_done_;  // the newest view whose replicas are known to be valid
+    TimerHandle tick_timer_;
+    TimerHandle grace_timer_;
+    std::function<void()> on_left_;
+    std::set<PartitionId> awaiting_pull_;  // while leaving: partitions no successor has asked for yet
+    bool leaving_ = false;
+    bool successors_done_ = false;
+    std::uint64_t ticks_ = 0;
+};
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/src/cluster/storage/store_node_requests.cpp
@@ -0,0 +1,212 @@
+#include <glog/logging.h>
+
+#include <unordered_set>
+
+#include "cluster/common/codec.hpp"
+#include "cluster/storage/store_node_impl.hpp"
+#include "cluster/storage/wall_shift.hpp"
+
+namespace amberswitch::cluster {
+
+using storage::findActive;
+using storage::findOwned;
+
+namespace {
+
+constexpr std::size_t kMostBytesPerPull = 48u << 20;
+constexpr Millis kBodyTimeout{500};
+
+}  // namespace
+
+template <class Message>
+void StoreNode::Impl::dispatch(const Envelope& request, const Responder& respond,
+                               void (Impl::*handle)(Message, const Responder&)) {
+    auto message = decode<Message>(request.body);
+    if (!message) {
+        LOG_EVERY_N(WARNING, 1000) << "a request of kind " << request.kind << " cannot be read";
+        return;
+    }
+    (this->*handle)(std::move(*message), respond);
+}
+
+void StoreNode::Impl::serve(const Envelope& request, Responder respond) {
+    switch (static_cast<MessageKind>(request.kind)) {
+        case MessageKind::accept_message:
+            return dispatch<AcceptMessageRequest>(request, respond, &Impl::onAccept);
+        case MessageKind::run_report:
+            return dispatch<RunReport>(request, respond, &Impl::onReport);
+        case MessageKind::edge_sync:
+            return dispatch<EdgeSync>(request, respond, &Impl::onEdgeSync);
+        case MessageKind::state_query:
+            return dispatch<StateQuery>(request, respond, &Impl::onStateQuery);
+        case MessageKind::body_query:
+            return dispatch<StateQuery>(request, respond, &Impl::onBodyQuery);
+        case MessageKind::replica_body:
+            return dispatch<StateQuery>(request, respond, &Impl::onReplicaBody);
+        case MessageKind::replicate:
+            return dispatch<ReplicateBatch>(request, respond, &Impl::onReplicate);
+        case MessageKind::pull_partition:
+            return dispatch<PullRequest>(request, respond, &Impl::onPull);
+        case MessageKind::peering_done:
+            return dispatch<PeeringDone>(request, respond, &Impl::onPeeringDone);
+        default:
+            LOG_EVERY_N(WARNING, 1000) << "a store does not take requests of kind " << request.kind;
+    }
+}
+
+void StoreNode::Impl::onAccept(AcceptMessageRequest request, const Responder& respond) {
+    edge_watch_.heard(request.edge, request.edge_address);
+    accepts_.accept(std::move(request),
+                    [respond](const AcceptMessageReply& answer) { respond(reply(answer)); });
+}
+
+void StoreNode::Impl::onReport(RunReport report, const Responder& respond) {
+    edge_watch_.heard(report.edge, report.edge_address);
+    RunReportReply answer;
+    for (const RunResult& result : report.results)
+        answer.taken.push_back(outcomes_.apply(report.edge, result));
+    respond(reply(answer));
+    granter_.schedule();
+}
+
+void StoreNode::Impl::onEdgeSync(EdgeSync sync, const Responder& respond) {
+    edge_watch_.onSync(sync);
+    respond(reply(EdgeSyncReply{placement_.epoch()}));
+}
+
+StateReply StoreNode::Impl::stateOf(const StateQuery& query) {
+    StateReply answer;
+    if (findActive(owned_, query.partition) == nullptr) return answer;
+    const storage::StoredMessage* const message = replica_.find(query.partition, query.id);
+    answer.status = message == nullptr ? QueryStatus::not_found : QueryStatus::found;
+    if (message == nullptr) return answer;
+    answer.phase = message->phase;
+    answer.stamp = message->stamp;
+    return answer;
+}
+
+void StoreNode::Impl::onStateQuery(StateQuery query, const Responder& respond) {
+    respond(reply(stateOf(query)));
+}
+
+void StoreNode::Impl::onBodyQuery(StateQuery query, const Responder& respond) {
+    StateReply answer = stateOf(query);
+    if (answer.status != QueryStatus::found || answer.phase == Phase::completed)
+        return respond(reply(answer));
+    if (auto content = replica_.content(query.partition, query.id)) {
+        answer.body = std::move(content->body);
+        return respond(reply(answer));
+    }
+    fetchBody(query, std::move(answer), placement_.replicaOrder(query.partition), respond);
+}
+
+void StoreNode::Impl::fetchBody(const StateQuery& query, StateReply answer, std::vector<std::string> stores,
+                                const Responder& respond) {
+    if (stores.empty()) {
+        answer.status = QueryStatus::not_found;
+        return respond(reply(answer));
+    }
+    const StoreMember* const member = placement_.member(stores.front());
+    stores.erase(stores.begin());
+    if (member == nullptr) return fetchBody(query, std::move(answer), std::move(stores), respond);
+    transport_.call(member->member.address, envelope(MessageKind::replica_body, query), kBodyTimeout,
+                    [this, query, answer, stores, respond](const CallResult& result) {
+                        std::optional<StateReply> found;
+                        if (result.verdict == Verdict::answered)
+                            found = decode<StateReply>(result.reply.body);
+                        if (!found || found->status != QueryStatus::found) {
+                            return fetchBody(query, answer, stores, respond);
+                        }
+                        StateReply whole = answer;
+                        whole.body = std::move(found->body);
+                        respond(reply(whole));
+                    });
+}
+
+void StoreNode::Impl::onReplicaBody(StateQuery query, const Responder& respond) {
+    StateReply answer;
+    answer.status = QueryStatus::not_found;
+    if (auto content = replica_.content(query.partition, query.id)) {
+        answer.status = QueryStatus::found;
+        answer.body = std::move(content->body);
+    }
+    respond(reply(answer));
+}
+
+void StoreNode::Impl::onReplicate(ReplicateBatch batch, const Responder& respond) {
+    ReplicateBatchReply answer;
+    bool durable = false;
+    for (ReplicateRequest& request : batch.requests) {
+        durable = durable || request.durable;
+        answer.replies.push_back(applyReplicate(request, clock_.wallMillis() - batch.wall_ms));
+    }
+    if (!durable) return respond(reply(answer));
+    disk_.sync([answer, respond](bool synced) { respond(reply(synced ? answer : ReplicateBatchReply{})); });
+}
+
+ReplicateReply StoreNode::Impl::applyReplicate(ReplicateRequest& request, std::int64_t shift_ms) {
+    ReplicateReply answer;
+    answer.promised = replica_.promised(request.partition);
+    answer.stored = answer.promised <= request.epoch;
+    // States are facts, whoever tells them; records are taken only from the owner that was promised to.
+    OwnedPartition* const owned = findActive(owned_, request.partition);
+    for (RecordUpdate& update : request.updates) {
+        update.partition = request.partition;
+        storage::shiftTimes(update, shift_ms);
+        replica_.merge(update);
+        if (owned != nullptr) outcomes_.refresh(*owned, update.id);
+    }
+    if (!answer.stored) return answer;
+    for (MessageRecord& record : request.records) {
+        record.partition = request.partition;
+        storage::shiftTimes(record, shift_ms);
+        if (!replica_.store(record, false)) answer.stored = false;
+    }
+    return answer;
+}
+
+void StoreNode::Impl::onPull(PullRequest request, const Responder& respond) {
+    if (replica_.promised(request.partition) > request.epoch) return respond(reply(PullReply{}));
+    const OwnedPartition* const owned = findOwned(owned_, request.partition);
+    if (owned != nullptr && owned->epoch < request.epoch) relinquish(request.partition);
+    replica_.promise(request.partition, request.epoch);
+    disk_.sync([this, request = std::move(request), respond](bool synced) {
+        if (!synced || replica_.promised(request.partition) > request.epoch)
+            return respond(reply(PullReply{}));
+        respond(reply(pullReply(request)));
+        awaiting_pull_.erase(request.partition);
+    });
+}
+
+PullReply StoreNode::Impl::pullReply(const PullRequest& request) {
+    PullReply answer;
+    answer.promised = true;
+    answer.valid = replica_.valid(request.partition);
+    answer.wall_ms = clock_.wallMillis();
+    const std::unordered_set<MessageId> known(request.known.begin(), request.known.end());
+    std::size_t bytes = 0;
+    for (const auto& [id, message] : replica_.messages(request.partition)) {
+        const bool wanted = message.live() && message.content_on_disk && !known.contains(id);
+        auto record = wanted ? replica_.record(request.partition, id) : std::nullopt;
+        if (record) {
+            bytes += record->content.body.size();
+            if (bytes > kMostBytesPerPull) answer.valid = false;  // not all is here
+            if (bytes > kMostBytesPerPull) break;
+            answer.records.push_back(std::move(*record));
+        } else if (message.content_on_disk || message.phase != Phase::pending) {
+            answer.states.push_back(replica_.state(request.partition, id, message));
+        }
+    }
+    const auto former = former_grants_.find(request.partition);
+    if (former != former_grants_.end()) answer.running = former->second.running;
+    return answer;
+}
+
+void StoreNode::Impl::onPeeringDone(PeeringDone done, const Responder& respond) {
+    if (!replica_.markValid(done.partition, done.epoch)) return respond(reply(Acknowledgement{false}));
+    Epoch& newest = last_peering_done_[done.partition];
+    newest = std::max(newest, done.epoch);
+    disk_.sync([respond](bool synced) { respond(reply(Acknowledgement{synced})); });
+}
+
+}  // namespace amberswitch::cluster
--- /dev/null
+++ b/tests/cluster/store_world.hpp
@@ -0,0 +1,453 @@
+// Whole stores on the simulated network, with disks that lose what was not synced, edges that run messages at
+// pretended servers, and a pretended leader. For the tests of StoreNode.
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cluster/common/codec.hpp"
+#include "cluster/storage/store_node.hpp"
+#include "tests/cluster/simulation.hpp"
+
+namespace amberswitch::cluster::simulation {
+
+// What is on a machine's platter; outlives its processes.
+struct Platter {
+    std::map<std::string, std::string, std::less<>> synced;
+    bool formatted = false;
+    std::uint64_t capacity = 400u << 20;
+};
+
+// The disk as one process sees it. What was staged but not synced is lost with the power.
+class FakeDisk : public RecordStore {
+public:
+    FakeDisk(World& world, Scheduler& scheduler, Platter& platter)
+        : world_(world), scheduler_(scheduler), platter_(platter), seen_(platter.synced) {
+        was_empty_ = !platter.formatted;
+        platter.formatted = true;
+        for (const auto& [key, value] : seen_) live_ += key.size() + value.size();
+    }
+    bool put(std::string_view key, std::string_view value) override {
+        if (live_ + key.size() + value.size() > platter_.capacity) return false;
+        forget(key);
+        live_ += key.size() + value.size();
+        seen_[std::string(key)] = value;
+        staged_.emplace_back(std::string(key), std::string(value));
+        return true;
+    }
+    void erase(std::string_view key) override {
+        forget(key);
+        staged_.emplace_back(std::string(key), std::nullopt);
+    }
+    void sync(std::function<void(bool)> done) override {
+        const std::size_t upto = written_ + staged_.size();
+        const auto span = Millis(1 + static_cast<std::int64_t>(world_.chance() * 6));
+        const SteadyTime at = std::max(last_sync_, world_.now() + span);
+        last_sync_ = at;
+        timers_.push_back(scheduler_.after(std::chrono::ceil<Millis>(at - world_.now()), [this, upto, done] {
+            writeUpTo(upto);
+            done(true);
+        }));
+        while (timers_.size() > 500) timers_.pop_front();
+    }
+    std::optional<std::string> read(std::string_view key) const override {
+        const auto found = seen_.find(key);
+        if (found == seen_.end()) return std::nullopt;
+        return found->second;
+    }
+    void forEach(const std::function<void(std::string_view, const std::string&)>& visit) const override {
+        for (const auto& [key, value] : seen_) visit(key, value);
+    }
+    StoreUsage usage() const override { return {platter_.capacity, live_}; }
+    bool wasEmpty() const override { return was_empty_; }
+
+    // The process ends but the machine goes on: what was staged still reaches the platter.
+    void writeAll() { writeUpTo(written_ + staged_.size()); }
+    // The power goes: a part of what was staged may have been written, in its order.
+    void losePower() {
+        writeUpTo(written_ + static_cast<std::size_t>(world_.chance() * 1.5 * (staged_.size())));
+    }
+
+private:
+    void forget(std::string_view key) {
+        const auto found = seen_.find(key);
+        if (found == seen_.end()) return;
+        live_ -= key.size() + found->second.size();
+        seen_.erase(found);
+    }
+    void writeUpTo(std::size_t upto) {
+        while (written_ < upto && !staged_.empty()) {
+            auto& [key, value] = staged_.front();
+            if (value) platter_.synced[key] = *value;
+            if (!value) platter_.synced.erase(key);
+            staged_.pop_front();
+            ++written_;
+        }
+    }
+
+    World& world_;
+    Scheduler& scheduler_;
+    Platter& platter_;
+    std::map<std::string, std::string, std::less<>> seen_;
+    std::deque<std::pair<std::string, std::optional<std::string>>> staged_;
+    std::size_t written_ = 0;
+    std::uint64_t live_ = 0;
+    SteadyTime last_sync_{};
+    std::deque<TimerHandle> timers_;
+    bool was_empty_ = false;
+};
+
+// A machine for data: its platter, and the process if one runs.
+struct StoreMachine {
+    std::string name;
+    std::string zone;
+    NodeAddress address;
+    Platter platter;
+    Incarnation incarnation = 0;
+    bool disk_empty = false;
+    bool leaving = false;
+    struct Process {
+        std::unique_ptr<SimulatedScheduler> scheduler;
+        std::unique_ptr<MemoryTransport> transport;
+        std::unique_ptr<FakeDisk> disk;
+        std::unique_ptr<StoreNode> node;
+    };
+    std::unique_ptr<Process> process;
+};
+
+// Everything that servers and clients have seen, for checking rules at the end.
+struct Ledger {
+    struct Message {
+        MessageContent content;
+        PartitionId partition = 0;
+        SteadyTime sent{};
+        std::optional<SteadyTime> accepted;  // when the 202 was given
+        std::optional<SteadyTime> ended;     // a server stated it: success, 422 or enough 500
+        std::uint32_t failures = 0;
+        std::uint32_t max_failures = 3;
+        std::set<std::string> stamps;  // of runs that succeeded
+        bool rejected = false;
+        bool poison = false;    // always 500
+        bool hopeless = false;  // always 422
+        int runs = 0;
+        int runs_after_read_success = 0;
+        bool success_read = false;
+        int callbacks_taken = 0;
+    };
+    std::map<MessageId, Message> messages;
+    std::map<std::string, std::vector<SteadyTime>> arrivals;  // by service
+    std::vector<std::string> faults;                          // rules that were broken
+};
+
+struct WorldOptions {
+    int stores = 3;
+    std::uint32_t tolerated = 1;
+    int edges = 3;
+    std::uint32_t partitions = 8;
+    double lost_answers = 0;  // share of runs whose answer the edge does not read
+    double failures = 0;      // share of runs answered with 500
+    bool duplicate_reports = false;
+};
+
+class StoreWorld;
+
+class FakeEdge {
+public:
+    FakeEdge(StoreWorld& play, int index);
+    void onView(std::shared_ptr<const StoreView> view);
+    void submit(MessageContent content, std::uint32_t max_failures, bool poison = false,
+                bool hopeless = false);
+    std::optional<StateReply> query(MessageKind kind, PartitionId partition, const MessageId& id);
+    void kill();
+    void restart();
+    bool alive() const { return process_ != nullptr; }
+    const std::string& name() const { return name_; }
+    std::size_t running() const { return running_.size(); }
+
+    bool wants_grants = true;
+    bool leaving = false;
+    AcceptStatus last_status = AcceptStatus::unknown;
+    std::set<std::string> down_services;
+    Millis run_time{30};
+
+private:
+    struct Process {
+        std::unique_ptr<SimulatedScheduler> scheduler;
+        std::unique_ptr<MemoryTransport> transport;
+        std::vector<TimerHandle> timers;
+        TimerHandle sync_timer;
+    };
+    using AttemptName = std::tuple<MessageId, Epoch, std::uint64_t>;
+    std::optional<NodeAddress> ownerOf(PartitionId partition) const;
+    void later(Millis delay, std::function<void()> work) {
+        process_->timers.push_back(process_->scheduler->after(delay, std::move(work)));
+    }
+    void serve(const Envelope& request, Responder respond);
+    void run(const Grant& grant);
+    void runCallback(const Grant& grant);
+    void finish(const Grant& grant, RunOutcome outcome, const std::string& stamp, bool down = false);
+    void report(RunResult result, int tries);
+    void sync();
+    void syncTo(const NodeAddress& store);
+
+    StoreWorld& play_;
+    std::string name_;
+    std::string zone_;
+    NodeAddress address_;
+    Incarnation incarnation_ = 0;
+    std::unique_ptr<Process> process_;
+    std::shared_ptr<const StoreView> view_;
+    std::map<AttemptName, RunningAttempt> running_;
+};
+
+class StoreWorld {
+public:
+    StoreWorld(std::uint64_t seed, WorldOptions chosen) : options(chosen), world(seed), network(world) {
+        configuration = std::make_shared<Configuration>();
+        configuration->generation = 1;
+        addRoute("plain", "servers", 2, 3);
+        addRoute("lines", "board", 1, 3, true);
+        addRoute("limited", "partner", 2, 3);
+        Service partner;
+        partner.name = "partner";
+        partner.rate_per_s = 20;
+        partner.max_connections = 40;
+        partner.endpoint = NodeAddress{"10.9.0.1", 80};
+        configuration->services.push_back(partner);
+        for (const char* name : {"servers", "board"}) {
+            Service service;
+            service.name = name;
+            configuration->services.push_back(service);
+        }
+        for (int i = 0; i < options.stores; ++i) machines.push_back(makeMachine(i));
+        for (auto& machine : machines) start(*machine, true);
+        for (int i = 0; i < options.edges; ++i) edges.push_back(std::make_unique<FakeEdge>(*this, i));
+        changeView();
+        world.run(Millis(200));
+    }
+    ~StoreWorld() {
+        for (auto& edge : edges) edge->kill();
+        for (auto& machine : machines) stop(*machine);
+    }
+
+    void addRoute(const std::string& name, const std::string& service, int priority,
+                  std::uint32_t max_retries, bool ordered = false) {
+        Route route;
+        route.name = name;
+        route.service = service;
+        route.priority = priority;
+        route.max_retries = max_retries;
+        route.ordered = ordered;
+        route.timeout = Millis(1000);
+        route.retention = Millis(90000);
+        configuration->routes.push_back(route);
+    }
+
+    // --- Machines ---
+    void start(StoreMachine& machine, bool bootstrap = false) {
+        auto process = std::make_unique<StoreMachine::Process>();
+        process->scheduler = std::make_unique<SimulatedScheduler>(world);
+        process->transport = std::make_unique<MemoryTransport>(world, network, machine.address);
+        process->disk = std::make_unique<FakeDisk>(world, *process->scheduler, machine.platter);
+        machine.disk_empty = process->disk->wasEmpty() && !bootstrap;
+        machine.incarnation = ++last_incarnation;
+        machine.leaving = false;
+        NodeSettings settings;
+        settings.name = machine.name;
+        settings.zone = machine.zone;
+        settings.ip = machine.address.ip;
+        settings.bootstrap = bootstrap;
+        process->node = std::make_unique<StoreNode>(*process->scheduler, *process->transport, *process->disk,
+                                                    settings, machine.incarnation);
+        process->node->start();
+        process->node->setEdgeCount(static_cast<std::uint32_t>(options.edges));
+        process->node->onConfiguration(configuration);
+        machine.process = std::move(process);
+    }
+    void stop(StoreMachine& machine) {
+        if (!machine.process) return;
+        machine.process->scheduler->kill();
+        machine.process->disk->writeAll();
+        end(machine);
+    }
+    void cutPower(StoreMachine& machine) {
+        if (!machine.process) return;
+        machine.process->scheduler->kill();
+        machine.process->disk->losePower();
+        end(machine);
+    }
+    void wipe(StoreMachine& machine) {
+        cutPower(machine);
+        machine.platter = Platter();
+    }
+
+    // --- The leader ---
+    // A new epoch in which exactly the machines that run are alive.
+    void changeView() {
+        auto next = std::make_shared<StoreView>();
+        next->epoch = view ? view->epoch + 1 : 1;
+        next->tolerated = options.tolerated;
+        for (const auto& machine : machines) {
+            StoreMember store;
+            store.member.name = machine->name;
+            store.member.zone = machine->zone;
+            store.member.kind = NodeKind::store;
+            store.member.address = machine->address;
+            store.member.incarnation = machine->incarnation;
+            store.member.leaving = machine->leaving;
+            store.alive = machine->process != nullptr && !hidden.contains(machine->name);
+            next->stores.push_back(store);
+        }
+        for (std::uint32_t partition = 0; partition < options.partitions; ++partition) {
+            next->partitions.push_back(assign(*next, partition));
+        }
+        view = next;
+        for (auto& machine : machines) {
+            tell(machine->process ? machine->process->scheduler.get() : nullptr,
+                 [this, raw = machine.get(), next] {
+                     if (!hidden.contains(raw->name)) raw->process->node->onView(next);
+                 });
+        }
+        for (auto& edge : edges) {
+            world.at(world.now() + drawDelay(), [&edge, next] {
+                if (edge->alive()) edge->onView(next);
+            });
+        }
+    }
+    StoreMachine& ownerOf(PartitionId partition) {
+        return *machines[static_cast<std::size_t>(view->partitions[partition].owner)];
+    }
+    void configure(std::shared_ptr<Configuration> next) {
+        configuration = std::move(next);
+        for (auto& machine : machines) {
+            if (machine->process) machine->process->node->onConfiguration(configuration);
+        }
+    }
+
+    // --- Messages ---
+    MessageContent content(const std::string& route, const std::string& order_key = {}) {
+        MessageContent made;
+        made.id = "m" + std::to_string(++last_message);
+        made.route = route;
+        made.service = configuration->route(route)->service;
+        made.method = "POST";
+        made.order_key = order_key;
+        made.ordered = !order_key.empty();
+        made.config_generation = configuration->generation;
+        made.body = "body of " + made.id;
+        return made;
+    }
+    FakeEdge& anyEdge() {
+        return *edges[static_cast<std::size_t>(world.chance() * static_cast<double>(edges.size()))];
+    }
+    std::size_t unfinished() const {
+        return static_cast<std::size_t>(
+            std::count_if(ledger.messages.begin(), ledger.messages.end(),
+                          [](const auto& entry) { return entry.second.accepted && !entry.second.ended; }));
+    }
+    std::size_t accepted() const {
+        return static_cast<std::size_t>(
+            std::count_if(ledger.messages.begin(), ledger.messages.end(),
+                          [](const auto& entry) { return entry.second.accepted.has_value(); }));
+    }
+    // The most arrivals at a service in any span of that length.
+    std::size_t mostIn(const std::string& service, Millis span) {
+        const auto& times = ledger.arrivals[service];
+        std::size_t most = 0;
+        std::size_t first = 0;
+        for (std::size_t last = 0; last < times.size(); ++last) {
+            while (times[last] - times[first] >= span) ++first;
+            most = std::max(most, last - first + 1);
+        }
+        return most;
+    }
+    // Asks the owner for the state of each accepted message and compares it with what servers said.
+    void checkStates() {
+        for (const auto& [id, message] : ledger.messages) {
+            if (!message.accepted) continue;
+            std::optional<StateReply> state;
+            for (auto& edge : edges) {
+                if (!state && edge->alive())
+                    state = edge->query(MessageKind::state_query, message.partition, id);
+            }
+            if (!state || state->status != QueryStatus::found) {
+                ledger.faults.push_back("lost: " + id + (state ? " is not found" : " has no answer"));
+                continue;
+            }
+            checkState(id, message, *state);
+        }
+    }
+    void checkState(const MessageId& id, const Ledger::Message& message, const StateReply& state) {
+        if (state.phase == Phase::completed && !message.stamps.contains(state.stamp)) {
+            ledger.faults.push_back("mixed: " + id + " is completed without a stamp of its own");
+        }
+        if (state.phase == Phase::dead_letter && !message.ended) {
+            ledger.faults.push_back("mixed: " + id + " is dead but has not ended");
+        }
+    }
+    std::string faultText() const {
+        std::string text;
+        for (std::size_t i = 0; i < ledger.faults.size() && i < 10; ++i) text += ledger.faults[i] + "\n";
+        return text;
+    }
+
+    WorldOptions options;
+    World world;
+    Network network;
+    std::shared_ptr<Configuration> configuration;
+    std::shared_ptr<const StoreView> view;
+    std::vector<std::unique_ptr<StoreMachine>> machines;
+    std::vector<std::unique_ptr<FakeEdge>> edges;
+    Ledger ledger;
+    std::set<std::string> hidden;  // machines the leader does not hear, though they run
+    Incarnation last_incarnation = 0;
+    int last_message = 0;
+
+private:
+    std::unique_ptr<StoreMachine> makeMachine(int index) {
+        auto machine = std::make_unique<StoreMachine>();
+        machine->name = "store-" + std::to_string(index);
+        machine->zone = "zone-" + std::to_string(index % 3);
+        machine->address = {"10.1.0." + std::to_string(index + 1), 7002};
+        return machine;
+    }
+    void end(StoreMachine& machine) {
+        machine.process->node.reset();
+        machine.process->disk.reset();
+        machine.process->transport.reset();
+        machine.process.reset();
+    }
+    Millis drawDelay() { return Millis(1 + static_cast<std::int64_t>(world.chance() * 80)); }
+    void tell(SimulatedScheduler* scheduler, std::function<void()> work) {
+        if (scheduler == nullptr) return;
+        const Millis delay = drawDelay();
+        scheduler->post([this, scheduler, delay, work = std::move(work)] {
+            auto handle = std::make_shared<TimerHandle>();
+            *handle = scheduler->after(delay, [handle, work] { work(); });
+            pending_.push_back(handle);
+        });
+    }
+    PartitionOwner assign(const StoreView& next, std::uint32_t partition) {
+        PartitionOwner owner;
+        const auto count = static_cast<std::uint32_t>(next.stores.size());
+        for (std::uint32_t i = 0; i < count && owner.owner < 0; ++i) {
+            const std::uint32_t candidate = (partition + i) % count;
+            const StoreMember& store = next.stores[candidate];
+            if (store.alive && !store.member.leaving) owner.owner = static_cast<std::int32_t>(candidate);
+        }
+        if (view) owner.previous = view->partitions[partition].owner;
+        if (owner.previous >= 0) {
+            owner.previous_stopped =
+                !machines[static_cast<std::size_t>(owner.previous)]->process || owner.previous == owner.owner;
+        }
+        return owner;
+    }
+    std::vector<std::shared_ptr<TimerHandle>> pending_;
+};
+
+}  // namespace amberswitch::cluster::simulation
--- /dev/null
+++ b/tests/cluster/store_world_edge.hpp
@@ -0,0 +1,233 @@
+// The pretended edge of store_world.hpp, with its pretended servers.
+#pragma once
+
+#include "tests/cluster/store_world.hpp"
+
+namespace amberswitch::cluster::simulation {
+
+inline FakeEdge::FakeEdge(StoreWorld& play, int index)
+    : play_(play),
+      name_("edge-" + std::to_string(index)),
+      zone_("zone-" + std::to_string(index % 3)),
+      address_{"10.2.0." + std::to_string(index + 1), 7001} {
+    restart();
+}
+
+inline void FakeEdge::restart() {
+    incarnation_ = ++play_.last_incarnation;
+    process_ = std::make_unique<Process>();
+    process_->scheduler = std::make_unique<SimulatedScheduler>(play_.world);
+    process_->transport = std::make_unique<MemoryTransport>(play_.world, play_.network, address_);
+    process_->transport->serve(
+        [this](const Envelope& request, Responder respond) { serve(request, respond); });
+    view_ = play_.view;
+    sync();
+}
+
+inline void FakeEdge::kill() {
+    if (!process_) return;
+    process_->scheduler->kill();
+    process_->timers.clear();
+    process_->sync_timer.reset();
+    process_->transport.reset();
+    process_.reset();
+    running_.clear();
+}
+
+inline std::optional<NodeAddress> FakeEdge::ownerOf(PartitionId partition) const {
+    if (!view_ || view_->partitions[partition].owner < 0) return std::nullopt;
+    return view_->stores[static_cast<std::size_t>(view_->partitions[partition].owner)].member.address;
+}
+
+inline void FakeEdge::onView(std::shared_ptr<const StoreView> view) {
+    if (view_ && view->epoch <= view_->epoch) return;
+    view_ = std::move(view);
+    sync();
+}
+
+inline void FakeEdge::sync() {
+    process_->sync_timer = process_->scheduler->after(Millis(1000), [this] { sync(); });
+    if (!view_) return;
+    for (const StoreMember& store : view_->stores) {
+        if (store.alive) syncTo(store.member.address);
+    }
+}
+
+inline void FakeEdge::syncTo(const NodeAddress& store) {
+    EdgeSync message{name_, zone_, address_, incarnation_, view_->epoch, leaving, {}};
+    for (const auto& [name, attempt] : running_) message.running.push_back(attempt);
+    process_->transport->call(store, envelope(MessageKind::edge_sync, message), Millis(500),
+                              [](CallResult) {});
+}
+
+inline void FakeEdge::submit(MessageContent content, std::uint32_t max_failures, bool poison, bool hopeless) {
+    const std::size_t hash = std::hash<std::string>()(content.order_key);
+    const auto partitions = static_cast<PartitionId>(play_.options.partitions);
+    const PartitionId partition = content.ordered
+                                      ? static_cast<PartitionId>(hash % partitions)
+                                      : static_cast<PartitionId>(play_.world.chance() * partitions);
+    Ledger::Message& message = play_.ledger.messages[content.id];
+    message.content = content;
+    message.partition = partition;
+    message.sent = play_.world.now();
+    message.max_failures = max_failures;
+    message.poison = poison;
+    message.hopeless = hopeless;
+    const auto owner = ownerOf(partition);
+    if (!owner) return;
+    AcceptMessageRequest request;
+    request.edge = name_;
+    request.edge_address = address_;
+    request.partition = partition;
+    request.epoch = view_->epoch;
+    request.content = content;
+    request.retention_ms = 90000;
+    request.max_failures = max_failures;
+    request.timeout_ms = 1000;
+    request.wants_grant = wants_grants;
+    process_->transport->call(*owner, envelope(MessageKind::accept_message, request), Millis(2000),
+                              [this, content, partition](const CallResult& result) {
+                                  last_status = AcceptStatus::unknown;
+                                  if (result.verdict != Verdict::answered) return;
+                                  const auto reply = decode<AcceptMessageReply>(result.reply.body);
+                                  last_status = reply->status;
+                                  if (reply->status == AcceptStatus::stored) {
+                                      play_.ledger.messages[content.id].accepted = play_.world.now();
+                                  }
+                                  if (!reply->granted) return;
+                                  Grant grant;
+                                  grant.content = content;
+                                  grant.partition = partition;
+                                  grant.epoch = reply->epoch;
+                                  grant.attempt = reply->attempt;
+                                  run(grant);
+                              });
+}
+
+inline void FakeEdge::serve(const Envelope& request, Responder respond) {
+    if (static_cast<MessageKind>(request.kind) != MessageKind::grant_push) return;
+    const auto push = decode<GrantPush>(request.body);
+    GrantPushReply answer;
+    for (const Grant& grant : push->grants) {
+        answer.taken.push_back(!leaving);
+        if (leaving) continue;
+        if (grant.callback) {
+            runCallback(grant);
+        } else {
+            run(grant);
+        }
+    }
+    respond(reply(answer));
+}
+
+inline void FakeEdge::run(const Grant& grant) {
+    running_[{grant.content.id, grant.epoch, grant.attempt}] = {grant.partition, grant.content.id,
+                                                                grant.attempt, grant.epoch, false};
+    Ledger::Message& message = play_.ledger.messages[grant.content.id];
+    if (grant.content.body != message.content.body)
+        play_.ledger.faults.push_back("body of " + grant.content.id);
+    if (down_services.contains(grant.content.service)) {
+        later(Millis(5), [this, grant] { finish(grant, RunOutcome::not_run, {}, true); });
+        return;
+    }
+    play_.ledger.arrivals[grant.content.service].push_back(play_.world.now());
+    ++message.runs;
+    if (message.success_read) ++message.runs_after_read_success;
+    if (message.content.ordered) {
+        for (const auto& [id, other] : play_.ledger.messages) {
+            const bool same_line = other.content.order_key == message.content.order_key;
+            if (!same_line || id == grant.content.id || !other.accepted || other.ended) continue;
+            if (*other.accepted < message.sent) {
+                play_.ledger.faults.push_back("order: " + grant.content.id + " began before the end of " +
+                                              id);
+            }
+        }
+    }
+    const auto span = run_time + Millis(static_cast<std::int64_t>(play_.world.chance() * 60));
+    later(span, [this, grant] {
+        Ledger::Message& run = play_.ledger.messages[grant.content.id];
+        const bool lost = play_.world.chance() < play_.options.lost_answers;
+        const SteadyTime now = play_.world.now();
+        if (run.hopeless) {
+            run.rejected = true;
+            if (!run.ended) run.ended = now;
+            return finish(grant, lost ? RunOutcome::unknown : RunOutcome::rejected, {});
+        }
+        if (run.poison || play_.world.chance() < play_.options.failures) {
+            if (lost) return finish(grant, RunOutcome::unknown, {});
+            if (++run.failures >= run.max_failures && !run.ended) run.ended = now;
+            return finish(grant, RunOutcome::failed, {});
+        }
+        const std::string stamp = "s-" + grant.content.id + "-" + std::to_string(run.runs);
+        run.stamps.insert(stamp);
+        if (!run.ended) run.ended = now;
+        if (!lost) run.success_read = true;
+        finish(grant, lost ? RunOutcome::unknown : RunOutcome::completed, stamp);
+    });
+}
+
+inline void FakeEdge::runCallback(const Grant& grant) {
+    running_[{grant.content.id, grant.epoch, grant.attempt}] = {grant.partition, grant.content.id,
+                                                                grant.attempt, grant.epoch, true};
+    Ledger::Message& message = play_.ledger.messages[grant.content.id];
+    if (grant.phase == Phase::completed && !message.stamps.contains(grant.stamp)) {
+        play_.ledger.faults.push_back("call-back of " + grant.content.id + " without a stamp");
+    }
+    later(Millis(20), [this, grant] {
+        if (play_.world.chance() < play_.options.failures)
+            return finish(grant, RunOutcome::callback_failed, {});
+        ++play_.ledger.messages[grant.content.id].callbacks_taken;
+        finish(grant, RunOutcome::callback_taken, {});
+    });
+}
+
+inline void FakeEdge::finish(const Grant& grant, RunOutcome outcome, const std::string& stamp, bool down) {
+    RunResult result;
+    result.partition = grant.partition;
+    result.id = grant.content.id;
+    result.epoch = grant.epoch;
+    result.attempt = grant.attempt;
+    result.outcome = outcome;
+    result.stamp = stamp;
+    result.destination_down = down;
+    report(result, 0);
+    if (play_.options.duplicate_reports) report(result, 0);
+}
+
+inline void FakeEdge::report(RunResult result, int tries) {
+    const auto again = [this, result, tries] {
+        if (tries < 300) later(Millis(100), [this, result, tries] { report(result, tries + 1); });
+    };
+    const auto owner = ownerOf(result.partition);
+    if (!owner) return again();
+    RunReport message{name_, address_, {result}};
+    process_->transport->call(*owner, envelope(MessageKind::run_report, message), Millis(500),
+                              [this, result, again](const CallResult& call) {
+                                  const auto reply = call.verdict == Verdict::answered
+                                                         ? decode<RunReportReply>(call.reply.body)
+                                                         : std::nullopt;
+                                  if (!reply || !reply->taken.at(0)) return again();
+                                  running_.erase({result.id, result.epoch, result.attempt});
+                              });
+}
+
+inline std::optional<StateReply> FakeEdge::query(MessageKind kind, PartitionId partition,
+                                                 const MessageId& id) {
+    std::optional<StateReply> found;
+    for (int tries = 0; tries < 20 && !(found && found->status != QueryStatus::not_owner); ++tries) {
+        bool done = false;
+        const auto owner = ownerOf(partition);
+        if (!owner) return std::nullopt;
+        process_->transport->call(*owner, envelope(kind, StateQuery{partition, id}), Millis(300),
+                                  [&found, &done](const CallResult& result) {
+                                      if (result.verdict == Verdict::answered) {
+                                          found = decode<StateReply>(result.reply.body);
+                                      }
+                                      done = true;
+                                  });
+        play_.world.runUntil([&done] { return done; }, Millis(400));
+    }
+    return found;
+}
+
+}  // namespace amberswitch::cluster::simulation
