Wait for the previous owner of a partition before granting its messages again

Ruled out: syncing each end to the replica before it counts, which costs every message a trip. Change: a previous owner that is alive or leaving is pulled first and waited for, 1.5 s at most; finished messages have no body.

--- a/src/cluster/storage/peering.cpp
+++ b/src/cluster/storage/peering.cpp
@@ -43,6 +43,11 @@
                        [this](const PeerStore& other) { return !other.alive || answered(other.name); });
 }
 
+bool PeeringRound::handedOver() const {
+    return std::all_of(others_.begin(), others_.end(),
+                       [this](const PeerStore& other) { return !other.hands_over || answered(other.name); });
+}
+
 const PeeringRound::Listed* PeeringRound::listed(const std::string& store, const MessageId& id) const {
     const auto listing = listings_.find(store);
     if (listing == listings_.end()) return nullptr;
--- a/src/cluster/storage/peering.hpp
+++ b/src/cluster/storage/peering.hpp
@@ -18,6 +18,9 @@
     std::string name;
     bool alive = true;
     bool newcomer = false;  // it has never been given anything before this view, so it lacks nothing
+    // It owned the partition until now and is still there (planned end, or the partition moves): only it
+    // knows the newest ends, and what it has granted.
+    bool hands_over = false;
 };
 
 // One copy that another store should get.
@@ -39,6 +42,8 @@
     // Once all have, nothing more can be learned, and it is enough too.
     bool enough() const;
     bool allAliveAnswered() const;
+    // False while a store that hands the partition over has not told what it knows.
+    bool handedOver() const;
     // f + 1 copies can be made; else no replica may be called valid.
     bool enoughAlive() const { return copies_wanted_ == std::size_t{tolerated_} + 1; }
     // What must be copied so that each live message, and each end, stands on f + 1 live stores, and so that
--- a/src/cluster/storage/peering_driver.cpp
+++ b/src/cluster/storage/peering_driver.cpp
@@ -14,6 +14,8 @@
 constexpr Millis kDoneTimeout{1000};
 // Live stores that have not answered are waited for this long though enough others have.
 constexpr Millis kWaitForLive{300};
+// A previous owner that is still there is waited for this long: what it doesn't tell would run again.
+constexpr Millis kWaitForHandOver{1500};
 constexpr int kMostPullsOfLive = 16;
 constexpr int kMostPullsOfDead = 8;
 
@@ -65,15 +67,19 @@
     for (auto& [partition, round] : rounds_) {
         for (const PeerStore& store : round.logic.others()) {
             const bool room =
-                store.alive ? pulls_of_live_ < kMostPullsOfLive : pulls_of_dead_ < kMostPullsOfDead;
+                answersSoon(store) ? pulls_of_live_ < kMostPullsOfLive : pulls_of_dead_ < kMostPullsOfDead;
             if (room && wantsPull(round, store)) pull(partition, round, store);
         }
     }
 }
 
+bool PeeringDriver::answersSoon(const PeerStore& store) {
+    return store.alive || store.hands_over;
+}
+
 bool PeeringDriver::wantsPull(const Round& round, const PeerStore& store) const {
     if (round.logic.answered(store.name)) return false;
-    if (!store.alive && round.enough) return false;
+    if (!answersSoon(store) && round.enough) return false;
     const auto pull = round.pulls.find(store.name);
     return pull == round.pulls.end() || (!pull->second.under_way && pull->second.next <= clock_.now());
 }
@@ -90,8 +96,8 @@
     }
     Pull& pull = round.pulls[store.name];
     pull.under_way = true;
-    pull.next = clock_.now() + (store.alive ? kPullRetry : kPullRetryOfDead);
-    int& counter = store.alive ? pulls_of_live_ : pulls_of_dead_;
+    pull.next = clock_.now() + (answersSoon(store) ? kPullRetry : kPullRetryOfDead);
+    int& counter = answersSoon(store) ? pulls_of_live_ : pulls_of_dead_;
     ++counter;
     transport_.call(member->member.address, envelope(MessageKind::pull_partition, request), kPullTimeout,
                     [this, partition, id = round.id, name = store.name, &counter](const CallResult& result) {
@@ -151,7 +157,9 @@
     if (round == nullptr || !round->own_promise_durable) return;
     if (!round->enough) {
         const bool waited = round->started + kWaitForLive <= clock_.now();
+        const bool waited_long = round->started + kWaitForHandOver <= clock_.now();
         if (!round->logic.enough() || !(round->logic.allAliveAnswered() || waited)) return;
+        if (!round->logic.handedOver() && !waited_long) return;
         round->enough = true;
         hooks_.on_enough(partition, round->running);
         round = findRound(partition, id);
--- a/src/cluster/storage/peering_driver.hpp
+++ b/src/cluster/storage/peering_driver.hpp
@@ -74,6 +74,8 @@
 
     Round* findRound(PartitionId partition, std::uint64_t id);
     void pullWherePossible();
+    // Such a store is asked first and often.
+    static bool answersSoon(const PeerStore& store);
     bool wantsPull(const Round& round, const PeerStore& store) const;
     void pull(PartitionId partition, Round& round, const PeerStore& store);
     void onPullResult(PartitionId partition, std::uint64_t id, const std::string& store,
--- a/src/cluster/storage/record_store.hpp
+++ b/src/cluster/storage/record_store.hpp
@@ -1,6 +1,6 @@
-// A durable map from key to bytes, kept on the machine's disk. Used by core machines for the register's voter and
-// by stores for messages. Implementations: RingStore (a ring of preallocated files) and MemoryStore (tests);
-// both pass tests/cluster/record_store_contract.hpp.
+// A durable map from key to bytes, kept on the machine's disk. Used by core machines for the register's voter
+// and by stores for messages. Implementations: RingStore (a ring of preallocated files) and MemoryStore
+// (tests); both pass tests/cluster/record_store_contract.hpp.
 #pragma once
 
 #include <cstdint>
@@ -23,11 +23,13 @@
     virtual bool put(std::string_view key, std::string_view value) = 0;
     // Stages the removal of a key; always succeeds.
     virtual void erase(std::string_view key) = 0;
-    // `done(true)` once everything staged before this call survives a loss of power; `done(false)` if the disk
-    // failed. Calls that wait together share one sync. `done` runs on the scheduler's thread, in call order.
+    // `done(true)` once everything staged before this call survives a loss of power; `done(false)` if the
+    // disk failed. Calls that wait together share one sync. `done` runs on the scheduler's thread, in call
+    // order.
     virtual void sync(std::function<void(bool)> done) = 0;
     virtual std::optional<std::string> read(std::string_view key) const = 0;
-    virtual void forEach(const std::function<void(std::string_view key, const std::string& value)>& visit) const = 0;
+    virtual void forEach(
+        const std::function<void(std::string_view key, const std::string& value)>& visit) const = 0;
     virtual StoreUsage usage() const = 0;
     // True where the data folder held nothing when it was opened.
     virtual bool wasEmpty() const = 0;
--- a/src/cluster/storage/store_node.cpp
+++ b/src/cluster/storage/store_node.cpp
@@ -148,9 +148,14 @@
 std::vector<PeerStore> StoreNode::Impl::peersOf(PartitionId partition) const {
     const auto done = last_peering_done_.find(partition);
     const Epoch newest_done = done == last_peering_done_.end() ? 0 : done->second;
+    const std::int32_t previous = view_->partitions[partition].previous;
     const auto peer = [&](const std::string& name, bool alive) {
         const Epoch seen = first_seen_.at(name);
-        return PeerStore{name, alive, seen > first_view_epoch_ && seen > newest_done};
+        const StoreMember& member = *placement_.member(name);
+        const bool previous_owner =
+            previous >= 0 && &member == &view_->stores[static_cast<std::size_t>(previous)];
+        const bool hands_over = previous_owner && (alive || member.member.leaving);
+        return PeerStore{name, alive, seen > first_view_epoch_ && seen > newest_done, hands_over};
     };
     std::vector<PeerStore> peers;
     for (const std::string& name : placement_.replicaOrder(partition)) peers.push_back(peer(name, true));
--- a/src/cluster/storage/store_node_requests.cpp
+++ b/src/cluster/storage/store_node_requests.cpp
@@ -91,8 +91,9 @@
 
 void StoreNode::Impl::onBodyQuery(StateQuery query, const Responder& respond) {
     StateReply answer = stateOf(query);
-    if (answer.status != QueryStatus::found || answer.phase == Phase::completed)
-        return respond(reply(answer));
+    // Only what waits or is dead has bytes to give.
+    if (answer.phase == Phase::completed) answer.status = QueryStatus::not_found;
+    if (answer.status != QueryStatus::found) return respond(reply(answer));
     if (auto content = replica_.content(query.partition, query.id)) {
         answer.body = std::move(content->body);
         return respond(reply(answer));
