Tell a new owner again of ends its dead predecessor may have kept to itself

Seen while reading the store: ends reach the replicas a little after their report is taken, so a store that dies in between lets its successor run what has succeeded, and a call-back's report could overtake the end's report there and set the run free again. Failures are not told again, as they could be counted twice. Also: a grant that came with an accept and can't be run goes back at once instead of being missed after 2 s; destination_down only where every listed server refused; Retry-After spreads a client's tries over its deadline.

--- a/src/cluster/edge/accepts.cpp
+++ b/src/cluster/edge/accepts.cpp
@@ -13,14 +13,21 @@
 constexpr int kMostTries = 3;
 constexpr int kWaitingShare = 4;  // of the route's target latency, the part that may go into waiting
 constexpr Millis kOwnerCheck{10};
-constexpr char kRetryAfterSeconds[] = "0.1";
+constexpr Millis kShortestRetryAfter{100};
+constexpr Millis kLongestRetryAfter{400};
+constexpr int kRetryShare = 3;  // of the client's deadline: a few tries are spread over it
 
 }  // namespace
 
-HttpResponse tryLater() {
+HttpResponse tryLater(Millis wait) {
+    constexpr int kMillisPerSecond = 1000;
+    constexpr int kDigits = 3;
+    std::string digits = std::to_string(wait.count() % kMillisPerSecond);
+    digits.insert(0, kDigits - digits.size(), '0');
     HttpResponse response;
     response.status = 503;
-    response.headers.push_back({"Retry-After", kRetryAfterSeconds});
+    response.headers.push_back(
+        {"Retry-After", std::to_string(wait.count() / kMillisPerSecond) + "." + digits});
     return response;
 }
 
@@ -44,6 +51,9 @@
     offer.delivery_timeout = route.timeout;
     offer.respond = std::move(respond);
     offer.give_up_at = scheduler_.now() + std::min(kLongestAccept, deadline.value_or(kLongestAccept));
+    if (deadline)
+        offer.retry_after =
+            std::clamp<Millis>(*deadline / kRetryShare, kShortestRetryAfter, kLongestRetryAfter);
     offer.retry_until = scheduler_.now() + route.target_latency / kWaitingShare;
     tryNext(id);
 }
@@ -157,8 +167,9 @@
     finish(id, std::move(response));
     if (!reply.granted) return;
     ++counters_.granted_with_accept;
-    // Refused only where much came in meanwhile; the next sync tells the owner that it does not run here.
-    if (!deliveries_.take(std::move(grant))) ++counters_.grants_refused;
+    if (deliveries_.take(std::move(grant))) return;
+    ++counters_.grants_refused;
+    deliveries_.giveBack(grant);
 }
 
 void Accepts::giveUp(OfferId id) {
@@ -169,7 +180,7 @@
         return finish(id, std::move(response));
     }
     ++counters_.unavailable;
-    finish(id, tryLater());
+    finish(id, tryLater(offers_.at(id).retry_after));
 }
 
 void Accepts::finish(OfferId id, HttpResponse response) {
--- a/src/cluster/edge/accepts.hpp
+++ b/src/cluster/edge/accepts.hpp
@@ -18,8 +18,8 @@
 
 namespace amberswitch::cluster {
 
-// 503 with Retry-After in seconds, as a fraction.
-HttpResponse tryLater();
+// 503 with Retry-After in seconds, as a fraction: the message is surely nowhere.
+HttpResponse tryLater(Millis wait = Millis(100));
 
 class Accepts {
 public:
@@ -42,6 +42,7 @@
         SteadyTime give_up_at{};   // for the owner's answer
         SteadyTime retry_until{};  // for waiting for another owner
         SteadyTime called_at{};
+        Millis retry_after{100};  // advised with a 503
         PartitionId partition = 0;
         NodeAddress owner;  // of the last try
         Epoch epoch = 0;    // of the view of the last try; 0 before the first one
--- a/src/cluster/edge/deliveries.cpp
+++ b/src/cluster/edge/deliveries.cpp
@@ -17,6 +17,10 @@
     return result;
 }
 
+bool isOfCallback(RunOutcome outcome) {
+    return outcome == RunOutcome::callback_taken || outcome == RunOutcome::callback_failed;
+}
+
 bool endsMessage(RunOutcome outcome) {
     return outcome == RunOutcome::completed || outcome == RunOutcome::rejected;
 }
@@ -32,10 +36,13 @@
                        const PartitionMap& partitions, EdgeCounters& counters, EdgeIdentity self)
     : scheduler_(scheduler),
       http_(http),
+      partitions_(partitions),
       counters_(counters),
       self_(std::move(self)),
-      reports_(scheduler, transport, partitions, counters, self_.name, self_.address,
-               [this](const RunResult& result) { reportTaken(result); }),
+      reports_(
+          scheduler, transport, partitions, counters, self_.name, self_.address,
+          [this](const RunResult& result) { return mayReport(result); },
+          [this](const RunResult& result) { reportTaken(result); }),
       callbacks_(scheduler, http, counters, self_.incarnation,
                  [this](const CallbackWork& work, bool taken) { callbackEnded(work, taken); }) {}
 
@@ -101,7 +108,7 @@
     return found != services_.end() && found->second->hasServer();
 }
 
-bool Deliveries::take(Grant grant) {
+bool Deliveries::take(Grant&& grant) {
     const GrantKey key{grant.partition, grant.content.id};
     const bool known = book_.find(key) != nullptr;
     if (!known && (leaving_ || book_.size() >= kMostGrants)) return false;
@@ -150,29 +157,62 @@
 }
 
 void Deliveries::callbackEnded(const CallbackWork& work, bool taken) {
-    const GrantKey key{work.partition, work.id};
-    GrantEntry* const entry = book_.find(key);
-    if (!entry) return;
     RunResult report;
     report.partition = work.partition;
     report.id = work.id;
     report.epoch = work.epoch;
     report.attempt = work.attempt;
     report.outcome = taken ? RunOutcome::callback_taken : RunOutcome::callback_failed;
-    if (entry->callback) {
-        reports_.add(std::move(report));
-    } else {
-        entry->after_end = std::move(report);  // the owner learns of the run's end first
-    }
+    if (taken) recent_ends_.callbackTaken(work.partition, work.id);
+    reports_.add(std::move(report));
+}
+
+// The owner has to know of the run's end before it hears of the call-back.
+bool Deliveries::mayReport(const RunResult& result) {
+    if (!isOfCallback(result.outcome)) return true;
+    const GrantEntry* const entry = book_.find({result.partition, result.id});
+    return !entry || entry->callback;
 }
 
 void Deliveries::reportTaken(const RunResult& result) {
+    if (endsMessage(result.outcome)) recent_ends_.add(result, partitions_, scheduler_.now());
     const GrantKey key{result.partition, result.id};
     GrantEntry* const entry = book_.find(key);
-    if (!entry) return;
+    if (!entry || entry->attempt != result.attempt || entry->epoch != result.epoch) return;
     if (!result.callback_started) return book_.erase(key);
     entry->callback = true;
-    if (entry->after_end) reports_.add(*entry->after_end);
+}
+
+// --- A change of owners ------------------------------------------------------------------------------------
+
+void Deliveries::onView() {
+    for (const RecentEnd& end : recent_ends_.takeOrphans(partitions_, scheduler_.now())) reportAgain(end);
+    reports_.onView();
+}
+
+void Deliveries::reportAgain(const RecentEnd& end) {
+    RunResult result = end.result;
+    const GrantKey key{result.partition, result.id};
+    if (GrantEntry* const entry = book_.find(key)) {
+        if (entry->attempt != result.attempt || entry->epoch != result.epoch) return;
+        entry->callback = false;  // it goes on, and is told after the end
+        return reports_.add(std::move(result));
+    }
+    Grant ended;
+    ended.partition = result.partition;
+    ended.content.id = result.id;
+    ended.epoch = result.epoch;
+    ended.attempt = result.attempt;
+    book_.enter(ended);
+    result.callback_started = end.callback_taken;
+    if (end.callback_taken) {
+        RunResult callback = result;
+        callback.outcome = RunOutcome::callback_taken;
+        callback.callback_started = false;
+        callback.stamp.clear();
+        reports_.add(std::move(callback));
+    }
+    reports_.add(std::move(result));
 }
 
 // --- The planned end ---------------------------------------------------------------------------------------
--- a/src/cluster/edge/deliveries.hpp
+++ b/src/cluster/edge/deliveries.hpp
@@ -12,6 +12,7 @@
 #include "cluster/edge/callbacks.hpp"
 #include "cluster/edge/counters.hpp"
 #include "cluster/edge/grant_book.hpp"
+#include "cluster/edge/recent_ends.hpp"
 #include "cluster/edge/run_reports.hpp"
 #include "cluster/edge/service_dispatcher.hpp"
 
@@ -31,13 +32,18 @@
 
     void onConfiguration(std::shared_ptr<const Configuration> configuration);
     void onServers(std::shared_ptr<const ServerList> servers);
-    void onView() { reports_.onView(); }
+    // A newer view. To be called before the owners are told what runs here: ends that a former owner may have
+    // taken with it count as running until its successor has taken them.
+    void onView();
     void setEdges(std::uint32_t edges);
 
     // Whether one more run of that service could begin here at once.
     bool hasRoomFor(const std::string& service) const;
-    // False: not taken and not begun; it is the owner's again. A repeated grant is taken and not begun twice.
-    bool take(Grant grant);
+    // False: not taken, not begun and left as it is; it is the owner's again. A repeated grant is taken and
+    // not begun twice.
+    bool take(Grant&& grant);
+    // Tells the owner that a grant which take() did not take will not run here.
+    void giveBack(const Grant& grant) { notRun(grant, false); }
     std::vector<RunningAttempt> attempts() const { return book_.attempts(); }
 
     // The planned end has begun: nothing new is taken, what has not begun goes back.
@@ -54,6 +60,8 @@
     void beginCallback(const Grant& grant);
     void finished(const Grant& grant, const DeliveryResult& result);
     void notRun(const Grant& grant, bool destination_down);
+    void reportAgain(const RecentEnd& end);
+    bool mayReport(const RunResult& result);
     void callbackEnded(const CallbackWork& work, bool taken);
     void reportTaken(const RunResult& result);
     bool allowedByConfiguration(const Grant& grant) const;
@@ -61,10 +69,12 @@
 
     Scheduler& scheduler_;
     HttpClient& http_;
+    const PartitionMap& partitions_;
     EdgeCounters& counters_;
     EdgeIdentity self_;
     GrantBook book_;
     RunReports reports_;
+    RecentEnds recent_ends_;
     Callbacks callbacks_;
     std::map<std::string, std::unique_ptr<ServiceDispatcher>> services_;
     std::shared_ptr<const Configuration> configuration_;
--- a/src/cluster/edge/edge_node.cpp
+++ b/src/cluster/edge/edge_node.cpp
@@ -37,8 +37,8 @@
 
 void EdgeNode::onView(std::shared_ptr<const StoreView> view) {
     if (!partitions_.update(std::move(view))) return;
-    links_.onView();
     deliveries_.onView();
+    links_.onView();
 }
 
 void EdgeNode::onServers(std::shared_ptr<const ServerList> servers) {
--- a/src/cluster/edge/grant_book.hpp
+++ b/src/cluster/edge/grant_book.hpp
@@ -2,7 +2,6 @@
 // message.
 #pragma once
 
-#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -25,8 +24,6 @@
     std::uint64_t attempt = 0;
     Epoch epoch = 0;
     bool callback = false;  // only the call-back is still to do; the owner knows of the run's end
-    std::optional<RunResult>
-        after_end;  // the call-back's result, to be reported after the run's end was taken
 };
 
 class GrantBook {
--- a/src/cluster/edge/run_reports.cpp
+++ b/src/cluster/edge/run_reports.cpp
@@ -15,13 +15,15 @@
 }  // namespace
 
 RunReports::RunReports(Scheduler& scheduler, Transport& transport, const PartitionMap& partitions,
-                       EdgeCounters& counters, std::string edge, NodeAddress address, Taken taken)
+                       EdgeCounters& counters, std::string edge, NodeAddress address, MaySend may_send,
+                       Taken taken)
     : scheduler_(scheduler),
       transport_(transport),
       partitions_(partitions),
       counters_(counters),
       edge_(std::move(edge)),
       address_(std::move(address)),
+      may_send_(std::move(may_send)),
       taken_(std::move(taken)) {}
 
 void RunReports::add(RunResult result) {
@@ -40,7 +42,8 @@
     std::deque<Waiting> kept;
     for (Waiting& waiting : waiting_) {
         const StoreMember* const owner = partitions_.owner(waiting.result.partition);
-        const bool can_go = owner && waiting.not_before <= now && !busy_.contains(owner->member.address);
+        const bool can_go = owner && waiting.not_before <= now && may_send_(waiting.result) &&
+                            !busy_.contains(owner->member.address);
         if (!can_go || batches[owner->member.address].size() >= kLargestBatch) {
             kept.push_back(std::move(waiting));
             continue;
--- a/src/cluster/edge/run_reports.hpp
+++ b/src/cluster/edge/run_reports.hpp
@@ -15,11 +15,13 @@
 
 class RunReports {
 public:
+    using MaySend = std::function<bool(const RunResult&)>;
     using Taken = std::function<void(const RunResult&)>;
 
     // `edge` and `address` name this edge in each report; `taken` is told of every result that an owner took.
+    // A result that `may_send` rejects waits until it no longer does.
     RunReports(Scheduler& scheduler, Transport& transport, const PartitionMap& partitions,
-               EdgeCounters& counters, std::string edge, NodeAddress address, Taken taken);
+               EdgeCounters& counters, std::string edge, NodeAddress address, MaySend may_send, Taken taken);
 
     void add(RunResult result);
     // A newer view: results that waited for an owner go out at once.
@@ -44,6 +46,7 @@
     EdgeCounters& counters_;
     std::string edge_;
     NodeAddress address_;
+    MaySend may_send_;
     Taken taken_;
     std::deque<Waiting> waiting_;
     std::size_t in_flight_ = 0;
--- a/src/cluster/edge/service_dispatcher.cpp
+++ b/src/cluster/edge/service_dispatcher.cpp
@@ -323,7 +323,8 @@
     const DeliveryAnswer answer = judgeAnswer(outcome, service_.rate_per_s > 0);
     count(outcome, answer);
     delivery.all_unreachable = delivery.all_unreachable && answer.unreachable;
-    const DeliveryResult result{answer.outcome, answer.stamp, delivery.all_unreachable};
+    const bool tried_all = delivery.sends >= servers_on_;
+    const DeliveryResult result{answer.outcome, answer.stamp, tried_all && delivery.all_unreachable};
     const bool goes_on = answer.try_elsewhere && !delivery.given_up && module_number == module_number_;
     if (module_number == module_number_) {
         heronmount::AttemptEnded ended;
@@ -347,7 +348,8 @@
         delivery.given_up = true;
         return;
     }
-    const bool down = delivery.sends > 0 && delivery.all_unreachable;
+    const bool tried_all = delivery.sends >= servers_on_;
+    const bool down = tried_all && delivery.all_unreachable;
     finish(id, {RunOutcome::not_run, "", down});
 }
 
--- a/tests/cluster/edge_accept_test.cpp
+++ b/tests/cluster/edge_accept_test.cpp
@@ -369,3 +369,19 @@
                                 [&](const HttpResponse& response) { counters = response.body; });
     CHECK(counters.find("unavailable 1\n") != std::string::npos);
 }
+
+TEST_CASE("the advised wait spreads a client's tries over its deadline") {
+    EdgeWorld world;
+    world.feed();
+    world.replyToAccepts({AcceptStatus::refused, false, 0, 0});
+    const auto advised = [&](const std::string& deadline) {
+        HttpHeaders more;
+        if (!deadline.empty()) more.push_back({"Deadline-Ms", deadline});
+        const auto response = world.ask(world.request("/plain/x", "id", more));
+        return std::string(headerValue(response->headers, "Retry-After"));
+    };
+    CHECK(advised("") == "0.100");
+    CHECK(advised("60") == "0.100");
+    CHECK(advised("500") == "0.166");
+    CHECK(advised("9000") == "0.400");
+}
--- a/tests/cluster/edge_callback_test.cpp
+++ b/tests/cluster/edge_callback_test.cpp
@@ -242,3 +242,32 @@
     world.edge->leave([&] { left = true; });
     CHECK(left);
 }
+
+TEST_CASE("a new owner hears of the end again before it hears of the call-back") {
+    EdgeWorld world;
+    world.feed();
+    std::optional<HttpOutcome> receiver;
+    world.http.play = [&](const HttpCall& call) {
+        return toReceiver(call) ? receiver : std::optional<HttpOutcome>(success("s"));
+    };
+    SUBCASE("the call-back is still on its way") {}
+    SUBCASE("the call-back was taken, too") {
+        receiver = answer(200);
+    }
+    world.push(0, {withCallback(world, "id-1")});
+    world.world.run(Millis(100));
+    world.edge->onView(world.viewWithout(2, 0));
+    world.world.run(Millis(50));
+    REQUIRE(world.stores[1]->results.size() >= 1);
+    CHECK(world.stores[1]->results[0].outcome == RunOutcome::completed);
+    CHECK(world.stores[1]->results[0].callback_started);
+    if (!receiver) {
+        CHECK(world.stores[1]->results.size() == 1);
+        world.http.release(answer(200));
+        world.world.run(Millis(50));
+    }
+    REQUIRE(world.stores[1]->results.size() == 2);
+    CHECK(world.stores[1]->results[1].outcome == RunOutcome::callback_taken);
+    CHECK(world.http.sentTo(kReceiver) == 1);
+    CHECK(world.edge->countersText().find("grants_held 0\n") != std::string::npos);
+}
