--- a/src/cluster/common/messages.hpp
+++ b/src/cluster/common/messages.hpp
@@ -157,7 +157,8 @@
     bool leader = false;      // the answering core machine acts as leader
     std::string leader_name;  // as far as it knows
     std::vector<NodeAddress> core;
-    std::uint32_t edges = 0;  // dispatchers with a lease, for sharing out connection limits
+    // Dispatchers with a lease, for sharing out connection limits; 0: this machine has not listened long enough.
+    std::uint32_t edges = 0;
     template <class Archive>
     void serialize(Archive& archive) {
         archive(leader, leader_name, core, edges);
--- a/src/cluster/control/control_node.cpp
+++ b/src/cluster/control/control_node.cpp
@@ -28,7 +28,8 @@
 
 constexpr Millis kCoreRenewInterval{500};
 constexpr Millis kRenewTimeout{400};
-constexpr Millis kLeaveTime{100};  // for the leave of a leader to reach the others
+constexpr Millis kListenFirst{1000};  // before the count of edges is told
+constexpr Millis kLeaveTime{100};     // for the leave of a leader to reach the others
 
 }  // namespace
 
@@ -68,6 +69,7 @@
     Transport& transport_;
     NodeSettings settings_;
     Incarnation incarnation_;
+    SteadyTime started_at_;
     RegisterVoter voter_;
     RegisterProposer proposer_;
     VoterRecovery recovery_;
@@ -91,13 +93,15 @@
       transport_(transport),
       settings_(settings),
       incarnation_(incarnation),
+      started_at_(scheduler.now()),
       voter_(disk, self(), seedAddresses(), settings.bootstrap),
       proposer_(scheduler, transport, voter_, settings.name + "#" + std::to_string(incarnation), incarnation),
       recovery_(scheduler, transport, voter_, proposer_, settings.name, [this] { return peers(); }),
       chosen_(scheduler, transport, voter_, proposer_, [this] { return peers(); }),
       membership_(scheduler),
       election_(scheduler, transport, {settings.name, incarnation, self()}, voter_.startedFirst(),
-                [this] { return voter_.voters(); }),
+                {.electors = [this] { return voter_.voters(); },
+                 .may_vote = [this] { return !voter_.startedFirst() || voter_.votes(); }}),
       keeper_(scheduler, proposer_, chosen_, membership_, election_, settings.name,
               settings.tolerated_machines),
       distribution_(scheduler, [this] { return chosen_.isFresh(); }),
@@ -211,7 +215,8 @@
     answer.leader = keeper_.isActing();
     answer.leader_name = leaderName();
     answer.core = coreAddresses();
-    answer.edges = membership_.edges();
+    const bool has_listened = scheduler_.now() - started_at_ >= kListenFirst;
+    answer.edges = has_listened ? membership_.edges() : 0;
     return answer;
 }
 
@@ -260,7 +265,7 @@
             });
         case MessageKind::leader_lease:
             return answerNow<LeaderLeaseRequest>(request, respond, [this](const LeaderLeaseRequest& message) {
-                return election_.grantor().answer(message);
+                return election_.vote(message);
             });
         case MessageKind::renew_lease:
             return answerNow<RenewLeaseRequest>(
--- a/src/cluster/control/core_client.cpp
+++ b/src/cluster/control/core_client.cpp
@@ -21,10 +21,11 @@
 constexpr Millis kWatchWait{1000};
 constexpr Millis kWatchTimeout{1600};
 constexpr Millis kNextWatchPause{5};        // bounds the rate, whatever is answered
-constexpr std::int64_t kAllFailedMs = 100;  // shortest pause after all core machines failed in turn
-constexpr Millis kRecently{1500};           // an answer that makes a core machine preferred
-constexpr Millis kEdgeCountKept{2000};      // a count of edges that counts
-constexpr int kMissesToMove = 2;            // renewals missed in a row by the machine that is being watched
+constexpr std::int64_t kAllFailedMs = 100;  // shortest pause after all core machines failed in turn; doubles
+constexpr int kAllFailedDoublings = 2;
+constexpr Millis kRecently{1500};       // an answer that makes a core machine preferred
+constexpr Millis kEdgeCountKept{2000};  // a count of edges that counts
+constexpr int kMissesToMove = 2;        // renewals missed in a row by the machine that is being watched
 
 }  // namespace
 
@@ -63,6 +64,7 @@
     void watchAt(const NodeAddress& address);
     void onWatched(std::uint64_t serial, const NodeAddress& address, std::optional<WatchReply> reply);
     void planRound();
+    void planRoundWithout(const NodeAddress& failed);
 
     void take(WatchReply reply);
     void takeConfiguration(const ConfigurationState& state);
@@ -78,8 +80,11 @@
     std::mt19937_64 random_;
 
     std::map<NodeAddress, CoreMachine> machines_;
+    std::uint32_t last_edges_ = 1;  // kept while no core machine can tell
     std::optional<SteadyTime> last_contact_;
     std::vector<NodeAddress> round_;  // machines to watch next, the next one last
+    bool follows_ = false;            // the machine that is watched has answered a watch before
+    int failed_rounds_ = 0;           // in a row
     std::optional<NodeAddress> watched_;
     std::uint64_t watch_serial_ = 0;  // answers to earlier watches move nothing on
 
@@ -118,12 +123,12 @@
 }
 
 std::uint32_t CoreClient::Impl::edges() const {
-    std::uint32_t most = 1;
+    std::uint32_t most = 0;
     for (const auto& [address, machine] : machines_) {
         const bool counts = machine.last_answer && scheduler_.now() - *machine.last_answer <= kEdgeCountKept;
         if (counts) most = std::max(most, machine.edges);
     }
-    return most;
+    return most == 0 ? last_edges_ : most;
 }
 
 bool CoreClient::Impl::answeredLately(const NodeAddress& address) const {
@@ -162,6 +167,7 @@
     machine.missed_renewals = 0;
     machine.last_answer = last_contact_ = scheduler_.now();
     machine.edges = reply->edges;
+    last_edges_ = edges();
     if (!reply->core.empty()) learned_ = reply->core;
 }
 
@@ -173,7 +179,9 @@
     const bool better = std::any_of(all.begin(), all.end(), [&](const NodeAddress& other) {
         return other != address && machines_[other].missed_renewals == 0 && answeredLately(other);
     });
-    if (better) watchNext();
+    if (!better) return;
+    planRoundWithout(address);
+    watchNext();
 }
 
 // --- The watch ---------------------------------------------------------------------------------------------
@@ -186,6 +194,11 @@
                           [this](const NodeAddress& address) { return !answeredLately(address); });
 }
 
+void CoreClient::Impl::planRoundWithout(const NodeAddress& failed) {
+    planRound();
+    std::erase(round_, failed);
+}
+
 void CoreClient::Impl::watchNext() {
     if (round_.empty()) planRound();
     if (round_.empty()) {
@@ -219,13 +232,16 @@
     if (answered) take(std::move(*reply));
     if (serial != watch_serial_) return;
     if (answered) {
-        round_.clear();
+        follows_ = true;
+        failed_rounds_ = 0;
         watch_timer_ = scheduler_.after(kNextWatchPause, [this, address] { watchAt(address); });
         return;
     }
+    if (std::exchange(follows_, false)) planRoundWithout(address);
     if (!round_.empty()) return watchNext();
+    const std::int64_t pause = kAllFailedMs << std::min(failed_rounds_++, kAllFailedDoublings);
     const std::int64_t extra = std::uniform_int_distribution<std::int64_t>(0, kAllFailedMs)(random_);
-    watch_timer_ = scheduler_.after(Millis(kAllFailedMs + extra), [this] { watchNext(); });
+    watch_timer_ = scheduler_.after(Millis(pause + extra), [this] { watchNext(); });
 }
 
 void CoreClient::Impl::take(WatchReply reply) {
--- a/src/cluster/control/leader_election.cpp
+++ b/src/cluster/control/leader_election.cpp
@@ -54,11 +54,11 @@
 };
 
 LeaderElection::LeaderElection(Scheduler& scheduler, Transport& transport, ElectionIdentity identity,
-                               bool first_start, ElectorsFunction electors)
+                               bool first_start, ElectionHooks hooks)
     : scheduler_(scheduler),
       transport_(transport),
       identity_(std::move(identity)),
-      electors_(std::move(electors)),
+      hooks_(std::move(hooks)),
       grantor_(scheduler, first_start),
       random_(identity_.incarnation) {}
 
@@ -70,9 +70,14 @@
     timer_ = scheduler_.after(candidacyDelay(), [this] { tick(); });
 }
 
+LeaderLeaseReply LeaderElection::vote(const LeaderLeaseRequest& request) {
+    if (!hooks_.may_vote()) return {false, {}};
+    return grantor_.answer(request);
+}
+
 void LeaderElection::tick() {
     if (leaving_) return;
-    const std::vector<NodeAddress> electors = electors_();
+    const std::vector<NodeAddress> electors = hooks_.electors();
     const bool may_stand = std::find(electors.begin(), electors.end(), identity_.self) != electors.end();
     const std::string holder = grantor_.holder();
     const bool other_leads = !holder.empty() && holder != identity_.name;
@@ -83,7 +88,7 @@
 
 void LeaderElection::askAll() {
     const auto votes = std::make_shared<VoteRound>();
-    const std::vector<NodeAddress> electors = electors_();
+    const std::vector<NodeAddress> electors = hooks_.electors();
     votes->round = ++round_;
     votes->asked_at = scheduler_.now();
     votes->electors = electors.size();
@@ -96,7 +101,7 @@
 void LeaderElection::ask(const NodeAddress& elector, Millis duration, std::uint64_t round,
                          std::function<void(bool)> done) {
     const LeaderLeaseRequest request{identity_.name, identity_.incarnation, duration.count(), round};
-    if (elector == identity_.self) return done(grantor_.answer(request).granted);
+    if (elector == identity_.self) return done(vote(request).granted);
     const auto answered = [done = std::move(done)](const std::optional<LeaderLeaseReply>& reply) {
         done(reply && reply->granted);
     };
@@ -133,7 +138,7 @@
 
 void LeaderElection::giveBack(std::uint64_t round) {
     given_back_ = std::max(given_back_, round);
-    for (const NodeAddress& elector : electors_()) ask(elector, Millis(0), round, [](bool) {});
+    for (const NodeAddress& elector : hooks_.electors()) ask(elector, Millis(0), round, [](bool) {});
 }
 
 void LeaderElection::leave() {
--- a/src/cluster/control/leader_election.hpp
+++ b/src/cluster/control/leader_election.hpp
@@ -38,6 +38,13 @@
     SteadyTime held_until_{};
 };
 
+struct ElectionHooks {
+    // The voters of the register; only a machine among them stands as candidate.
+    std::function<std::vector<NodeAddress>()> electors;
+    // False while this machine could not know after a restart that it had started before.
+    std::function<bool()> may_vote;
+};
+
 struct ElectionIdentity {
     std::string name;
     Incarnation incarnation = 0;
@@ -46,11 +53,8 @@
 
 class LeaderElection {
 public:
-    using ElectorsFunction = std::function<std::vector<NodeAddress>()>;
-
-    // `electors`: the voters of the register; only a machine among them stands as candidate.
     LeaderElection(Scheduler& scheduler, Transport& transport, ElectionIdentity identity, bool first_start,
-                   ElectorsFunction electors);
+                   ElectionHooks hooks);
 
     void start();
     // Stops leading at once and gives the votes back; stands no more.
@@ -60,9 +64,10 @@
 
     // Compared with the clock at each call, so a process that was frozen finds its lease gone.
     bool isLeader() const { return scheduler_.now() < acts_until_; }
+    // Answers another candidate.
+    LeaderLeaseReply vote(const LeaderLeaseRequest& request);
     // Counts the unbroken spans of leadership of this process.
     std::uint64_t reign() const { return reign_; }
-    LeaseGrantor& grantor() { return grantor_; }
     const LeaseGrantor& grantor() const { return grantor_; }
 
 private:
@@ -80,7 +85,7 @@
     Scheduler& scheduler_;
     Transport& transport_;
     ElectionIdentity identity_;
-    ElectorsFunction electors_;
+    ElectionHooks hooks_;
     LeaseGrantor grantor_;
     std::mt19937_64 random_;
     std::function<void()> on_elected_;
--- a/src/cluster/control/register_voter.cpp
+++ b/src/cluster/control/register_voter.cpp
@@ -53,8 +53,8 @@
 void RegisterVoter::startFirst(const std::vector<NodeAddress>& first_voters) {
     voters_ = first_voters;
     started_first_ = true;
-    valid_ = storeVoters();
-    afterSync([](bool) {});
+    if (!storeVoters()) return;
+    afterSync([this](bool synced) { valid_ = synced; });
 }
 
 bool RegisterVoter::storeVoters() {
--- a/src/cluster/control/register_voter.hpp
+++ b/src/cluster/control/register_voter.hpp
@@ -23,7 +23,7 @@
 class RegisterVoter {
 public:
     // `self`: internal address of this machine. With `bootstrap` and no voter set on disk, `first_voters`
-    // become the voters and this machine is valid at once.
+    // become the voters and this machine is valid as soon as that is synced.
     RegisterVoter(RecordStore& disk, NodeAddress self, const std::vector<NodeAddress>& first_voters,
                   bool bootstrap);
 
@@ -33,7 +33,7 @@
     // Has its data, is among the voters and its disk works.
     bool votes() const;
     // Has no data, or none that may be trusted; must recover before it may vote.
-    bool needsRecovery() const { return !valid_ && !disk_failed_; }
+    bool needsRecovery() const { return !valid_ && !started_first_ && !disk_failed_; }
     // True where this process started the register for the first time.
     bool startedFirst() const { return started_first_; }
     const NodeAddress& self() const { return self_; }
--- a/src/cluster/control/store_view_keeper.cpp
+++ b/src/cluster/control/store_view_keeper.cpp
@@ -149,6 +149,8 @@
     if (!outcome.known) return;  // the next look tries again
     chosen_.chosenHere(kViewKey, outcome);
     const StoreView view = decodeView(outcome.value);
+    const bool own = view.leader == self_ && view.leader_term == term_;
+    if (!own && election_.isLeader()) return claim();
     if (outcome.wrote && hasDoubt(view)) doubt_since_ = scheduler_.now();
     if (outcome.wrote)
         LOG(INFO) << "store view " << view.epoch << " with " << view.stores.size() << " stores";
--- /dev/null
+++ b/tests/cluster/control_distribution_test.cpp
@@ -0,0 +1,279 @@
+// Long polls, membership, and the dispatchers' side: CoreClient.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "cluster/control/distribution.hpp"
+#include "cluster/control/membership.hpp"
+#include "tests/cluster/control_world.hpp"
+
+using namespace amberswitch::cluster;
+using namespace amberswitch::cluster::simulation;
+
+namespace {
+
+ConfigurationState configuration(std::int64_t generation) {
+    return {generation, configurationJson(generation), {{generation, 0, 1}}};
+}
+ServerList servers(std::uint64_t term, std::uint64_t count) {
+    return {{term, count}, {}};
+}
+StoreView view(Epoch epoch, std::uint64_t term = 1) {
+    StoreView made;
+    made.epoch = epoch;
+    made.leader_term = term;
+    return made;
+}
+
+class DistributionPlay {
+public:
+    DistributionPlay() : world(1), scheduler(world), distribution(scheduler, [this] { return fresh; }) {}
+
+    // The answer to a watch, once it has come.
+    std::shared_ptr<std::optional<Envelope>> watch(const WatchRequest& request) {
+        const auto answer = std::make_shared<std::optional<Envelope>>();
+        distribution.watch(request, [answer](Envelope envelope) { *answer = std::move(envelope); });
+        return answer;
+    }
+
+    World world;
+    SimulatedScheduler scheduler;
+    bool fresh = true;
+    Distribution distribution;
+};
+
+WatchRequest request(std::int64_t generation, ServerListVersion version, Epoch epoch) {
+    return {"edge-1", generation, version, epoch, 1000};
+}
+
+// A core machine as the test wants it: counts and answers watches and renewals.
+class FakeCore {
+public:
+    FakeCore(World& world, Network& network, const std::string& ip)
+        : address{ip, kFirstPort}, transport_(world, network, address) {
+        transport_.serve([this](const Envelope& envelope, const Responder& respond) {
+            if (silent) return;
+            if (envelope.kind == static_cast<std::uint16_t>(MessageKind::renew_lease)) {
+                renewals.push_back(*decode<RenewLeaseRequest>(envelope.body));
+                return respond(reply(renewal));
+            }
+            watches.push_back(*decode<WatchRequest>(envelope.body));
+            if (refuses) return respond(Envelope{});
+            if (next.config || next.servers || next.view) return respond(reply(std::exchange(next, {})));
+            held.push_back(respond);
+        });
+    }
+    const NodeAddress address;
+    std::vector<WatchRequest> watches;
+    std::vector<RenewLeaseRequest> renewals;
+    RenewLeaseReply renewal;
+    WatchReply next;
+    std::vector<Responder> held;
+    bool refuses = false;
+    bool silent = false;
+
+private:
+    MemoryTransport transport_;
+};
+
+class ClientPlay {
+public:
+    ClientPlay()
+        : world(3), network(world), first(world, network, "10.0.0.1"), second(world, network, "10.0.0.2") {
+        Member member;
+        member.name = "edge-1";
+        member.address = {"10.2.0.1", kFirstPort + 1};
+        client = std::make_unique<ClientProcess>(world, network, member,
+                                                 std::vector<NodeAddress>{first.address, second.address});
+    }
+    FakeCore& watched() { return first.watches.size() > second.watches.size() ? first : second; }
+
+    World world;
+    Network network;
+    FakeCore first;
+    FakeCore second;
+    std::unique_ptr<ClientProcess> client;
+};
+
+}  // namespace
+
+TEST_CASE("a watch is answered at once where something is newer, with just that") {
+    DistributionPlay play;
+    play.distribution.setConfiguration(configuration(4));
+    play.distribution.setServers(servers(2, 5));
+    play.distribution.setView(view(3));
+    const auto answer = play.watch(request(3, {2, 5}, 3));
+    REQUIRE(answer->has_value());
+    const auto watched = decode<WatchReply>((*answer)->body);
+    REQUIRE(watched);
+    REQUIRE(watched->config);
+    CHECK(watched->config->generation == 4);
+    CHECK(watched->config->body == configurationJson(4));
+    CHECK(watched->config->taken.empty());
+    CHECK_FALSE(watched->servers);
+    CHECK_FALSE(watched->view);
+}
+
+TEST_CASE("a watch is held until something is newer, or until its time is over") {
+    DistributionPlay play;
+    play.distribution.setServers(servers(2, 5));
+    const auto woken = play.watch(request(0, {2, 5}, 0));
+    const auto other = play.watch(request(0, {2, 6}, 0));
+    play.world.run(Millis(300));
+    CHECK_FALSE(woken->has_value());
+    play.distribution.setServers(servers(2, 6));
+    REQUIRE(woken->has_value());
+    CHECK(decode<WatchReply>((*woken)->body)->servers->version == ServerListVersion{2, 6});
+    CHECK_FALSE(other->has_value());
+    play.world.run(Millis(850));
+    REQUIRE(other->has_value());
+    CHECK_FALSE(decode<WatchReply>((*other)->body)->servers);
+    CHECK(play.distribution.watchers() == 0);
+}
+
+TEST_CASE("what is distributed never goes back") {
+    DistributionPlay play;
+    play.distribution.setConfiguration(configuration(4));
+    play.distribution.setConfiguration(configuration(3));
+    play.distribution.setServers(servers(2, 1));
+    play.distribution.setServers(servers(1, 9));
+    play.distribution.setView(view(5));
+    play.distribution.setView(view(4, 9));
+    const auto answer = play.watch(request(0, {}, 0));
+    const auto watched = decode<WatchReply>((**answer).body);
+    CHECK(watched->config->generation == 4);
+    CHECK(watched->servers->version == ServerListVersion{2, 1});
+    CHECK(watched->view->epoch == 5);
+}
+
+TEST_CASE("without contact to a majority nobody is held, but newer things are still told") {
+    DistributionPlay play;
+    play.distribution.setConfiguration(configuration(4));
+    const auto held = play.watch(request(4, {}, 0));
+    play.fresh = false;
+    const auto refused = play.watch(request(4, {}, 0));
+    REQUIRE(refused->has_value());
+    CHECK_FALSE(decode<WatchReply>((*refused)->body));
+    const auto told = play.watch(request(3, {}, 0));
+    CHECK(decode<WatchReply>((**told).body)->config->generation == 4);
+    play.world.run(Millis(150));
+    REQUIRE(held->has_value());
+    CHECK_FALSE(decode<WatchReply>((**held).body));
+}
+
+TEST_CASE(
+    "membership: leases end, a leaving member stays leaving, late renewals of a former process are ignored") {
+    World world(1);
+    SimulatedScheduler scheduler(world);
+    Membership membership(scheduler);
+    int changes = 0;
+    membership.onChange([&] { ++changes; });
+    RenewLeaseRequest renewal;
+    renewal.member.name = "edge-1";
+    renewal.member.kind = NodeKind::edge;
+    renewal.member.incarnation = 5;
+    membership.renew(renewal);
+    membership.renew(renewal);
+    CHECK(changes == 1);
+    CHECK(membership.edges() == 1);
+    world.run(Millis(2100));
+    CHECK(membership.edges() == 0);
+    renewal.member.leaving = true;
+    membership.renew(renewal);
+    renewal.member.leaving = false;
+    membership.renew(renewal);
+    CHECK(membership.find("edge-1")->member.leaving);
+    CHECK(membership.edges() == 0);
+    CHECK(changes == 2);
+    renewal.member.incarnation = 6;
+    membership.renew(renewal);
+    CHECK(changes == 3);
+    CHECK_FALSE(membership.find("edge-1")->member.leaving);
+    renewal.member.incarnation = 5;
+    membership.renew(renewal);
+    CHECK(membership.find("edge-1")->member.incarnation == 6);
+    CHECK(changes == 3);
+}
+
+TEST_CASE("a client takes only what is newer, and skips a configuration that it cannot read") {
+    ClientPlay play;
+    play.world.run(Millis(100));
+    FakeCore& core = play.watched();
+    const auto answer = [&](std::int64_t generation, ServerListVersion version, StoreView sent) {
+        REQUIRE(!core.held.empty());
+        WatchReply watched;
+        watched.config = configuration(generation);
+        watched.servers = ServerList{version, {}};
+        watched.view = std::move(sent);
+        core.held.back()(reply(watched));
+        core.held.clear();
+        play.world.run(Millis(50));
+    };
+    answer(4, {2, 2}, view(4));
+    answer(3, {2, 1}, view(3, 9));
+    answer(4, {1, 9}, view(4));
+    answer(5, {2, 3}, view(4, 2));
+    CHECK(play.client->generations == std::vector<std::int64_t>{4, 5});
+    CHECK(play.client->server_versions == std::vector<ServerListVersion>{{2, 2}, {2, 3}});
+    CHECK(play.client->epochs == std::vector<Epoch>{4, 4});
+    WatchReply broken;
+    broken.config = ConfigurationState{6, "{", {}};
+    core.held.back()(reply(broken));
+    play.world.run(Millis(50));
+    CHECK(play.client->client().configuration()->generation == 5);
+    // It is not asked for again.
+    CHECK(core.watches.back().config_generation == 6);
+}
+
+TEST_CASE("a client moves on from a core machine that refuses, breaks or falls silent") {
+    ClientPlay play;
+    play.world.run(Millis(100));
+    FakeCore& before = play.watched();
+    FakeCore& other = &before == &play.first ? play.second : play.first;
+    REQUIRE(other.watches.empty());
+    SUBCASE("refused at the next watch") {
+        before.refuses = true;
+        before.held.back()(reply(WatchReply{}));
+        play.world.run(Millis(50));
+        CHECK(!other.watches.empty());
+    }
+    SUBCASE("silent: the renewals tell before the watch times out") {
+        before.silent = true;
+        play.world.run(Millis(1500));
+        CHECK(!other.watches.empty());
+        CHECK(play.client->client().lastContact().has_value());
+    }
+}
+
+TEST_CASE("with the whole core away a client asks at a bounded rate and finds it again") {
+    ClientPlay play;
+    play.first.refuses = play.second.refuses = true;
+    play.world.run(Millis(10000));
+    const std::size_t watches = play.first.watches.size() + play.second.watches.size();
+    CHECK(watches > 20);
+    CHECK(watches < 120);
+    play.second.refuses = false;
+    play.second.next.config = configuration(2);
+    play.world.run(Millis(1200));
+    CHECK(play.client->generations == std::vector<std::int64_t>{2});
+}
+
+TEST_CASE("a client learns core machines, counts edges, and says at once that it leaves") {
+    ClientPlay play;
+    FakeCore third(play.world, play.network, "10.0.0.3");
+    play.first.renewal.core = {play.first.address, play.second.address, third.address};
+    play.second.renewal.core = play.first.renewal.core;
+    play.first.renewal.edges = 7;
+    play.second.renewal.edges = 2;  // has just started
+    CHECK(play.client->client().edges() == 1);
+    play.world.run(Millis(1200));
+    CHECK(play.client->client().edges() == 7);
+    CHECK(!third.renewals.empty());
+    play.first.renewal.edges = play.second.renewal.edges = 0;  // all have just started
+    play.world.run(Millis(3000));
+    CHECK(play.client->client().edges() == 7);
+    const std::size_t before = third.renewals.size();
+    play.client->client().leave();
+    play.world.run(Millis(1000));
+    CHECK(third.renewals.size() >= before + 9);
+    CHECK(third.renewals.back().member.leaving);
+}
--- a/tests/cluster/control_node_test.cpp
+++ b/tests/cluster/control_node_test.cpp
@@ -79,7 +79,8 @@
         const SteadyTime acknowledged = play.world.now();
         CHECK(play.world.runUntil([&] { return allHaveGeneration(play, 3); }, Millis(5000)));
         CHECK(play.world.now() - acknowledged < Millis(1000));
-        CHECK(play.clients["edge-1"]->client().edges() == 8);
+        play.world.run(Millis(1500));
+        for (const auto& [name, client] : play.clients) CHECK(client->client().edges() == 8);
         const auto view = play.clients["edge-1"]->client().view();
         CHECK(view->tolerated == 1);
         CHECK(view->partitions.size() == 24);
--- a/tests/cluster/control_register_test.cpp
+++ b/tests/cluster/control_register_test.cpp
@@ -308,6 +308,10 @@
     {
         FakeDisk disk(scheduler, content);
         RegisterVoter voter(disk, addresses()[0], addresses(), true);
+        // Not before its voter set is durable: without it, a restart would be a second first start.
+        CHECK_FALSE(voter.votes());
+        world.run(Millis(10));
+        CHECK(voter.votes());
         std::optional<AcceptReply> answer;
         voter.accept({kKey, {4, "x"}, "value"}, [&](AcceptReply reply) { answer = reply; });
         CHECK_FALSE(answer.has_value());
--- /dev/null
+++ b/tests/cluster/control_store_view_test.cpp
@@ -0,0 +1,200 @@
+// The store view as plain functions.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+#include "cluster/control/store_view.hpp"
+
+using namespace amberswitch::cluster;
+
+namespace {
+
+constexpr ViewRules kSettled{.settled = true};
+
+StoreObservation store(const std::string& name, Incarnation incarnation = 1) {
+    StoreObservation seen;
+    seen.member.name = name;
+    seen.member.kind = NodeKind::store;
+    seen.member.incarnation = incarnation;
+    return seen;
+}
+StoreObservation silent(StoreObservation seen) {
+    seen.silent = true;
+    return seen;
+}
+StoreObservation leaving(StoreObservation seen) {
+    seen.member.leaving = true;
+    return seen;
+}
+
+StoreView firstView(int stores) {
+    std::vector<StoreObservation> observed;
+    for (int index = 0; index < stores; ++index) observed.push_back(store("s" + std::to_string(index)));
+    return *nextView({}, observed, kSettled);
+}
+
+std::vector<std::size_t> counts(const StoreView& view) {
+    std::vector<std::size_t> owned(view.stores.size(), 0);
+    for (const PartitionOwner& partition : view.partitions) {
+        if (partition.owner >= 0) ++owned[static_cast<std::size_t>(partition.owner)];
+    }
+    return owned;
+}
+
+std::size_t moved(const StoreView& before, const StoreView& after) {
+    std::size_t count = 0;
+    for (std::size_t partition = 0; partition < kPartitionCount; ++partition) {
+        if (before.partitions[partition].owner != after.partitions[partition].owner) ++count;
+    }
+    return count;
+}
+
+}  // namespace
+
+TEST_CASE("partitions are shared out evenly") {
+    CHECK(counts(firstView(1)) == std::vector<std::size_t>{24});
+    CHECK(counts(firstView(2)) == std::vector<std::size_t>{12, 12});
+    CHECK(counts(firstView(3)) == std::vector<std::size_t>{8, 8, 8});
+    CHECK(counts(firstView(6)) == std::vector<std::size_t>{4, 4, 4, 4, 4, 4});
+    const StoreView view = firstView(3);
+    CHECK(view.epoch == 1);
+    for (const PartitionOwner& partition : view.partitions) {
+        CHECK(partition.previous == -1);
+        CHECK(partition.previous_stopped);
+    }
+}
+
+TEST_CASE("the rendezvous order holds every store once and does not depend on their places") {
+    const StoreView view = firstView(4);
+    std::vector<StoreMember> turned(view.stores.rbegin(), view.stores.rend());
+    for (PartitionId partition = 0; partition < kPartitionCount; ++partition) {
+        const auto order = rendezvousOrder(partition, view.stores);
+        const auto turned_order = rendezvousOrder(partition, turned);
+        for (std::size_t place = 0; place < order.size(); ++place) {
+            CHECK(view.stores[order[place]].member.name == turned[turned_order[place]].member.name);
+        }
+    }
+}
+
+TEST_CASE("nothing changes where the stores are the same or nothing is known of them") {
+    const StoreView view = firstView(3);
+    CHECK_FALSE(nextView(view, {store("s0"), store("s1"), store("s2")}, kSettled));
+    CHECK_FALSE(nextView(view, {store("s0")}, kSettled));
+    CHECK_FALSE(nextView(view, {}, kSettled));
+}
+
+TEST_CASE("a silent store loses its partitions to the others, who keep theirs") {
+    const StoreView before = firstView(3);
+    const auto after = nextView(before, {silent(store("s1"))}, kSettled);
+    REQUIRE(after);
+    CHECK(after->epoch == 2);
+    CHECK_FALSE(after->stores[1].alive);
+    CHECK(counts(*after) == std::vector<std::size_t>{12, 0, 12});
+    CHECK(moved(before, *after) == 8);
+    for (std::size_t partition = 0; partition < kPartitionCount; ++partition) {
+        const PartitionOwner& owner = after->partitions[partition];
+        CHECK(owner.previous == before.partitions[partition].owner);
+        CHECK(owner.previous_stopped == (owner.previous != 1));
+    }
+    CHECK_FALSE(nextView(*after, {silent(store("s1"))}, kSettled));
+    SUBCASE("it is taken back when it is heard again, with its even share") {
+        const auto back = nextView(*after, {store("s1")}, kSettled);
+        REQUIRE(back);
+        CHECK(counts(*back) == std::vector<std::size_t>{8, 8, 8});
+        CHECK(moved(*after, *back) == 8);
+        // The owners before are alive and may go on until they hear of the view.
+        for (const PartitionOwner& owner : back->partitions)
+            CHECK(owner.previous_stopped == (owner.owner != 1));
+    }
+    SUBCASE("doubt about an old owner outlives another change") {
+        const auto next = nextView(*after, {leaving(store("s2"))}, {.settled = false});
+        REQUIRE(next);
+        for (std::size_t partition = 0; partition < kPartitionCount; ++partition) {
+            CHECK(next->partitions[partition].previous_stopped ==
+                  after->partitions[partition].previous_stopped);
+        }
+        const auto later = nextView(*after, {leaving(store("s2"))}, kSettled);
+        for (const PartitionOwner& owner : later->partitions) CHECK(owner.previous_stopped);
+    }
+}
+
+TEST_CASE("a store that leaves has stopped, and stays out until a new process of it shows up") {
+    const StoreView before = firstView(3);
+    const auto after = nextView(before, {leaving(store("s1"))}, kSettled);
+    REQUIRE(after);
+    CHECK_FALSE(after->stores[1].alive);
+    for (const PartitionOwner& owner : after->partitions) CHECK(owner.previous_stopped);
+    CHECK_FALSE(nextView(*after, {leaving(store("s1"))}, kSettled));
+    CHECK_FALSE(nextView(*after, {store("s1")}, kSettled));
+    CHECK_FALSE(nextView(*after, {silent(store("s1"))}, kSettled));
+    const auto back = nextView(*after, {store("s1", 2)}, kSettled);
+    REQUIRE(back);
+    CHECK(back->stores[1].alive);
+    CHECK(back->stores[1].member.incarnation == 2);
+    CHECK_FALSE(back->stores[1].member.leaving);
+}
+
+TEST_CASE("a store that restarts before it was missed gets a new epoch and its old process has stopped") {
+    const StoreView before = firstView(3);
+    const auto after = nextView(before, {store("s1", 2)}, kSettled);
+    REQUIRE(after);
+    CHECK(after->epoch == 2);
+    CHECK(after->stores[1].member.incarnation == 2);
+    CHECK(moved(before, *after) == 0);
+    for (const PartitionOwner& owner : after->partitions) CHECK(owner.previous_stopped);
+}
+
+TEST_CASE("an unknown store joins and takes only its share") {
+    const StoreView before = firstView(3);
+    const auto after = nextView(before, {store("s3")}, kSettled);
+    REQUIRE(after);
+    CHECK(after->stores.size() == 4);
+    CHECK(counts(*after) == std::vector<std::size_t>{6, 6, 6, 6});
+    CHECK(moved(before, *after) == 6);
+    CHECK_FALSE(nextView(before, {leaving(store("s3"))}, kSettled));
+    CHECK_FALSE(nextView(before, {silent(store("s3"))}, kSettled));
+}
+
+TEST_CASE("with no store alive nobody owns anything, and the first to return owns all") {
+    const StoreView before = firstView(2);
+    const auto none = nextView(before, {silent(store("s0")), silent(store("s1"))}, kSettled);
+    REQUIRE(none);
+    for (const PartitionOwner& owner : none->partitions) CHECK(owner.owner == -1);
+    const auto back = nextView(*none, {store("s0", 2)}, {.settled = false});
+    REQUIRE(back);
+    CHECK(counts(*back) == std::vector<std::size_t>{24, 0});
+    for (const PartitionOwner& owner : back->partitions) CHECK_FALSE(owner.previous_stopped);
+}
+
+TEST_CASE("through any changes: even shares, epochs by one, only live owners, no needless move") {
+    std::mt19937_64 random(99);
+    for (int play = 0; play < 200; ++play) {
+        StoreView view = firstView(3);
+        std::vector<Incarnation> incarnations(6, 1);
+        for (int step = 0; step < 30; ++step) {
+            const std::size_t index = random() % 6;
+            const bool restarted = random() % 3 == 0;
+            if (restarted) ++incarnations[index];
+            StoreObservation seen = store("s" + std::to_string(index), incarnations[index]);
+            seen.silent = random() % 3 == 0;
+            seen.member.leaving = random() % 4 == 0;
+            const auto next = nextView(view, {seen}, ViewRules{.settled = random() % 2 == 0});
+            if (!next) continue;
+            CHECK(next->epoch == view.epoch + 1);
+            const auto alive = static_cast<std::size_t>(std::count_if(
+                next->stores.begin(), next->stores.end(), [](const StoreMember& s) { return s.alive; }));
+            const std::size_t cap = alive == 0 ? 0 : (kPartitionCount + alive - 1) / alive;
+            for (const std::size_t owned : counts(*next)) CHECK(owned <= cap);
+            for (std::size_t partition = 0; partition < kPartitionCount; ++partition) {
+                const std::int32_t owner = next->partitions[partition].owner;
+                CHECK((owner >= 0) == (alive > 0));
+                if (owner >= 0) CHECK(next->stores[static_cast<std::size_t>(owner)].alive);
+                CHECK(next->partitions[partition].previous == view.partitions[partition].owner);
+            }
+            view = *next;
+        }
+    }
+}
