--- a/src/cluster/storage/accepts.cpp
+++ b/src/cluster/storage/accepts.cpp
@@ -5,7 +5,8 @@
 namespace amberswitch::cluster::storage {
 
 Accepts::Accepts(RecordStore& disk, Replica& replica, Replicator& replicator, const Placement& placement,
-                 const StoreClock& clock, OwnedPartitions& owned, QueueItemFactory& items, Granter& granter)
+                 const StoreClock& clock, OwnedPartitions& owned, QueueItemFactory& items, Granter& granter,
+                 std::function<void(PartitionId)> on_fenced)
     : disk_(disk),
       replica_(replica),
       replicator_(replicator),
@@ -13,7 +14,8 @@
       clock_(clock),
       owned_(owned),
       items_(items),
-      granter_(granter) {}
+      granter_(granter),
+      on_fenced_(std::move(on_fenced)) {}
 
 void Accepts::accept(AcceptMessageRequest request, Answer answer) {
     AcceptMessageReply reply;
@@ -46,19 +48,24 @@
         reply.status = AcceptStatus::stored;
         return answer(reply);
     }
+    Job job = continuedJob(*item, std::move(*record));
+    job.answers.push_back(std::move(answer));
+    startJob(owned, {owned.id, id}, std::move(job));
+}
+
+Accepts::Job Accepts::continuedJob(const QueueItem& item, MessageRecord record) const {
     Job job;
-    job.copies = item->holders.size();
-    job.holders = item->holders;
-    job.tried = item->holders;
-    job.record = std::make_shared<MessageRecord>(std::move(*record));
-    startJob(owned, {owned.id, id}, std::move(job), std::move(answer));
+    job.copies = item.holders.size();
+    job.holders = item.holders;
+    job.tried = item.holders;
+    job.record = std::make_shared<MessageRecord>(std::move(record));
+    return job;
 }
 
-void Accepts::startJob(const OwnedPartition& owned, const MessageName& name, Job fresh, Answer answer) {
+void Accepts::startJob(const OwnedPartition& owned, const MessageName& name, Job fresh) {
     Job& job = jobs_.emplace(name, std::move(fresh)).first->second;
     job.epoch = owned.epoch;
     job.copies_wanted = placement_.tolerated();
-    job.answers.push_back(std::move(answer));
     for (std::size_t i = job.copies; i < job.copies_wanted; ++i) replicateToNext(name, job);
     disk_.sync([this, name](bool durable) { onOwnSync(name, durable); });
 }
@@ -88,7 +95,9 @@
     job.record = record;
     job.edge = std::move(request.edge);
     job.wants_grant = request.wants_grant;
-    startJob(owned, name, std::move(job), std::move(answer));
+    job.fresh = true;
+    job.answers.push_back(std::move(answer));
+    startJob(owned, name, std::move(job));
     return true;
 }
 
@@ -101,9 +110,10 @@
     if (next == order.end()) return false;
     job.tried.insert(*next);
     ++job.calls_under_way;
-    replicator_.sendRecord(
-        *next, job.epoch, job.record,
-        [this, name, store = *next](ReplicateOutcome outcome) { onCopy(name, store, outcome); });
+    replicator_.sendRecord(*next, job.epoch, job.record,
+                           [this, name, store = *next, sent = job.epoch](ReplicateOutcome outcome) {
+                               onCopy(name, store, sent, outcome);
+                           });
     return true;
 }
 
@@ -115,12 +125,16 @@
     finishIfStored(name);
 }
 
-void Accepts::onCopy(const MessageName& name, const std::string& store, ReplicateOutcome outcome) {
+void Accepts::onCopy(const MessageName& name, const std::string& store, Epoch sent,
+                     ReplicateOutcome outcome) {
     const auto found = jobs_.find(name);
     if (found == jobs_.end()) return;
     Job& job = found->second;
     --job.calls_under_way;
-    if (outcome == ReplicateOutcome::fenced && !raiseEpoch(job)) return finish(name, AcceptStatus::unknown);
+    if (outcome == ReplicateOutcome::fenced && !raiseEpoch(job, sent)) {
+        on_fenced_(name.first);
+        return finish(name, AcceptStatus::unknown);
+    }
     if (outcome == ReplicateOutcome::fenced) job.tried.erase(store);
     if (outcome == ReplicateOutcome::stored) {
         ++job.copies;
@@ -132,9 +146,9 @@
         finish(name, AcceptStatus::unknown);
 }
 
-bool Accepts::raiseEpoch(Job& job) const {
+bool Accepts::raiseEpoch(Job& job, Epoch sent) const {
     const OwnedPartition* const owned = findActive(owned_, job.record->partition);
-    if (owned == nullptr || owned->epoch <= job.epoch) return false;
+    if (owned == nullptr || owned->epoch <= sent) return false;
     job.epoch = owned->epoch;
     return true;
 }
@@ -148,17 +162,20 @@
     Job job = std::move(jobs_.extract(name).mapped());
     AcceptMessageReply reply;
     reply.status = status;
-    // A message whose fate is unknown is here all the same, and runs.
-    if (OwnedPartition* const owned = findActive(owned_, name.first)) handOver(*owned, job, reply);
+    if (status == AcceptStatus::stored) {
+        if (OwnedPartition* const owned = findActive(owned_, name.first)) handOver(*owned, job, reply);
+    } else {
+        unfinished_.emplace(name, job.fresh);
+    }
     answerAll(job, reply);
 }
 
 void Accepts::handOver(OwnedPartition& owned, Job& job, AcceptMessageReply& reply) {
     QueueItem* const item = owned.queue.find(job.record->content.id);
-    if (item == nullptr) return;
+    if (item == nullptr || item->callback) return;
     item->holders.insert(job.holders.begin(), job.holders.end());
     owned.queue.stored(*item);
-    if (reply.status == AcceptStatus::stored && job.wants_grant) {
+    if (job.wants_grant) {
         if (const auto attempt = granter_.grantAtAccept(owned, *item, job.edge)) {
             reply.granted = true;
             reply.epoch = attempt->epoch;
@@ -168,6 +185,38 @@
     if (!reply.granted) granter_.schedule();
 }
 
+void Accepts::tick() {
+    for (const auto& [name, fresh] : std::exchange(unfinished_, {})) {
+        if (jobs_.contains(name)) continue;
+        OwnedPartition* const owned = findActive(owned_, name.first);
+        if (owned == nullptr) {
+            // It was promised to nobody and never granted; its place in the order may be wrong by now.
+            if (fresh) replica_.forget(name.first, name.second);
+            continue;
+        }
+        const QueueItem* const item = owned->queue.find(name.second);
+        auto record = replica_.record(name.first, name.second);
+        if (item == nullptr || item->state != ItemState::storing || !record) continue;
+        Job job = continuedJob(*item, std::move(*record));
+        job.fresh = fresh;
+        startJob(*owned, name, std::move(job));
+    }
+}
+
+void Accepts::abandon(PartitionId partition) {
+    std::vector<MessageName> names;
+    for (const auto& [name, job] : jobs_) {
+        if (name.first == partition && job.copies < job.copies_wanted) names.push_back(name);
+    }
+    for (const MessageName& name : names) finish(name, AcceptStatus::unknown);
+    std::erase_if(unfinished_, [this, partition](const auto& entry) {
+        const auto& [name, fresh] = entry;
+        if (name.first != partition) return false;
+        if (fresh) replica_.forget(partition, name.second);
+        return true;
+    });
+}
+
 void Accepts::answerAll(Job& job, const AcceptMessageReply& reply) {
     AcceptMessageReply mine = reply;
     for (const Answer& answer : job.answers) {
--- a/src/cluster/storage/accepts.hpp
+++ b/src/cluster/storage/accepts.hpp
@@ -21,10 +21,17 @@
     using Answer = std::function<void(const AcceptMessageReply&)>;
 
     Accepts(RecordStore& disk, Replica& replica, Replicator& replicator, const Placement& placement,
-            const StoreClock& clock, OwnedPartitions& owned, QueueItemFactory& items, Granter& granter);
+            const StoreClock& clock, OwnedPartitions& owned, QueueItemFactory& items, Granter& granter,
+            std::function<void(PartitionId)> on_fenced);
 
     // Answers exactly once.
     void accept(AcceptMessageRequest request, Answer answer);
+    // Goes on with messages whose copies could not all be made; they run only once they stand on enough
+    // disks. Call every 100 ms or so.
+    void tick();
+    // The partition goes to another owner: accepts that have not all their copies are answered as unknown,
+    // and what nobody was told of is removed, since its place in the order would be wrong later.
+    void abandon(PartitionId partition);
     // Accepts nothing more.
     void stop() { stopped_ = true; }
     bool underWay(PartitionId partition, const MessageId& id) const;
@@ -43,6 +50,7 @@
         std::set<std::string> holders;
         std::string edge;
         bool wants_grant = false;
+        bool fresh = false;  // nobody has been promised anything of it before
         std::vector<Answer> answers;
     };
 
@@ -50,14 +58,15 @@
     bool begin(OwnedPartition& owned, AcceptMessageRequest& request, Answer answer);
     // The message is here already; makes sure that it is on enough disks.
     void acceptAgain(OwnedPartition& owned, const MessageId& id, Answer answer);
-    void startJob(const OwnedPartition& owned, const MessageName& name, Job job, Answer answer);
+    Job continuedJob(const QueueItem& item, MessageRecord record) const;
+    void startJob(const OwnedPartition& owned, const MessageName& name, Job job);
     // This store has gone on into a newer epoch as owner, which is what the replica has promised. False: it
     // has not.
-    bool raiseEpoch(Job& job) const;
+    bool raiseEpoch(Job& job, Epoch sent) const;
     static void answerAll(Job& job, const AcceptMessageReply& reply);
     bool replicateToNext(const MessageName& name, Job& job);
     void onOwnSync(const MessageName& name, bool durable);
-    void onCopy(const MessageName& name, const std::string& store, ReplicateOutcome outcome);
+    void onCopy(const MessageName& name, const std::string& store, Epoch sent, ReplicateOutcome outcome);
     void finishIfStored(const MessageName& name);
     void finish(const MessageName& name, AcceptStatus status);
     void handOver(OwnedPartition& owned, Job& job, AcceptMessageReply& reply);
@@ -71,7 +80,9 @@
     QueueItemFactory& items_;
     Granter& granter_;
     bool stopped_ = false;
+    std::function<void(PartitionId)> on_fenced_;  // the partition has a newer owner
     std::map<MessageName, Job> jobs_;
+    std::map<MessageName, bool> unfinished_;  // whose copies are lacking; true: fresh
 };
 
 }  // namespace amberswitch::cluster::storage
--- a/src/cluster/storage/outcomes.cpp
+++ b/src/cluster/storage/outcomes.cpp
@@ -162,7 +162,6 @@
 
 void Outcomes::endOverdue(OwnedPartition& owned) {
     for (QueueItem* item : owned.queue.expired(clock_.now())) {
-        if (item->state == ItemState::storing) continue;
         if (item->callback) {
             finishCallback(owned, *item, DestinationSign::nothing);
         } else {
--- a/src/cluster/storage/replica.cpp
+++ b/src/cluster/storage/replica.cpp
@@ -305,16 +305,22 @@
                 scheduleTrim(partition, id, *message);
                 continue;
             }
-            releaseContent(*message);
-            // The content first: a state alone can never be run again.
-            disk_.erase(messageKey(kContentPrefix, partition, id));
-            disk_.erase(messageKey(kStatePrefix, partition, id));
-            partitions_[partition].messages.erase(id);
+            forget(partition, id);
         }
         trims_.erase(trims_.begin());
     }
 }
 
+void Replica::forget(PartitionId partition, const MessageId& id) {
+    StoredMessage* const message = find(partition, id);
+    if (message == nullptr) return;
+    releaseContent(*message);
+    // The content first: a state alone can never be run again.
+    disk_.erase(messageKey(kContentPrefix, partition, id));
+    disk_.erase(messageKey(kStatePrefix, partition, id));
+    partitions_[partition].messages.erase(MessageId(id));
+}
+
 std::size_t Replica::size() const {
     std::size_t sum = 0;
     for (const auto& [partition, kept] : partitions_) sum += kept.messages.size();
--- a/src/cluster/storage/replica.hpp
+++ b/src/cluster/storage/replica.hpp
@@ -87,6 +87,8 @@
     // Takes a later time of accept that another replica knows (this machine's clock may have been stepped).
     void correctAcceptTime(StoredMessage& message, std::int64_t accepted_wall_ms);
 
+    // Removes a message of which nobody was told.
+    void forget(PartitionId partition, const MessageId& id);
     // Forgets what nobody may ask for any more. At most `limit` messages at a time.
     void trim(std::size_t limit);
 
--- a/src/cluster/storage/store_node.cpp
+++ b/src/cluster/storage/store_node.cpp
@@ -64,7 +64,8 @@
       outcomes_(owned_, book_, replica_, replicator_, items_, clock_, incarnation),
       granter_(scheduler, transport, owned_, book_, outcomes_, replica_, items_, settings.name),
       edge_watch_(transport, owned_, book_, outcomes_, granter_, clock_, settings.name),
-      accepts_(disk, replica_, replicator_, placement_, clock_, owned_, items_, granter_),
+      accepts_(disk, replica_, replicator_, placement_, clock_, owned_, items_, granter_,
+               [this](PartitionId partition) { onFenced(partition); }),
       peering_(scheduler, transport, disk, replica_, replicator_, placement_, clock_, peeringHooks()) {}
 
 storage::PeeringDriver::Hooks StoreNode::Impl::peeringHooks() {
@@ -101,6 +102,7 @@
 void StoreNode::Impl::tick() {
     tick_timer_ = scheduler_.after(kTick, [this] { tick(); });
     peering_.tick();
+    accepts_.tick();
     edge_watch_.tick();
     for (auto& [partition, owned] : owned_) {
         if (owned->active) outcomes_.endOverdue(*owned);
@@ -201,6 +203,16 @@
     book_.forget(owned, clock_.now());
     peering_.cancel(partition);
     owned_.erase(partition);
+    accepts_.abandon(partition);
+}
+
+void StoreNode::Impl::onFenced(PartitionId partition) {
+    const OwnedPartition* const owned = findOwned(owned_, partition);
+    if (owned == nullptr) return;
+    scheduler_.post([this, partition, epoch = owned->epoch] {
+        const OwnedPartition* const stale = findOwned(owned_, partition);
+        if (stale != nullptr && stale->epoch == epoch) relinquish(partition);
+    });
 }
 
 void StoreNode::Impl::onEnough(PartitionId partition, const std::vector<RunningAttempt>& running) {
--- a/src/cluster/storage/store_node_impl.hpp
+++ b/src/cluster/storage/store_node_impl.hpp
@@ -36,6 +36,8 @@
     bool ownsInView(const StoreView& view, PartitionId partition) const;
     void takeOver(PartitionId partition, const StoreView& view, Epoch previous_epoch);
     void relinquish(PartitionId partition);
+    // A replica has promised a newer epoch: there is another owner, whose view has not come yet.
+    void onFenced(PartitionId partition);
     void noteStores(const StoreView& view);
     std::vector<storage::PeerStore> peersOf(PartitionId partition) const;
     void onEnough(PartitionId partition, const std::vector<RunningAttempt>& running);
