--- /dev/null
+++ b/tests/cluster/store_limits_test.cpp
@@ -0,0 +1,197 @@
+// Ceilings, connection limits, probing of what is down, and the choice of edges.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "cluster/storage/edges.hpp"
+#include "cluster/storage/rate_limiter.hpp"
+
+using namespace amberswitch::cluster;
+using namespace amberswitch::cluster::storage;
+
+namespace {
+
+const SteadyTime kStart{std::chrono::seconds(1000)};
+
+Configuration oneService(double rate_per_s, std::uint32_t max_connections = 100) {
+    Configuration configuration;
+    Service service;
+    service.name = "partner";
+    service.rate_per_s = rate_per_s;
+    service.max_connections = max_connections;
+    service.endpoint = NodeAddress{"10.9.0.1", 80};
+    configuration.services.push_back(service);
+    return configuration;
+}
+
+// Takes what can be had in that span, asking every millisecond; every attempt ends at once.
+int takeAll(RateLimiter& limiter, SteadyTime& now, Millis span) {
+    int taken = 0;
+    for (const SteadyTime end = now + span; now < end; now += Millis(1)) {
+        while (limiter.mayGrant("partner", now)) {
+            limiter.granted("partner", now);
+            limiter.settled("partner", DestinationSign::reached, now);
+            ++taken;
+        }
+    }
+    return taken;
+}
+
+}  // namespace
+
+TEST_CASE("a store takes its share of 0.95 of the ceiling, and starts with nothing") {
+    RateLimiter limiter;
+    limiter.configure(oneService(40));
+    limiter.setShare(0.5, kStart);
+    CHECK(!limiter.mayGrant("partner", kStart));
+    SteadyTime now = kStart;
+    const int taken = takeAll(limiter, now, Millis(10000));
+    CHECK(taken <= 190);
+    CHECK(taken >= 188);
+}
+
+TEST_CASE("after a silence little is saved up") {
+    RateLimiter limiter;
+    limiter.configure(oneService(100));
+    limiter.setShare(1, kStart);
+    SteadyTime now = kStart;
+    takeAll(limiter, now, Millis(1000));
+    now += Millis(60000);
+    CHECK(takeAll(limiter, now, Millis(1)) <= 2);
+}
+
+TEST_CASE("without a share nothing is granted, and other services do not care") {
+    RateLimiter limiter;
+    limiter.configure(oneService(100));
+    CHECK(!limiter.mayGrant("partner", kStart + Millis(5000)));
+    CHECK(!limiter.nextChance("partner", kStart + Millis(5000)).has_value());
+    CHECK(limiter.mayGrant("other", kStart));
+}
+
+TEST_CASE("a new share counts from its moment on") {
+    RateLimiter limiter;
+    limiter.configure(oneService(10));
+    limiter.setShare(0.1, kStart);
+    CHECK(!limiter.mayGrant("partner", kStart));
+    limiter.setShare(1, kStart + Millis(500));
+    CHECK(!limiter.mayGrant("partner", kStart + Millis(520)));
+    SteadyTime now = kStart + Millis(500);
+    CHECK(takeAll(limiter, now, Millis(5000)) <= 48);
+}
+
+TEST_CASE("the next chance is when the next token is there") {
+    RateLimiter limiter;
+    limiter.configure(oneService(10));
+    limiter.setShare(1, kStart);
+    CHECK(!limiter.mayGrant("partner", kStart));
+    const auto chance = limiter.nextChance("partner", kStart);
+    REQUIRE(chance.has_value());
+    CHECK(*chance > kStart);
+    CHECK(!limiter.mayGrant("partner", *chance - Millis(1)));
+    CHECK(limiter.mayGrant("partner", *chance));
+}
+
+TEST_CASE("connections of a static service are shared out, two at least") {
+    RateLimiter limiter;
+    limiter.configure(oneService(0, 12));
+    limiter.setShare(0.25, kStart);
+    for (int i = 0; i < 3; ++i) {
+        REQUIRE(limiter.mayGrant("partner", kStart));
+        limiter.granted("partner", kStart);
+    }
+    CHECK(!limiter.mayGrant("partner", kStart));
+    limiter.settled("partner", DestinationSign::reached, kStart);
+    CHECK(limiter.mayGrant("partner", kStart));
+    limiter.setShare(0.01, kStart);
+    CHECK(!limiter.mayGrant("partner", kStart));
+    limiter.settled("partner", DestinationSign::reached, kStart);
+    CHECK(limiter.mayGrant("partner", kStart));
+}
+
+TEST_CASE("a destination that is down is probed one at a time, ever more seldom, until it answers") {
+    RateLimiter limiter;
+    SteadyTime now = kStart;
+    for (int i = 0; i < 3; ++i) limiter.granted("partner", now);
+    for (int i = 0; i < 3; ++i) limiter.settled("partner", DestinationSign::down, now);
+    CHECK(limiter.down("partner"));
+    CHECK(!limiter.mayGrant("partner", now));
+    int probes = 0;
+    for (const SteadyTime end = now + Millis(10000); now < end; now += Millis(1)) {
+        if (!limiter.mayGrant("partner", now)) continue;
+        limiter.granted("partner", now);
+        CHECK(!limiter.mayGrant("partner", now + Millis(400)));
+        limiter.settled("partner", DestinationSign::down, now);
+        ++probes;
+    }
+    CHECK(probes >= 19);
+    CHECK(probes <= 26);
+    now += Millis(500);
+    REQUIRE(limiter.mayGrant("partner", now));
+    limiter.granted("partner", now);
+    limiter.settled("partner", DestinationSign::reached, now);
+    CHECK(!limiter.down("partner"));
+    CHECK(limiter.mayGrant("partner", now));
+}
+
+TEST_CASE("outcomes that say nothing of the destination do not end the probing") {
+    RateLimiter limiter;
+    for (int i = 0; i < 3; ++i) limiter.granted("partner", kStart);
+    for (int i = 0; i < 3; ++i) limiter.settled("partner", DestinationSign::down, kStart);
+    limiter.granted("partner", kStart + Millis(30));
+    limiter.settled("partner", DestinationSign::nothing, kStart + Millis(31));
+    CHECK(limiter.down("partner"));
+}
+
+TEST_CASE("edges of the own zone are preferred; silent, leaving, unheard and full ones get nothing") {
+    Edges edges("here", 1);
+    CHECK(edges.choose(kStart) == nullptr);
+    Edge& far = edges.heard("far", {"10.2.0.1", 1}, kStart);
+    CHECK(edges.choose(kStart) == nullptr);  // it has not told what it runs
+    far.synced_epoch = 1;
+    far.zone = "there";
+    CHECK(edges.choose(kStart)->name == "far");
+    Edge& near = edges.heard("near", {"10.2.0.2", 1}, kStart);
+    near.synced_epoch = 1;
+    near.zone = "here";
+    for (int i = 0; i < 20; ++i) CHECK(edges.choose(kStart)->name == "near");
+    near.leaving = true;
+    CHECK(edges.choose(kStart)->name == "far");
+    near.leaving = false;
+    near.usable = false;
+    CHECK(edges.choose(kStart)->name == "far");
+    edges.heard("near", {"10.2.0.2", 1}, kStart);
+    CHECK(edges.choose(kStart)->name == "near");
+    CHECK(edges.choose(kStart + kEdgeSilentAfter + Millis(1)) == nullptr);
+    std::vector<QueueItem> items(kMaxGrantsPerEdge);
+    for (QueueItem& item : items) edges.attach("near", item);
+    CHECK(edges.choose(kStart)->name == "far");
+    CHECK(edges.outstanding() == kMaxGrantsPerEdge);
+}
+
+TEST_CASE("the less busy of two edges is chosen more often") {
+    Edges edges("here", 1);
+    std::vector<QueueItem> items(10);
+    for (const char* name : {"busy", "idle"}) {
+        Edge& edge = edges.heard(name, {"10.2.0.1", 1}, kStart);
+        edge.synced_epoch = 1;
+        edge.zone = "here";
+    }
+    for (QueueItem& item : items) edges.attach("busy", item);
+    int idle = 0;
+    for (int i = 0; i < 100; ++i) idle += edges.choose(kStart)->name == "idle" ? 1 : 0;
+    CHECK(idle > 60);
+}
+
+TEST_CASE("all have told once each connected edge, and as many as there should be, named the view") {
+    Edges edges("here", 1);
+    CHECK(edges.allSynced(1, 0, kStart));
+    CHECK(!edges.allSynced(1, 2, kStart));
+    edges.heard("a", {"10.2.0.1", 1}, kStart).synced_epoch = 4;
+    CHECK(!edges.allSynced(4, 2, kStart));
+    edges.heard("b", {"10.2.0.2", 1}, kStart).synced_epoch = 3;
+    CHECK(!edges.allSynced(4, 2, kStart));
+    edges.find("b")->synced_epoch = 4;
+    CHECK(edges.allSynced(4, 2, kStart));
+    edges.find("b")->synced_epoch = 3;
+    edges.heard("a", {"10.2.0.1", 1}, kStart + kEdgeAliveFor + Millis(1));
+    CHECK(edges.allSynced(4, 1, kStart + kEdgeAliveFor + Millis(1)));  // b is gone
+}
