Count a failure of an earlier epoch only where no other owner can have counted it

A report whose answer was lost goes to the new owner; counting it there again could end a message early.

--- a/src/cluster/storage/accepts.cpp
+++ b/src/cluster/storage/accepts.cpp
@@ -67,6 +67,7 @@
     job.epoch = owned.epoch;
     job.copies_wanted = placement_.tolerated();
     for (std::size_t i = job.copies; i < job.copies_wanted; ++i) replicateToNext(name, job);
+    if (job.copies + job.calls_under_way < job.copies_wanted) return finish(name, AcceptStatus::unknown);
     disk_.sync([this, name](bool durable) { onOwnSync(name, durable); });
 }
 
--- a/src/cluster/storage/edge_watch.cpp
+++ b/src/cluster/storage/edge_watch.cpp
@@ -44,7 +44,7 @@
     edge.leaving = sync.leaving;
     edge.synced_epoch = sync.view_epoch;
     edge.running = sync.running;
-    for (const RunningAttempt& running : sync.running) granter_.adoptRunning(sync.edge, running);
+    for (const RunningAttempt& running : sync.running) granter_.adoptRunning(sync.edge, running, false);
     takeBackMissing(edge, sync, restarted);
     settleWherePossible();
     granter_.schedule();
@@ -100,12 +100,12 @@
 
 void EdgeWatch::onActive(OwnedPartition& owned, const std::vector<RunningAttempt>& running) {
     for (const RunningAttempt& attempt : running) {
-        if (attempt.partition == owned.id) granter_.adoptRunning(kUnknownEdge, attempt);
+        if (attempt.partition == owned.id) granter_.adoptRunning(kUnknownEdge, attempt, true);
     }
     book_.edges.forEach([&](Edge& edge) {
         if (edge.synced_epoch < owned.epoch) return;
         for (const RunningAttempt& attempt : edge.running) {
-            if (attempt.partition == owned.id) granter_.adoptRunning(edge.name, attempt);
+            if (attempt.partition == owned.id) granter_.adoptRunning(edge.name, attempt, false);
         }
     });
     settleWherePossible();
--- a/src/cluster/storage/grant_book.hpp
+++ b/src/cluster/storage/grant_book.hpp
@@ -22,11 +22,12 @@
         limiter.granted(item.service, now);
         place(owned, item, edge, id, now, timeout);
     }
-    // An attempt that is running already.
+    // An attempt that is running already. `uncounted`: its failure cannot have been counted anywhere.
     void adopt(OwnedPartition& owned, QueueItem& item, const std::string& edge, AttemptId id, SteadyTime now,
-               Millis timeout) {
+               Millis timeout, bool uncounted) {
         limiter.adopted(item.service);
         place(owned, item, edge, id, now, timeout);
+        item.grant->uncounted = uncounted;
     }
     // The attempt is over or given up. The caller moves the item on in its queue at once.
     void settle(QueueItem& item, DestinationSign sign, SteadyTime now) {
@@ -53,7 +54,7 @@
 private:
     void place(OwnedPartition& owned, QueueItem& item, const std::string& edge, AttemptId id, SteadyTime now,
                Millis timeout) {
-        owned.queue.grant(item, {id, edge, now, now + timeout + kGrantExpiryMargin, std::nullopt});
+        owned.queue.grant(item, {id, edge, now, now + timeout + kGrantExpiryMargin, std::nullopt, true});
         edges.attach(edge, item);
     }
 };
--- a/src/cluster/storage/granter.cpp
+++ b/src/cluster/storage/granter.cpp
@@ -36,7 +36,7 @@
     return id;
 }
 
-void Granter::adoptRunning(const std::string& edge, const RunningAttempt& running) {
+void Granter::adoptRunning(const std::string& edge, const RunningAttempt& running, bool uncounted) {
     OwnedPartition* const owned = findActive(owned_, running.partition);
     QueueItem* const item = owned == nullptr ? nullptr : owned->queue.find(running.id);
     if (item == nullptr || item->callback != running.callback) return;
@@ -52,7 +52,7 @@
         return;
     }
     if (item->state == ItemState::storing) return;
-    book_.adopt(*owned, *item, edge, id, now, timeout);
+    book_.adopt(*owned, *item, edge, id, now, timeout, uncounted);
 }
 
 void Granter::schedule() {
--- a/src/cluster/storage/granter.hpp
+++ b/src/cluster/storage/granter.hpp
@@ -22,7 +22,8 @@
     // Grants a message to the edge that holds its body, if it may run right now.
     std::optional<AttemptId> grantAtAccept(OwnedPartition& owned, QueueItem& item, const std::string& edge);
     // Takes an attempt over that an edge, or a previous owner, says is running. Unknown edge: kUnknownEdge.
-    void adoptRunning(const std::string& edge, const RunningAttempt& running);
+    // `uncounted`: the last owner told so, which has counted no failure of it.
+    void adoptRunning(const std::string& edge, const RunningAttempt& running, bool uncounted);
     // Looks for what can be granted, once at the end of this turn of the loop.
     void schedule();
     // Grants nothing more.
--- a/src/cluster/storage/outcomes.cpp
+++ b/src/cluster/storage/outcomes.cpp
@@ -43,6 +43,7 @@
 void Outcomes::applyToRun(OwnedPartition& owned, QueueItem& item, const std::string& edge,
                           const RunResult& result) {
     const bool current = item.grant && item.grant->id == AttemptId{result.epoch, result.attempt};
+    const bool uncounted = current && item.grant->uncounted;
     if (current) book_.settle(item, signOf(result), clock_.now());
     switch (result.outcome) {
         case RunOutcome::completed:
@@ -54,7 +55,9 @@
             if (result.callback_started) continueWithCallback(owned, edge, result);
             break;
         case RunOutcome::failed:
-            onFailure(owned, item, edge, result, current);
+            // A failure of an earlier epoch may have been counted by the owner before.
+            if ((uncounted || result.epoch == owned.epoch) && countFailure(owned, item, edge, result)) break;
+            if (current) owned.queue.retry(item, clock_.now() + backoff(item, false));
             break;
         default:
             if (current) owned.queue.retry(item, clock_.now() + backoff(item, result.destination_down));
@@ -79,27 +82,24 @@
     }
 }
 
-void Outcomes::onFailure(OwnedPartition& owned, QueueItem& item, const std::string& edge,
-                         const RunResult& result, bool current) {
+bool Outcomes::countFailure(OwnedPartition& owned, QueueItem& item, const std::string& edge,
+                            const RunResult& result) {
     const AttemptId attempt{result.epoch, result.attempt};
     const bool counted = std::find(item.counted.begin(), item.counted.end(), attempt) != item.counted.end();
-    // A failure of an earlier epoch that is not known as running here may have been counted by the owner
-    // before.
-    if (!counted && (current || result.epoch == owned.epoch)) {
-        item.counted.push_back(attempt);
-        ++item.failures;
-        if (item.failures >= items_.maxFailuresOf(item)) {
-            end(owned, item, Phase::dead_letter, {});
-            if (result.callback_started) continueWithCallback(owned, edge, result);
-            return;
-        }
-        RecordUpdate update;
-        update.partition = item.partition;
-        update.id = item.id;
-        update.failures = item.failures;
-        write(item, update);
+    if (counted) return false;
+    item.counted.push_back(attempt);
+    ++item.failures;
+    if (item.failures >= items_.maxFailuresOf(item)) {
+        end(owned, item, Phase::dead_letter, {});
+        if (result.callback_started) continueWithCallback(owned, edge, result);
+        return true;
     }
-    if (current) owned.queue.retry(item, clock_.now() + backoff(item, false));
+    RecordUpdate update;
+    update.partition = item.partition;
+    update.id = item.id;
+    update.failures = item.failures;
+    write(item, update);
+    return false;
 }
 
 void Outcomes::finishCallback(OwnedPartition& owned, QueueItem& item, DestinationSign sign) {
@@ -139,7 +139,7 @@
     QueueItem* const item = owned.queue.find(result.id);
     if (item == nullptr || !item->callback) return;
     const AttemptId attempt{result.epoch, result.attempt};
-    book_.adopt(owned, *item, edge, attempt, clock_.now(), kCallbackTimeout);
+    book_.adopt(owned, *item, edge, attempt, clock_.now(), kCallbackTimeout, true);
 }
 
 void Outcomes::write(const QueueItem& item, const RecordUpdate& update) {
--- a/src/cluster/storage/outcomes.hpp
+++ b/src/cluster/storage/outcomes.hpp
@@ -41,8 +41,9 @@
 private:
     void applyToRun(OwnedPartition& owned, QueueItem& item, const std::string& edge, const RunResult& result);
     void applyToCallback(OwnedPartition& owned, QueueItem& item, const RunResult& result);
-    void onFailure(OwnedPartition& owned, QueueItem& item, const std::string& edge, const RunResult& result,
-                   bool current);
+    // Counts an answer of 500 once; true: it was the last one, and the message has ended.
+    bool countFailure(OwnedPartition& owned, QueueItem& item, const std::string& edge,
+                      const RunResult& result);
     // The call-back was taken, or is given up.
     void finishCallback(OwnedPartition& owned, QueueItem& item, DestinationSign sign);
     void end(OwnedPartition& owned, QueueItem& item, Phase phase, const std::string& stamp);
--- a/src/cluster/storage/peering_driver.cpp
+++ b/src/cluster/storage/peering_driver.cpp
@@ -238,12 +238,23 @@
         transport_.call(member->member.address, envelope(MessageKind::peering_done, message), kDoneTimeout,
                         [this, partition, id = round.id, name = store.name](const CallResult& result) {
                             Round* const told = findRound(partition, id);
-                            if (told == nullptr || result.verdict == Verdict::answered) return;
+                            if (told == nullptr) return;
+                            if (result.verdict == Verdict::answered)
+                                return finishIfAllTold(partition, *told, name);
                             told->told_done.erase(name);  // the next tick tries again
                         });
     }
 }
 
+void PeeringDriver::finishIfAllTold(PartitionId partition, Round& round, const std::string& store) {
+    round.confirmed_done.insert(store);
+    if (!round.copies_made || !round.logic.allAliveAnswered()) return;
+    for (const PeerStore& other : round.logic.others()) {
+        if (other.alive && !round.confirmed_done.contains(other.name)) return;
+    }
+    rounds_.erase(partition);
+}
+
 std::vector<std::string> PeeringDriver::holders(PartitionId partition, const MessageId& id) const {
     const auto round = rounds_.find(partition);
     if (round == rounds_.end()) return {};
--- a/src/cluster/storage/peering_driver.hpp
+++ b/src/cluster/storage/peering_driver.hpp
@@ -69,7 +69,8 @@
         SteadyTime next_copies;
         std::vector<RunningAttempt> running;
         std::map<std::string, Pull> pulls;
-        std::set<std::string> told_done;  // peering_done is under way or taken
+        std::set<std::string> told_done;       // peering_done is under way or taken
+        std::set<std::string> confirmed_done;  // taken
     };
 
     Round* findRound(PartitionId partition, std::uint64_t id);
@@ -86,6 +87,8 @@
                 ReplicateOutcome outcome);
     void onCopiesMade(PartitionId partition, Round& round);
     void tellDone(PartitionId partition, Round& round);
+    // Forgets a round of which nothing more can come.
+    void finishIfAllTold(PartitionId partition, Round& round, const std::string& store);
 
     Scheduler& scheduler_;
     Transport& transport_;
--- a/src/cluster/storage/queue_item.hpp
+++ b/src/cluster/storage/queue_item.hpp
@@ -25,6 +25,9 @@
     SteadyTime granted;
     SteadyTime expiry;                        // then taken as unknown
     std::optional<SteadyTime> missing_since;  // the edge's lists lack it since then
+    // No owner before this one can have counted its failure: this store granted it, or its last owner told
+    // so.
+    bool uncounted = true;
 };
 
 enum class ItemState : std::uint8_t {
--- a/src/cluster/storage/store_node.cpp
+++ b/src/cluster/storage/store_node.cpp
@@ -192,7 +192,7 @@
     OwnedPartition& owned = *findOwned(owned_, partition);
     if (owned.active) {
         FormerGrants& former = former_grants_[partition];
-        former.running.clear();
+        former = FormerGrants{};
         former.until = clock_.now() + kFormerGrantsKept;
         owned.queue.forEach([&former](QueueItem& item) {
             if (!item.grant) return;
@@ -229,7 +229,9 @@
     std::vector<RunningAttempt> granted = running;
     const auto former = former_grants_.find(partition);
     if (former != former_grants_.end()) {
-        granted.insert(granted.end(), former->second.running.begin(), former->second.running.end());
+        // Told to no successor, so that nobody else can have counted anything.
+        const auto& own = former->second;
+        if (own.successor == 0) granted.insert(granted.end(), own.running.begin(), own.running.end());
         former_grants_.erase(former);
     }
     edge_watch_.onActive(*owned, granted);
--- a/src/cluster/storage/store_node_impl.hpp
+++ b/src/cluster/storage/store_node_impl.hpp
@@ -29,6 +29,7 @@
     struct FormerGrants {
         std::vector<RunningAttempt> running;
         SteadyTime until;
+        Epoch successor = 0;  // the epoch of the first pull, to which alone it is told
     };
 
     // --- Ownership (store_node.cpp) ---
--- a/src/cluster/storage/store_node_requests.cpp
+++ b/src/cluster/storage/store_node_requests.cpp
@@ -198,7 +198,9 @@
         }
     }
     const auto former = former_grants_.find(request.partition);
-    if (former != former_grants_.end()) answer.running = former->second.running;
+    if (former == former_grants_.end()) return answer;
+    if (former->second.successor == 0) former->second.successor = request.epoch;
+    if (former->second.successor == request.epoch) answer.running = former->second.running;
     return answer;
 }
 
