--- a/src/cluster/storage/store_node_impl.hpp
+++ b/src/cluster/storage/store_node_impl.hpp
@@ -29,6 +29,7 @@
     struct FormerGrants {
         std::vector<RunningAttempt> running;
         SteadyTime until;
+        Epoch successor = 0;  // the epoch of the first pull, to which alone it is told
     };
 
     // --- Ownership (store_node.cpp) ---
@@ -36,6 +37,8 @@
     bool ownsInView(const StoreView& view, PartitionId partition) const;
     void takeOver(PartitionId partition, const StoreView& view, Epoch previous_epoch);
     void relinquish(PartitionId partition);
+    // A replica has promised a newer epoch: there is another owner, whose view has not come yet.
+    void onFenced(PartitionId partition);
     void noteStores(const StoreView& view);
     std::vector<storage::PeerStore> peersOf(PartitionId partition) const;
     void onEnough(PartitionId partition, const std::vector<RunningAttempt>& running);
