--- a/apps/ambercluster/main.cpp
+++ b/apps/ambercluster/main.cpp
@@ -2,6 +2,7 @@
 #include <glog/logging.h>
 
 #include <CLI/CLI.hpp>
+#include <exception>
 #include <functional>
 #include <iostream>
 #include <string>
@@ -104,6 +105,11 @@
 }  // namespace amberswitch::cluster
 
 int main(int argument_count, char** arguments) {
-    amberswitch::cluster::startLogging(arguments[0]);
-    return amberswitch::cluster::run(argument_count, arguments);
+    try {
+        amberswitch::cluster::startLogging(arguments[0]);
+        return amberswitch::cluster::run(argument_count, arguments);
+    } catch (const std::exception& error) {
+        std::cerr << error.what() << '\n';
+        return amberswitch::cluster::kExitFailure;
+    }
 }
--- a/src/cluster/common/configuration.cpp
+++ b/src/cluster/common/configuration.cpp
@@ -83,7 +83,7 @@
     for (auto& [host, host_routes] : routes_by_host_) {
         std::vector<std::size_t>& lengths = host_routes.prefix_lengths;
         std::ranges::sort(lengths, std::greater<>{});
-        lengths.erase(std::ranges::unique(lengths).begin(), lengths.end());
+        lengths.erase(std::unique(lengths.begin(), lengths.end()), lengths.end());
     }
 }
 
