--- a/apps/ambercluster/roles.cpp
+++ b/apps/ambercluster/roles.cpp
@@ -28,6 +28,9 @@
 constexpr std::uint32_t kMessageSegmentBytes = 8 * kMegabyte;
 constexpr double kRingShareOfDisk = 0.85;
 constexpr Millis kSeedsCheck{5000};
+constexpr Millis kExitCheck{10};
+constexpr Millis kQuietBeforeExit{60};
+constexpr Millis kExitBeforeGrace{400};
 
 Incarnation drawIncarnation() {
     std::random_device device;
@@ -54,7 +57,8 @@
 }
 
 RingOptions ringOptions(std::uint64_t wanted, std::uint32_t segment, const NodeSettings& settings) {
-    const double room = kRingShareOfDisk * static_cast<double>(settings.limits.disk_mb) * static_cast<double>(kMegabyte);
+    const double room =
+        kRingShareOfDisk * static_cast<double>(settings.limits.disk_mb) * static_cast<double>(kMegabyte);
     RingOptions options;
     options.capacity_bytes = std::min(wanted, static_cast<std::uint64_t>(room));
     options.segment_bytes = segment;
@@ -91,6 +95,40 @@
     TimerHandle timer_;
 };
 
+// The last steps of an edge's planned end: answers that are still being written leave before the process
+// does.
+class EdgeShutdown {
+public:
+    EdgeShutdown(EventLoop& loop, EvhttpServer& front, EdgeNode& node, Millis grace)
+        : loop_(loop), front_(front), node_(node), grace_(grace) {}
+
+    void begin() {
+        give_up_at_ = loop_.now() + std::max(grace_ - kExitBeforeGrace, Millis(0));
+        front_.startClosing();
+        node_.leave([this] {
+            front_.stopListening();
+            quiet_since_ = loop_.now();
+            check();
+        });
+    }
+
+private:
+    void check() {
+        const SteadyTime now = loop_.now();
+        if (front_.openRequests() > 0 || !node_.quiet()) quiet_since_ = now;
+        if (now - quiet_since_ >= kQuietBeforeExit || now >= give_up_at_) return loop_.stop();
+        timer_ = loop_.after(kExitCheck, [this] { check(); });
+    }
+
+    EventLoop& loop_;
+    EvhttpServer& front_;
+    EdgeNode& node_;
+    Millis grace_;
+    SteadyTime give_up_at_{};
+    SteadyTime quiet_since_{};
+    TimerHandle timer_;
+};
+
 }  // namespace
 
 int runCore(const NodeSettings& settings, const std::string&) {
@@ -98,11 +136,13 @@
     EventLoop loop;
     TcpTransport transport(loop, settings.internal(PortOffset::core));
     EvhttpClient cloud(loop);
-    RingStore disk(loop, settings.data_dir + "/register", ringOptions(kRegisterRingBytes, kRegisterSegmentBytes, settings));
+    RingStore disk(loop, settings.data_dir + "/register",
+                   ringOptions(kRegisterRingBytes, kRegisterSegmentBytes, settings));
     ControlNode node(loop, transport, cloud, disk, settings, drawIncarnation());
-    EvhttpServer operators(loop, *settings.control, [&node](const HttpRequest& request, HttpResponder respond) {
-        node.handleHttp(request, std::move(respond));
-    });
+    EvhttpServer operators(loop, *settings.control,
+                           [&node](const HttpRequest& request, HttpResponder respond) {
+                               node.handleHttp(request, std::move(respond));
+                           });
     loop.onSignal(SIGHUP, [] {});
     loop.onSignal(SIGTERM, [&] {
         operators.startClosing();
@@ -116,14 +156,17 @@
 int runStore(const NodeSettings& settings, const std::string& settings_path) {
     EventLoop loop;
     TcpTransport transport(loop, settings.internal(PortOffset::store));
-    RingStore disk(loop, settings.data_dir + "/messages",
-                   ringOptions(std::uint64_t{settings.limits.disk_mb} * kMegabyte, kMessageSegmentBytes, settings));
+    RingStore disk(
+        loop, settings.data_dir + "/messages",
+        ringOptions(std::uint64_t{settings.limits.disk_mb} * kMegabyte, kMessageSegmentBytes, settings));
     const Incarnation incarnation = drawIncarnation();
     Member self = describe(settings, NodeKind::store, PortOffset::store, incarnation);
     self.disk_empty = disk.wasEmpty() && !settings.bootstrap;
     StoreNode node(loop, transport, disk, settings, incarnation);
     CoreClient::Callbacks callbacks;
-    callbacks.on_configuration = [&node](auto configuration) { node.onConfiguration(std::move(configuration)); };
+    callbacks.on_configuration = [&node](auto configuration) {
+        node.onConfiguration(std::move(configuration));
+    };
     callbacks.on_view = [&node](auto view) { node.onView(std::move(view)); };
     CoreClient client(loop, transport, self, coreAddresses(settings), callbacks);
     SeedsReloader seeds(loop, settings_path, client);
@@ -148,9 +191,10 @@
     EvhttpServer front(loop, *settings.front, [&node](const HttpRequest& request, HttpResponder respond) {
         node.handleFront(request, std::move(respond));
     });
-    EvhttpServer readiness(loop, *settings.readiness, [&node](const HttpRequest& request, HttpResponder respond) {
-        node.handleReadiness(request, std::move(respond));
-    });
+    EvhttpServer readiness(loop, *settings.readiness,
+                           [&node](const HttpRequest& request, HttpResponder respond) {
+                               node.handleReadiness(request, std::move(respond));
+                           });
     CoreClient* link = nullptr;
     CoreClient::Callbacks callbacks;
     callbacks.on_configuration = [&](auto configuration) {
@@ -166,9 +210,9 @@
                       coreAddresses(settings), callbacks);
     link = &client;
     SeedsReloader seeds(loop, settings_path, client);
+    EdgeShutdown shutdown(loop, front, node, settings.bounds.grace);
     loop.onSignal(SIGTERM, [&] {
-        front.startClosing();
-        node.leave([&loop] { loop.stop(); });
+        shutdown.begin();
         client.leave();
     });
     node.start();
--- a/src/cluster/common/http.hpp
+++ b/src/cluster/common/http.hpp
@@ -1,5 +1,5 @@
-// HTTP/1.1 as the planes see it. Implemented on libevent's evhttp (evhttp_server.hpp, evhttp_client.hpp); tests
-// use their own implementations.
+// HTTP/1.1 as the planes see it. Implemented on libevent's evhttp (evhttp_server.hpp, evhttp_client.hpp);
+// tests use their own implementations.
 #pragma once
 
 #include <functional>
--- a/src/cluster/common/messages.hpp
+++ b/src/cluster/common/messages.hpp
@@ -158,7 +158,8 @@
     bool leader = false;      // the answering core machine acts as leader
     std::string leader_name;  // as far as it knows
     std::vector<NodeAddress> core;
-    // Dispatchers with a lease, for sharing out connection limits; 0: this machine has not listened long enough.
+    // Dispatchers with a lease, for sharing out connection limits; 0: this machine has not listened long
+    // enough.
     std::uint32_t edges = 0;
     template <class Archive>
     void serialize(Archive& archive) {
@@ -234,8 +235,8 @@
 struct PartitionOwner {
     std::int32_t owner = -1;     // index into stores; -1: none alive
     std::int32_t previous = -1;  // owner in the view before
-    // The previous owner has surely stopped (planned end, or its process is gone); else its rate-limited grants
-    // may go on for kStoreLease after this view was made.
+    // The previous owner has surely stopped (planned end, or its process is gone); else its rate-limited
+    // grants may go on for kStoreLease after this view was made.
     bool previous_stopped = true;
     template <class Archive>
     void serialize(Archive& archive) {
@@ -297,8 +298,8 @@
     std::string body;
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(id, route, service, method, host, target, content_type, order_key, ordered, callback_url, delay_ms,
-                config_generation, body);
+        archive(id, route, service, method, host, target, content_type, order_key, ordered, callback_url,
+                delay_ms, config_generation, body);
     }
 };
 
@@ -319,8 +320,8 @@
     bool callback_done = false;  // or none is owed
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(content, partition, epoch, sequence, accepted_wall_ms, retention_ms, max_failures, phase, failures,
-                stamp, ended_wall_ms, callback_done);
+        archive(content, partition, epoch, sequence, accepted_wall_ms, retention_ms, max_failures, phase,
+                failures, stamp, ended_wall_ms, callback_done);
     }
 };
 
@@ -352,7 +353,8 @@
     bool wants_grant = true;  // the edge can run it at once
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(edge, edge_address, partition, epoch, content, retention_ms, max_failures, timeout_ms, wants_grant);
+        archive(edge, edge_address, partition, epoch, content, retention_ms, max_failures, timeout_ms,
+                wants_grant);
     }
 };
 enum class AcceptStatus : std::uint8_t {
@@ -405,7 +407,8 @@
     RunOutcome outcome = RunOutcome::unknown;
     std::string stamp;
     bool destination_down = false;  // the connection was refused or timed out: nothing else will get through
-    bool callback_started = false;  // the edge goes on with the call-back itself; a second report tells its end
+    bool callback_started =
+        false;  // the edge goes on with the call-back itself; a second report tells its end
     template <class Archive>
     void serialize(Archive& archive) {
         archive(partition, id, epoch, attempt, outcome, stamp, destination_down, callback_started);
--- a/src/cluster/common/scheduler.hpp
+++ b/src/cluster/common/scheduler.hpp
@@ -1,5 +1,6 @@
-// Time and deferred work for one process. All planes run on one thread, that of their scheduler; worker threads
-// hand results back through post(). The libevent implementation is the real one, the simulated one drives tests.
+// Time and deferred work for one process. All planes run on one thread, that of their scheduler; worker
+// threads hand results back through post(). The libevent implementation is the real one, the simulated one
+// drives tests.
 #pragma once
 
 #include <cstdint>
--- a/src/cluster/common/transport.hpp
+++ b/src/cluster/common/transport.hpp
@@ -29,8 +29,8 @@
 public:
     virtual ~Transport() = default;
     // Sends a request; `done` runs exactly once on the scheduler's thread, never inside call(). A connection
-    // that is refused gives not_executed at once; one that breaks or a timeout after the request was handed to
-    // the network gives unknown.
+    // that is refused gives not_executed at once; one that breaks or a timeout after the request was handed
+    // to the network gives unknown.
     virtual void call(const NodeAddress& to, Envelope request, Millis timeout,
                       std::function<void(CallResult)> done) = 0;
     // All requests that arrive go to this handler.
--- a/src/cluster/control/control_node.cpp
+++ b/src/cluster/control/control_node.cpp
@@ -53,6 +53,7 @@
     std::vector<NodeAddress> peers() const;
     std::optional<NodeAddress> leaderAddress() const;
     std::string leaderName() const;
+    std::string acceptedLeader() const;
     Member ownMember() const;
 
     void connectModules();
@@ -101,7 +102,8 @@
       membership_(scheduler),
       election_(scheduler, transport, {settings.name, incarnation, self()}, voter_.startedFirst(),
                 {.electors = [this] { return voter_.voters(); },
-                 .may_vote = [this] { return !voter_.startedFirst() || voter_.votes(); }}),
+                 .may_vote = [this] { return !voter_.startedFirst() || voter_.votes(); },
+                 .last_leader = [this] { return acceptedLeader(); }}),
       keeper_(scheduler, proposer_, chosen_, membership_, election_, settings.name,
               settings.tolerated_machines),
       distribution_(scheduler, [this] { return chosen_.isFresh(); }),
@@ -177,6 +179,11 @@
     return view == nullptr ? std::string() : view->leader;
 }
 
+std::string ControlNode::Impl::acceptedLeader() const {
+    const std::optional<StoreView> view = decode<StoreView>(voter_.acceptedValue(kViewKey));
+    return view ? view->leader : std::string();
+}
+
 std::optional<NodeAddress> ControlNode::Impl::leaderAddress() const {
     const std::string leader = leaderName();
     const MemberEntry* entry = leader == settings_.name ? nullptr : membership_.find(leader);
--- a/src/cluster/control/core_client.hpp
+++ b/src/cluster/control/core_client.hpp
@@ -1,5 +1,5 @@
-// A dispatcher's link to the core: renews its lease at every core machine and long-polls one of them for what is
-// newer than what it has. Used by edges and stores; never goes back to an older version.
+// A dispatcher's link to the core: renews its lease at every core machine and long-polls one of them for what
+// is newer than what it has. Used by edges and stores; never goes back to an older version.
 #pragma once
 
 #include <functional>
--- a/src/cluster/control/leader_election.cpp
+++ b/src/cluster/control/leader_election.cpp
@@ -27,7 +27,7 @@
     return isHeld() ? holder_ : std::string();
 }
 
-LeaderLeaseReply LeaseGrantor::answer(const LeaderLeaseRequest& request) {
+LeaderLeaseReply LeaseGrantor::answer(const LeaderLeaseRequest& request, const std::string& last_leader) {
     const bool same_name = request.candidate == holder_;
     const bool same_process = same_name && request.incarnation == holder_incarnation_;
     if (request.duration_ms <= 0) {
@@ -36,7 +36,8 @@
         return {true, holder()};
     }
     // A new process of the same node shows that the old one is gone.
-    if (scheduler_.now() < votes_from_ || (isHeld() && !same_name)) return {false, holder()};
+    const bool must_wait = scheduler_.now() < votes_from_ && request.candidate != last_leader;
+    if (must_wait || (isHeld() && !same_name)) return {false, holder()};
     holder_round_ = same_process ? std::max(holder_round_, request.round) : request.round;
     holder_ = request.candidate;
     holder_incarnation_ = request.incarnation;
@@ -72,7 +73,7 @@
 
 LeaderLeaseReply LeaderElection::vote(const LeaderLeaseRequest& request) {
     if (!hooks_.may_vote()) return {false, {}};
-    return grantor_.answer(request);
+    return grantor_.answer(request, hooks_.last_leader());
 }
 
 void LeaderElection::tick() {
--- a/src/cluster/control/leader_election.hpp
+++ b/src/cluster/control/leader_election.hpp
@@ -23,7 +23,9 @@
     // Without `first_start`, gives no vote for a whole lease: an earlier process here may have given one.
     LeaseGrantor(Scheduler& scheduler, bool first_start);
 
-    LeaderLeaseReply answer(const LeaderLeaseRequest& request);
+    // `last_leader`: who led last as far as this machine's disk knows. It needn't wait: either the earlier
+    // vote was its own, or its process is a new one and the old lease ended with the old process.
+    LeaderLeaseReply answer(const LeaderLeaseRequest& request, const std::string& last_leader);
     // Who holds the vote now; empty: nobody.
     std::string holder() const;
 
@@ -43,6 +45,8 @@
     std::function<std::vector<NodeAddress>()> electors;
     // False while this machine could not know after a restart that it had started before.
     std::function<bool()> may_vote;
+    // The leader named in this machine's own copy of the store view; empty if there is none.
+    std::function<std::string()> last_leader;
 };
 
 struct ElectionIdentity {
--- a/src/cluster/control/register_voter.cpp
+++ b/src/cluster/control/register_voter.cpp
@@ -87,6 +87,11 @@
     return std::find(voters_.begin(), voters_.end(), self_) != voters_.end();
 }
 
+std::string RegisterVoter::acceptedValue(const std::string& key) const {
+    const auto found = keys_.find(key);
+    return found == keys_.end() ? std::string() : found->second.accepted.value;
+}
+
 bool RegisterVoter::votes() const {
     return valid_ && !disk_failed_ && isAmongVoters();
 }
--- a/src/cluster/control/register_voter.hpp
+++ b/src/cluster/control/register_voter.hpp
@@ -40,6 +40,8 @@
     // Empty while they are not known.
     const std::vector<NodeAddress>& voters() const { return voters_; }
     bool isAmongVoters() const;
+    // What this voter accepted last, chosen or not; empty if nothing.
+    std::string acceptedValue(const std::string& key) const;
 
     // Sets the voters that others told; only while none are known.
     void learnVoters(std::vector<NodeAddress> voters);
--- a/src/cluster/edge/accepts.cpp
+++ b/src/cluster/edge/accepts.cpp
@@ -9,7 +9,9 @@
 namespace amberswitch::cluster {
 namespace {
 
+constexpr Millis kShortestAccept{150};
 constexpr Millis kLongestAccept{1000};
+constexpr double kLongestAcceptOfTarget = 2.5;  // in parts of the route's target latency
 constexpr int kMostTries = 3;
 constexpr int kWaitingShare = 4;  // of the route's target latency, the part that may go into waiting
 constexpr Millis kOwnerCheck{10};
@@ -50,7 +52,10 @@
     offer.max_failures = route.max_retries;
     offer.delivery_timeout = route.timeout;
     offer.respond = std::move(respond);
-    offer.give_up_at = scheduler_.now() + std::min(kLongestAccept, deadline.value_or(kLongestAccept));
+    const Millis patience =
+        std::clamp(std::chrono::duration_cast<Millis>(kLongestAcceptOfTarget * route.target_latency),
+                   kShortestAccept, kLongestAccept);
+    offer.give_up_at = scheduler_.now() + std::min(patience, deadline.value_or(patience));
     if (deadline)
         offer.retry_after =
             std::clamp<Millis>(*deadline / kRetryShare, kShortestRetryAfter, kLongestRetryAfter);
@@ -74,13 +79,14 @@
 bool Accepts::choosePartition(Offer& offer) {
     if (partitions_.partitions() == 0) return false;
     if (!offer.content.ordered) {
-        const auto partition = partitions_.pick(random_, scheduler_.now(), offer.tried);
+        const auto partition = partitions_.pick(random_, offer.tried);
         if (partition) offer.partition = *partition;
         return partition.has_value();
     }
     offer.partition = partitions_.partitionOfKey(offer.content.route, offer.content.order_key);
     const StoreMember* const owner = partitions_.owner(offer.partition);
-    return owner && (offer.epoch == 0 || owner->member.address != offer.owner);
+    if (!owner || partitions_.suspected(owner->member.address)) return false;
+    return offer.epoch == 0 || owner->member.address != offer.owner;
 }
 
 void Accepts::call(OfferId id, Offer& offer, const StoreMember& owner) {
@@ -109,14 +115,14 @@
 void Accepts::answered(OfferId id, const CallResult& result) {
     Offer& offer = offers_.at(id);
     if (result.verdict == Verdict::not_executed) {
-        partitions_.suspect(offer.owner, scheduler_.now());
+        partitions_.suspect(offer.owner);
         return tryAgain(id, offer);
     }
     if (result.verdict == Verdict::answered) {
         partitions_.trust(offer.owner);
         if (const auto reply = decode<AcceptMessageReply>(result.reply.body)) return judge(id, offer, *reply);
     }
-    partitions_.suspect(offer.owner, scheduler_.now());
+    partitions_.suspect(offer.owner);
     offer.may_be_stored = true;
     // The connection broke: the owner is likely gone, and its message with it until its partition has a new
     // owner. Order can't be kept that way.
--- a/src/cluster/edge/edge_node.cpp
+++ b/src/cluster/edge/edge_node.cpp
@@ -10,6 +10,9 @@
 
 constexpr Millis kFallLasts{10'000};  // after which a lower number of dispatchers counts
 constexpr Millis kLeaveCheck{50};
+// The platform asks for readiness every second and takes a dispatcher out after two misses: new connections
+// come until then.
+constexpr Millis kServesAfterLeave{2200};
 constexpr Millis kLeaveMargin{1000};  // left of the grace when leave() ends at the latest
 constexpr std::string_view kCountersPath = "/counters";
 
@@ -91,7 +94,7 @@
 }
 
 bool EdgeNode::ready() const {
-    return has_configuration_ && has_servers_ && !leaving_ && partitions_.usable(scheduler_.now());
+    return has_configuration_ && has_servers_ && !leaving_ && partitions_.usable();
 }
 
 std::string EdgeNode::countersText() const {
@@ -138,6 +141,7 @@
     if (leaving_) return;
     leaving_ = true;
     left_ = std::move(done);
+    serve_until_ = scheduler_.now() + std::min(kServesAfterLeave, grace_ / 2);
     leave_by_ = scheduler_.now() + std::max(grace_ - kLeaveMargin, Millis(0));
     front_.leave();
     links_.leave();
@@ -145,9 +149,13 @@
     checkQuiet();
 }
 
+bool EdgeNode::quiet() const {
+    return accepts_.open() == 0 && queries_.open() == 0 && deliveries_.quiet();
+}
+
 void EdgeNode::checkQuiet() {
-    const bool quiet = accepts_.open() == 0 && queries_.open() == 0 && deliveries_.quiet();
-    if (quiet || scheduler_.now() >= leave_by_) {
+    const SteadyTime now = scheduler_.now();
+    if ((quiet() && now >= serve_until_) || now >= leave_by_) {
         leave_check_.reset();
         return std::exchange(left_, nullptr)();
     }
--- a/src/cluster/edge/edge_node.hpp
+++ b/src/cluster/edge/edge_node.hpp
@@ -43,6 +43,8 @@
     // The planned end: `done` runs once everything open has its end and was reported, or a second before the
     // grace is over.
     void leave(std::function<void()> done);
+    // Nothing is open: no request of a client, no delivery, no report.
+    bool quiet() const;
 
     std::string countersText() const;
 
@@ -70,6 +72,7 @@
     std::uint32_t fewer_edges_ = 0;  // the highest lower count since the fall
     TimerHandle fall_;
     bool leaving_ = false;
+    SteadyTime serve_until_{};
     SteadyTime leave_by_{};
     std::function<void()> left_;
     TimerHandle leave_check_;
--- a/src/cluster/edge/owner_links.cpp
+++ b/src/cluster/edge/owner_links.cpp
@@ -8,11 +8,12 @@
 namespace {
 
 constexpr Millis kHeartbeat{1000};
+constexpr Millis kProbe{100};
 constexpr Millis kCallTimeout{500};
 
 }  // namespace
 
-OwnerLinks::OwnerLinks(Scheduler& scheduler, Transport& transport, const PartitionMap& partitions,
+OwnerLinks::OwnerLinks(Scheduler& scheduler, Transport& transport, PartitionMap& partitions,
                        const Deliveries& deliveries, EdgeIdentity self)
     : scheduler_(scheduler),
       transport_(transport),
@@ -22,6 +23,7 @@
 
 void OwnerLinks::start() {
     syncAll();
+    syncSuspected();
 }
 
 void OwnerLinks::leave() {
@@ -29,8 +31,7 @@
     syncAll();
 }
 
-void OwnerLinks::syncAll() {
-    heartbeat_ = scheduler_.after(kHeartbeat, [this] { syncAll(); });
+EdgeSync OwnerLinks::describe() const {
     EdgeSync sync;
     sync.edge = self_.name;
     sync.zone = self_.zone;
@@ -39,10 +40,27 @@
     sync.view_epoch = partitions_.epoch();
     sync.leaving = leaving_;
     sync.running = deliveries_.attempts();
-    const Envelope request = envelope(MessageKind::edge_sync, sync);
+    return sync;
+}
+
+void OwnerLinks::syncAll() {
+    heartbeat_ = scheduler_.after(kHeartbeat, [this] { syncAll(); });
+    const Envelope request = envelope(MessageKind::edge_sync, describe());
+    for (const StoreMember* const store : partitions_.aliveStores()) send(store->member.address, request);
+}
+
+void OwnerLinks::syncSuspected() {
+    probe_ = scheduler_.after(kProbe, [this] { syncSuspected(); });
     for (const StoreMember* const store : partitions_.aliveStores()) {
-        transport_.call(store->member.address, request, kCallTimeout, [](const CallResult&) {});
+        const NodeAddress& address = store->member.address;
+        if (partitions_.suspected(address)) send(address, envelope(MessageKind::edge_sync, describe()));
     }
 }
 
+void OwnerLinks::send(const NodeAddress& store, const Envelope& request) {
+    transport_.call(store, request, kCallTimeout, [this, store](const CallResult& result) {
+        if (result.verdict == Verdict::answered) partitions_.trust(store);
+    });
+}
+
 }  // namespace amberswitch::cluster
--- a/src/cluster/edge/owner_links.hpp
+++ b/src/cluster/edge/owner_links.hpp
@@ -13,7 +13,7 @@
 
 class OwnerLinks {
 public:
-    OwnerLinks(Scheduler& scheduler, Transport& transport, const PartitionMap& partitions,
+    OwnerLinks(Scheduler& scheduler, Transport& transport, PartitionMap& partitions,
                const Deliveries& deliveries, EdgeIdentity self);
 
     void start();
@@ -23,14 +23,19 @@
 
 private:
     void syncAll();
+    // Asks the stores that did not answer lately whether they are back.
+    void syncSuspected();
+    EdgeSync describe() const;
+    void send(const NodeAddress& store, const Envelope& request);
 
     Scheduler& scheduler_;
     Transport& transport_;
-    const PartitionMap& partitions_;
+    PartitionMap& partitions_;
     const Deliveries& deliveries_;
     EdgeIdentity self_;
     bool leaving_ = false;
     TimerHandle heartbeat_;
+    TimerHandle probe_;
 };
 
 }  // namespace amberswitch::cluster
--- a/src/cluster/edge/partition_map.cpp
+++ b/src/cluster/edge/partition_map.cpp
@@ -5,17 +5,6 @@
 #include <utility>
 
 namespace amberswitch::cluster {
-namespace {
-
-constexpr Millis kSuspicion{500};
-
-// Lower is better: owners that answer first, then those near by.
-int rankOf(bool suspected, bool near) {
-    return (suspected ? 2 : 0) + (near ? 0 : 1);
-}
-constexpr int kWorstRank = 4;
-
-}  // namespace
 
 bool PartitionMap::update(std::shared_ptr<const StoreView> view) {
     if (!view || (view_ && view->epoch <= view_->epoch)) return false;
@@ -47,38 +36,29 @@
     return static_cast<PartitionId>(XXH64(bytes.data(), bytes.size(), 0) % partitions());
 }
 
-std::optional<PartitionId> PartitionMap::pick(std::mt19937_64& random, SteadyTime now,
+std::optional<PartitionId> PartitionMap::pick(std::mt19937_64& random,
                                               const std::set<NodeAddress>& tried) const {
     std::optional<PartitionId> best;
-    int best_rank = kWorstRank;
+    bool best_is_near = false;
     std::uint64_t equals = 0;
     for (PartitionId partition = 0; partition < partitions(); ++partition) {
         const StoreMember* const store = owner(partition);
-        if (!store || tried.contains(store->member.address)) continue;
-        const int rank = rankOf(suspected(store->member.address, now), store->member.zone == zone_);
-        if (rank > best_rank) continue;
-        if (rank < best_rank) equals = 0;
+        if (!store || tried.contains(store->member.address) || suspected(store->member.address)) continue;
+        const bool near = store->member.zone == zone_;
+        if (best_is_near && !near) continue;
+        if (near && !best_is_near) equals = 0;
+        best_is_near = near;
         ++equals;
         // Each of the equals seen so far is kept with the same chance.
         if (random() % equals == 0) best = partition;
-        best_rank = rank;
     }
     return best;
 }
 
-void PartitionMap::suspect(const NodeAddress& owner, SteadyTime now) {
-    suspected_[owner] = now + kSuspicion;
-}
-
-bool PartitionMap::suspected(const NodeAddress& owner, SteadyTime now) const {
-    const auto found = suspected_.find(owner);
-    return found != suspected_.end() && now < found->second;
-}
-
-bool PartitionMap::usable(SteadyTime now) const {
+bool PartitionMap::usable() const {
     for (PartitionId partition = 0; partition < partitions(); ++partition) {
         const StoreMember* const store = owner(partition);
-        if (store && !suspected(store->member.address, now)) return true;
+        if (store && !suspected(store->member.address)) return true;
     }
     return false;
 }
--- a/src/cluster/edge/partition_map.hpp
+++ b/src/cluster/edge/partition_map.hpp
@@ -30,23 +30,22 @@
 
     // The partition of everything with this order key on this route. Needs partitions() above 0.
     PartitionId partitionOfKey(std::string_view route, std::string_view order_key) const;
-    // A random partition whose owner is not among `tried`: owners that answer come first, then those of this
-    // edge's zone. Nothing where there is none.
-    std::optional<PartitionId> pick(std::mt19937_64& random, SteadyTime now,
-                                    const std::set<NodeAddress>& tried) const;
+    // A random partition whose owner is neither suspected nor among `tried`; owners of this edge's zone come
+    // first. Nothing where there is none.
+    std::optional<PartitionId> pick(std::mt19937_64& random, const std::set<NodeAddress>& tried) const;
 
-    // An owner that refused or broke its connection is passed over for a while.
-    void suspect(const NodeAddress& owner, SteadyTime now);
+    // An owner that refused, broke its connection or did not answer gets nothing until it answers again
+    // (OwnerLinks asks it).
+    void suspect(const NodeAddress& owner) { suspected_.insert(owner); }
     void trust(const NodeAddress& owner) { suspected_.erase(owner); }
+    bool suspected(const NodeAddress& owner) const { return suspected_.contains(owner); }
     // Whether some partition has an owner that is not suspected.
-    bool usable(SteadyTime now) const;
+    bool usable() const;
 
 private:
-    bool suspected(const NodeAddress& owner, SteadyTime now) const;
-
     std::string zone_;
     std::shared_ptr<const StoreView> view_;
-    std::map<NodeAddress, SteadyTime> suspected_;  // until when
+    std::set<NodeAddress> suspected_;
 };
 
 }  // namespace amberswitch::cluster
--- a/tests/cluster/control_election_test.cpp
+++ b/tests/cluster/control_election_test.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+const std::string kNoLastLeader;
+
 // Holds back all work of one process while it is frozen, and lets it run at the thaw.
 class Freezer {
 public:
@@ -100,7 +102,9 @@
         freezer_ = std::make_unique<Freezer>();
         scheduler_ = std::make_unique<FreezableScheduler>(world_, *freezer_);
         transport_ = std::make_unique<FreezableTransport>(world_, network_, self_, *freezer_);
-        const ElectionHooks hooks{.electors = [] { return addresses(); }, .may_vote = [] { return true; }};
+        const ElectionHooks hooks{.electors = [] { return addresses(); },
+                                  .may_vote = [] { return true; },
+                                  .last_leader = [] { return std::string(); }};
         election_ = std::make_unique<LeaderElection>(*scheduler_, *transport_,
                                                      ElectionIdentity{self_.ip, world_.random()(), self_},
                                                      first_start, hooks);
@@ -249,26 +253,37 @@
     World world(1);
     SimulatedScheduler scheduler(world);
     LeaseGrantor grantor(scheduler, false);
-    CHECK_FALSE(grantor.answer({"a", 1, 1500, 1}).granted);
+    CHECK_FALSE(grantor.answer({"a", 1, 1500, 1}, kNoLastLeader).granted);
     world.run(Millis(1499));
-    CHECK_FALSE(grantor.answer({"a", 1, 1500, 2}).granted);
+    CHECK_FALSE(grantor.answer({"a", 1, 1500, 2}, kNoLastLeader).granted);
     world.run(Millis(1));
-    CHECK(grantor.answer({"a", 1, 1500, 3}).granted);
-    CHECK_FALSE(grantor.answer({"b", 2, 1500, 1}).granted);
+    CHECK(grantor.answer({"a", 1, 1500, 3}, kNoLastLeader).granted);
+    CHECK_FALSE(grantor.answer({"b", 2, 1500, 1}, kNoLastLeader).granted);
+}
+
+TEST_CASE("a core machine that has just started votes at once for the leader that its disk names") {
+    World world(1);
+    SimulatedScheduler scheduler(world);
+    LeaseGrantor grantor(scheduler, false);
+    CHECK_FALSE(grantor.answer({"b", 2, 1500, 1}, "a").granted);
+    CHECK(grantor.answer({"a", 1, 1500, 1}, "a").granted);
+    CHECK_FALSE(grantor.answer({"b", 2, 1500, 2}, "a").granted);
+    world.run(Millis(1600));
+    CHECK(grantor.answer({"b", 2, 1500, 3}, "a").granted);
 }
 
 TEST_CASE("a late give-back does not take back the vote of a newer round") {
     World world(1);
     SimulatedScheduler scheduler(world);
     LeaseGrantor grantor(scheduler, true);
-    CHECK(grantor.answer({"a", 1, 1500, 1}).granted);
-    CHECK(grantor.answer({"a", 1, 1500, 2}).granted);
-    grantor.answer({"a", 1, 0, 1});
-    CHECK_FALSE(grantor.answer({"b", 2, 1500, 1}).granted);
-    grantor.answer({"b", 2, 0, 9});
-    CHECK_FALSE(grantor.answer({"b", 2, 1500, 1}).granted);
-    grantor.answer({"a", 1, 0, 2});
-    CHECK(grantor.answer({"b", 2, 1500, 1}).granted);
+    CHECK(grantor.answer({"a", 1, 1500, 1}, kNoLastLeader).granted);
+    CHECK(grantor.answer({"a", 1, 1500, 2}, kNoLastLeader).granted);
+    grantor.answer({"a", 1, 0, 1}, kNoLastLeader);
+    CHECK_FALSE(grantor.answer({"b", 2, 1500, 1}, kNoLastLeader).granted);
+    grantor.answer({"b", 2, 0, 9}, kNoLastLeader);
+    CHECK_FALSE(grantor.answer({"b", 2, 1500, 1}, kNoLastLeader).granted);
+    grantor.answer({"a", 1, 0, 2}, kNoLastLeader);
+    CHECK(grantor.answer({"b", 2, 1500, 1}, kNoLastLeader).granted);
 }
 
 TEST_CASE("a leader that leaves stops at once and the next one need not wait for the lease") {
--- a/tests/cluster/simulation.hpp
+++ b/tests/cluster/simulation.hpp
@@ -1,5 +1,5 @@
-// A simulated world for tests of the planes: one clock, a network that delays, loses and cuts, and nothing that
-// sleeps. Everything is drawn from the seed, so a play repeats exactly.
+// A simulated world for tests of the planes: one clock, a network that delays, loses and cuts, and nothing
+// that sleeps. Everything is drawn from the seed, so a play repeats exactly.
 #pragma once
 
 #include <cstdint>
@@ -137,7 +137,8 @@
         return !cuts_.contains({from, to}) && world_.chance() >= loss;
     }
     Millis draw() {
-        return delay + Millis(static_cast<std::int64_t>(world_.chance() * static_cast<double>(jitter.count() + 1)));
+        return delay +
+               Millis(static_cast<std::int64_t>(world_.chance() * static_cast<double>(jitter.count() + 1)));
     }
 
     World& world_;
@@ -175,9 +176,11 @@
     }
 
 private:
-    void arrive(const NodeAddress& to, const Envelope& request, const std::function<void(CallResult)>& finish) {
+    void arrive(const NodeAddress& to, const Envelope& request,
+                const std::function<void(CallResult)>& finish) {
         const auto peer = network_.listeners_.find(to);
-        if (peer == network_.listeners_.end() || !peer->second->handler_) return finish({Verdict::not_executed, {}});
+        if (peer == network_.listeners_.end() || !peer->second->handler_)
+            return finish({Verdict::not_executed, {}});
         World& world = world_;
         Network& network = network_;
         const std::string from = self_.ip;
