Call things in the Gearman front by their standard names

Cause: the front spoke of submissions, listeners, half, mine, offers, taking back and giving up where the field says job, waiting clients, timer, foreground jobs, queue and so on, and of one, p, c and arg where a whole name reads better. Change: names of the front's private parts and locals, and the comments that used them; Config::mostJobs is maxJobs (nothing outside src/gearman uses it; the key most_jobs stays). Ruled out: names shared with the core (klass, passes, FarmEntry, handedBack) and the front's counters, which tests and the report know.

--- a/src/gearman/client_requests.cpp
+++ b/src/gearman/client_requests.cpp
@@ -7,75 +7,77 @@
 
 namespace amberswitch::gearman {
 
-void Front::Connection::submit(Time now, const Packet& p, bool background, int priority) {
-    const auto klass = owner_.classOf(p.arguments[0]);
+void Front::Connection::submitJob(Time now, const Packet& packet, bool background, int priority) {
+    const auto klass = front_.classOf(packet.arguments[0]);
     if (!klass) return refuse(now, "ERR_UNKNOWN_FUNCTION", "no class of job has this name");
-    ++owner_.counters_.submitted;
-    if (owner_.draining_) return error("ERR_UNAVAILABLE", advice(std::chrono::milliseconds(100)));
-    const std::string& given = p.arguments[1];
-    const std::string unique = given == "-" ? p.arguments[2] : given;  // '-': the data is the id
-    std::string key = p.arguments[0] + '\0' + unique;
-    if (!unique.empty())
-        if (const auto at = owner_.unique_.find(key); at != owner_.unique_.end()) {  // it joins the same job
+    ++front_.counters_.submitted;
+    if (front_.draining_) return sendError("ERR_UNAVAILABLE", retryAfterText(std::chrono::milliseconds(100)));
+    const std::string& uniqueId = packet.arguments[1];
+    const std::string effectiveId =
+        uniqueId == "-" ? packet.arguments[2] : uniqueId;  // '-': the data is the id
+    std::string key = packet.arguments[0] + '\0' + effectiveId;
+    if (!effectiveId.empty())
+        if (const auto at = front_.jobsByUniqueId_.find(key);
+            at != front_.jobsByUniqueId_.end()) {  // it joins the same job
             const auto joined = at->second;
-            ++owner_.counters_.joined;
-            say(Type::jobCreated, {joined->handle});
+            ++front_.counters_.joined;
+            send(Type::jobCreated, {joined->handle});
             joined->background = joined->background || background;
             if (background) return;
-            if (std::find(mine_.begin(), mine_.end(), joined) == mine_.end()) {
-                joined->listeners.push_back(weak_from_this());
-                mine_.push_back(joined);
+            if (std::find(foregroundJobs_.begin(), foregroundJobs_.end(), joined) == foregroundJobs_.end()) {
+                joined->waitingClients.push_back(weak_from_this());
+                foregroundJobs_.push_back(joined);
             }
             return;
         }
     // Guards against clients that submit without end on one connection: each job may hold 64 KiB.
-    if (owner_.submissions_.size() >= owner_.config_.mostJobs)
-        return error("ERR_UNAVAILABLE", advice(std::chrono::milliseconds(100)));
-    const std::size_t most = owner_.most_[*klass];
-    if (most > 0 && static_cast<std::size_t>(
-                        std::count_if(owner_.submissions_.begin(), owner_.submissions_.end(),
-                                      [&](const auto& one) { return one.second->klass == *klass; })) >= most)
-        return error("ERR_UNAVAILABLE", advice(std::chrono::milliseconds(100)));
+    if (front_.jobs_.size() >= front_.config_.maxJobs)
+        return sendError("ERR_UNAVAILABLE", retryAfterText(std::chrono::milliseconds(100)));
+    const std::size_t limit = front_.maxQueue_[*klass];
+    if (limit > 0 && static_cast<std::size_t>(std::count_if(
+                         front_.jobs_.begin(), front_.jobs_.end(),
+                         [&](const auto& entry) { return entry.second->klass == *klass; })) >= limit)
+        return sendError("ERR_UNAVAILABLE", retryAfterText(std::chrono::milliseconds(100)));
 
-    const auto submission = std::make_shared<Submission>(
-        owner_, "H:" + owner_.config_.name + ':' + std::to_string(++owner_.lastHandle_), *klass);
-    submission->background = background, submission->priority = priority;
-    const auto& function = owner_.config_.functions[*klass];
+    const auto job = std::make_shared<Job>(
+        front_, "H:" + front_.config_.name + ':' + std::to_string(++front_.lastHandle_), *klass);
+    job->background = background, job->priority = priority;
+    const auto& function = front_.config_.functions[*klass];
     Arrival arrival;
     arrival.request.klass = static_cast<std::uint32_t>(*klass);
     arrival.request.timeLeft = background ? function.backgroundDeadline : function.deadline;
     arrival.request.slots = function.slots;
-    const auto tenant = owner_.config_.tenants.find(id);
-    arrival.request.tenant = tenant == owner_.config_.tenants.end() ? owner_.config_.tenant : tenant->second;
-    arrival.job.className = p.arguments[0];
-    arrival.job.traceId = submission->handle;
-    arrival.job.key = given == "-" ? "" : given;
-    arrival.job.body = p.arguments[2];
+    const auto tenant = front_.config_.tenants.find(id);
+    arrival.request.tenant = tenant == front_.config_.tenants.end() ? front_.config_.tenant : tenant->second;
+    arrival.job.className = packet.arguments[0];
+    arrival.job.traceId = job->handle;
+    arrival.job.key = uniqueId == "-" ? "" : uniqueId;
+    arrival.job.body = packet.arguments[2];
     arrival.priority = priority;
-    arrival.client = submission;
-    owner_.submissions_[submission->handle] = submission;
-    if (!unique.empty()) submission->uniqueKey = key, owner_.unique_[std::move(key)] = submission;
-    submission->transaction = owner_.core_.arrive(now, std::move(arrival));
-    if (submission->refusedAtOnce) return error("ERR_UNAVAILABLE", advice(*submission->refusedAtOnce));
-    say(Type::jobCreated, {submission->handle});
-    submission->created = true;
-    if (submission->over) {
-        if (!background) say(Type::workFail, {submission->handle});
+    arrival.client = job;
+    front_.jobs_[job->handle] = job;
+    if (!effectiveId.empty()) job->uniqueKey = key, front_.jobsByUniqueId_[std::move(key)] = job;
+    job->transaction = front_.core_.arrive(now, std::move(arrival));
+    if (job->rejectedWithRetry) return sendError("ERR_UNAVAILABLE", retryAfterText(*job->rejectedWithRetry));
+    send(Type::jobCreated, {job->handle});
+    job->created = true;
+    if (job->finished) {
+        if (!background) send(Type::workFail, {job->handle});
         return;
     }
     if (background) return;
-    submission->listeners.push_back(weak_from_this());
-    mine_.push_back(submission);
+    job->waitingClients.push_back(weak_from_this());
+    foregroundJobs_.push_back(job);
 }
 
-void Front::Connection::status(Type type, std::string_view by, const Submission* submission) {
-    const char* const known = submission ? "1" : "0";
-    const char* const running = submission && submission->running ? "1" : "0";
-    const std::string done = std::to_string(submission ? static_cast<int>(submission->share * 100) : 0);
-    const char* const of = submission && submission->running ? "100" : "0";
-    if (type == Type::statusRes) return say(type, {by, known, running, done, of});
-    const std::string waiting = std::to_string(submission ? submission->listeners.size() : 0);
-    say(type, {by, known, running, done, of, waiting});
+void Front::Connection::sendStatus(Type type, std::string_view identifier, const Job* job) {
+    const char* const known = job ? "1" : "0";
+    const char* const running = job && job->running ? "1" : "0";
+    const std::string done = std::to_string(job ? static_cast<int>(job->fractionDone * 100) : 0);
+    const char* const total = job && job->running ? "100" : "0";
+    if (type == Type::statusRes) return send(type, {identifier, known, running, done, total});
+    const std::string waiting = std::to_string(job ? job->waitingClients.size() : 0);
+    send(type, {identifier, known, running, done, total, waiting});
 }
 
 }  // namespace amberswitch::gearman
--- a/src/gearman/config.cpp
+++ b/src/gearman/config.cpp
@@ -15,7 +15,7 @@
     config.name = from.text("name", config.name);
     config.workerSlots = from.integer("worker_slots", config.workerSlots, 1, 100'000);
     config.workerQueue = from.integer("worker_queue", config.workerQueue, 0, 100'000);
-    config.mostJobs = from.integer("most_jobs", config.mostJobs, 1, 100'000);
+    config.maxJobs = from.integer("most_jobs", config.maxJobs, 1, 100'000);
     // Guards against a front that is off stopping the program: what its file says of classes and tenants may
     // be meant for another site.
     if (config.listen.empty()) return config;
--- a/src/gearman/config.hpp
+++ b/src/gearman/config.hpp
@@ -21,7 +21,7 @@
     std::map<std::string, int> tenants;            // by what a client calls itself
     int tenant = -1;                               // of clients that call themselves nothing known
     std::size_t workerSlots = 1, workerQueue = 8;  // jobs that a worker runs at once; that may wait for it
-    std::size_t mostJobs = 1000;                   // jobs of all clients that are open at once
+    std::size_t maxJobs = 1000;                    // jobs of all clients that are open at once
 };
 
 Config readConfig(const settings::Node& section, const settings::Site& site);  // throws settings::BadField
--- a/src/gearman/connection.cpp
+++ b/src/gearman/connection.cpp
@@ -12,142 +12,145 @@
 
 void Front::Connection::received(Time now) {
     const auto self = shared_from_this();
-    while (state_ == State::open && !slowed_.armed() && !in().empty()) {
+    while (state_ == State::open && !throttleTimer_.armed() && !in().empty()) {
         const auto bytes = in().front();
         in().taken(decoder_.feed({bytes.data(), bytes.size()}));
-        if (decoder_.bad()) return giveUp(now, decoder_.fault());
+        if (decoder_.bad()) return failProtocol(now, decoder_.fault());
         if (decoder_.packetReady()) {
-            ++owner_.counters_.packets;
-            packet(now, decoder_.takePacket());
+            ++front_.counters_.packets;
+            handlePacket(now, decoder_.takePacket());
         } else if (decoder_.lineReady()) {
-            line(now, decoder_.takeLine());
+            handleAdminCommand(now, decoder_.takeLine());
         }
         // Guards against a peer that sends and never reads.
-        if (out().size() > kMostUnread) return over(now, End::silent);
+        if (out().size() > kMaxUnreadOutput) return close(now, End::silent);
     }
     if (state_ != State::open) return;
     if (!decoder_.started())
-        half_.disarm();
-    else if (!half_.armed())
-        half_.arm(owner_.deadlines_, now + kHalf,
-                  [this](Time at) { giveUp(at, "half a packet and then nothing"); });
+        incompletePacketTimer_.disarm();
+    else if (!incompletePacketTimer_.armed())
+        incompletePacketTimer_.arm(front_.deadlines_, now + kIncompletePacketTimeout,
+                                   [this](Time at) { failProtocol(at, "half a packet and then nothing"); });
 }
 
 // Guards against a peer that sends a refused packet again as soon as it is told so: a worker that asks for
 // jobs in a way this server doesn't have would ask tens of thousands of times a second. It gets its answer,
 // and past the allowance what it sends next waits in the ring until it may be answered.
 void Front::Connection::refuse(Time now, std::string_view code, std::string_view text) {
-    ++owner_.counters_.refused;
-    error(code, text);
-    const double since = std::chrono::duration<double>(now - refusedAt_).count();
-    mayBeRefused_ = std::min(kRefusedAtOnce, mayBeRefused_ + since * kRefusedASecond) - 1;
-    refusedAt_ = now;
-    if (mayBeRefused_ >= 0) return;
-    ++owner_.counters_.slowed;
-    const auto until = now + Nanos(static_cast<std::int64_t>(-mayBeRefused_ / kRefusedASecond * 1e9));
-    slowed_.arm(owner_.deadlines_, until, [this](Time at) {
+    ++front_.counters_.refused;
+    sendError(code, text);
+    const double since = std::chrono::duration<double>(now - lastRefusal_).count();
+    refusalTokens_ = std::min(kRefusalBurst, refusalTokens_ + since * kRefusalsPerSecond) - 1;
+    lastRefusal_ = now;
+    if (refusalTokens_ >= 0) return;
+    ++front_.counters_.slowed;
+    const auto until = now + Nanos(static_cast<std::int64_t>(-refusalTokens_ / kRefusalsPerSecond * 1e9));
+    throttleTimer_.arm(front_.deadlines_, until, [this](Time at) {
         received(at);
         wake();  // there is room to read again
     });
 }
 
-void Front::Connection::giveUp(Time now, std::string_view why) {
+void Front::Connection::failProtocol(Time now, std::string_view reason) {
     if (state_ != State::open) return;
-    ++owner_.counters_.malformed;
-    error("ERR_PROTOCOL", why);
+    ++front_.counters_.malformed;
+    sendError("ERR_PROTOCOL", reason);
     state_ = State::closing;
-    half_.arm(owner_.deadlines_, now + kHalf, [this](Time at) { over(at, End::silent); });
-    takeBack(now, true);
+    incompletePacketTimer_.arm(front_.deadlines_, now + kIncompletePacketTimeout,
+                               [this](Time at) { close(at, End::silent); });
+    returnPasses(now, true);
     wake();
 }
 
-void Front::Connection::over(Time now, End how) {
+void Front::Connection::close(Time now, End how) {
     if (state_ == State::ended) return;
     const auto self = shared_from_this();
     state_ = State::ended;
-    ++owner_.counters_.ends[static_cast<std::size_t>(how)];
-    half_.disarm();
-    slowed_.disarm();
+    ++front_.counters_.ends[static_cast<std::size_t>(how)];
+    incompletePacketTimer_.disarm();
+    throttleTimer_.disarm();
     drop();
-    takeBack(now, true);
-    owner_.connections_.erase(place);
-    const auto waited = std::exchange(mine_, {});
-    for (const auto& submission : waited) {
-        std::erase_if(submission->listeners, [&](const auto& l) { return l.lock() == self; });
-        submission->listenerLeft(now);
+    returnPasses(now, true);
+    front_.connections_.erase(place);
+    const auto waited = std::exchange(foregroundJobs_, {});
+    for (const auto& job : waited) {
+        std::erase_if(job->waitingClients, [&](const auto& client) { return client.lock() == self; });
+        job->clientDisconnected(now);
     }
 }
 
-void Front::Connection::packet(Time now, const Packet& p) {
-    const auto& arg = p.arguments;
-    switch (p.type) {
+void Front::Connection::handlePacket(Time now, const Packet& packet) {
+    const auto& arguments = packet.arguments;
+    switch (packet.type) {
         case Type::submitJob:
-            return submit(now, p, false, normal);
+            return submitJob(now, packet, false, normal);
         case Type::submitJobHigh:
-            return submit(now, p, false, high);
+            return submitJob(now, packet, false, high);
         case Type::submitJobLow:
-            return submit(now, p, false, low);
+            return submitJob(now, packet, false, low);
         case Type::submitJobBg:
-            return submit(now, p, true, normal);
+            return submitJob(now, packet, true, normal);
         case Type::submitJobHighBg:
-            return submit(now, p, true, high);
+            return submitJob(now, packet, true, high);
         case Type::submitJobLowBg:
-            return submit(now, p, true, low);
+            return submitJob(now, packet, true, low);
         case Type::getStatus: {
-            const auto at = owner_.submissions_.find(arg[0]);
-            return status(Type::statusRes, arg[0],
-                          at == owner_.submissions_.end() ? nullptr : at->second.get());
+            const auto at = front_.jobs_.find(arguments[0]);
+            return sendStatus(Type::statusRes, arguments[0],
+                              at == front_.jobs_.end() ? nullptr : at->second.get());
         }
         case Type::getStatusUnique: {
-            const Submission* found = nullptr;
-            for (const auto& [key, submission] : owner_.unique_)
-                if (key.substr(key.find('\0') + 1) == arg[0]) found = submission.get();
-            return status(Type::statusResUnique, arg[0], found);
+            const Job* found = nullptr;
+            for (const auto& [key, job] : front_.jobsByUniqueId_)
+                if (key.substr(key.find('\0') + 1) == arguments[0]) found = job.get();
+            return sendStatus(Type::statusResUnique, arguments[0], found);
         }
         case Type::echoReq:
-            return say(Type::echoRes, {arg[0]});
+            return send(Type::echoRes, {arguments[0]});
         case Type::optionReq:
-            if (arg[0] != "exceptions") return refuse(now, "ERR_UNKNOWN_OPTION", "there is no such option");
+            if (arguments[0] != "exceptions")
+                return refuse(now, "ERR_UNKNOWN_OPTION", "there is no such option");
             exceptions = true;
-            return say(Type::optionRes, {arg[0]});
+            return send(Type::optionRes, {arguments[0]});
         case Type::setClientId:
-            id = arg[0].empty() ? "-" : arg[0];
+            id = arguments[0].empty() ? "-" : arguments[0];
             return;
         case Type::canDo:
         case Type::canDoTimeout: {
-            const auto klass = owner_.classOf(arg[0]);
+            const auto klass = front_.classOf(arguments[0]);
             if (!klass) return refuse(now, "ERR_UNKNOWN_FUNCTION", "no class of job has this name");
             functions_.insert(*klass);
             timeouts_.erase(*klass);
-            if (p.type == Type::canDoTimeout)
-                if (const std::uint64_t s = wholeNumber(arg[1]); s > 0 && s < 1'000'000)
-                    timeouts_[*klass] = std::chrono::seconds(s);
-            return abilities(now);
+            if (packet.type == Type::canDoTimeout)
+                if (const std::uint64_t seconds = parseUnsigned(arguments[1]);
+                    seconds > 0 && seconds < 1'000'000)
+                    timeouts_[*klass] = std::chrono::seconds(seconds);
+            return updateFunctions(now);
         }
         case Type::cantDo:
-            if (const auto klass = owner_.classOf(arg[0])) functions_.erase(*klass);
-            return abilities(now);
+            if (const auto klass = front_.classOf(arguments[0])) functions_.erase(*klass);
+            return updateFunctions(now);
         case Type::resetAbilities:
             functions_.clear();
-            return abilities(now);
+            return updateFunctions(now);
         case Type::preSleep:
             sleeping_ = true;
-            if (!offered_.empty() && assigned_.size() < owner_.config_.workerSlots)
-                say(Type::noop, {}), sleeping_ = false;
+            if (!queue_.empty() && assigned_.size() < front_.config_.workerSlots)
+                send(Type::noop, {}), sleeping_ = false;
             return;
         case Type::grabJob:
-            return grab(now, Grab::plain);
+            return grabJob(now, Grab::plain);
         case Type::grabJobUniq:
-            return grab(now, Grab::unique);
+            return grabJob(now, Grab::unique);
         case Type::grabJobAll:
-            return grab(now, Grab::all);
+            return grabJob(now, Grab::all);
         case Type::workStatus:
         case Type::workComplete:
         case Type::workFail:
         case Type::workException:
         case Type::workData:
         case Type::workWarning:
-            return report(now, p);
+            return handleWorkReport(now, packet);
         case Type::allYours:
             return;  // it has no other job server: nothing hangs on that here
         case Type::submitJobSched:
@@ -156,7 +159,7 @@
         case Type::submitReduceJobBg:
             return refuse(now, "ERR_UNSUPPORTED", "this server does not do that");
         default:
-            return giveUp(now, "a packet that only a server sends");
+            return failProtocol(now, "a packet that only a server sends");
     }
 }
 
--- a/src/gearman/front.cpp
+++ b/src/gearman/front.cpp
@@ -8,7 +8,7 @@
 namespace amberswitch::gearman {
 
 Front::Front(Core& core, Deadlines& deadlines, Config config)
-    : core_(core), deadlines_(deadlines), config_(std::move(config)), most_(config_.functions.size()) {}
+    : core_(core), deadlines_(deadlines), config_(std::move(config)), maxQueue_(config_.functions.size()) {}
 Front::~Front() = default;
 
 std::shared_ptr<wire::Machine> Front::accept(Time) {
@@ -43,12 +43,12 @@
 void Front::start(Time now, const ProxyPass& pass) {
     Connection* const worker = workerOf(pass.server);
     if (!worker) return core_.passEnded(now, pass.transaction, pass.number, End::connectRefused);
-    worker->offer(now, pass, pass.priority);
+    worker->enqueue(now, pass, pass.priority);
 }
 
 bool Front::begun(const ProxyPass& pass) const {
     const Connection* const worker = workerOf(pass.server);
-    return !worker || !worker->offers(pass);
+    return !worker || !worker->hasQueued(pass);
 }
 
 void Front::abandon(Time, const ProxyPass& pass) {
--- a/src/gearman/front.hpp
+++ b/src/gearman/front.hpp
@@ -1,5 +1,5 @@
 // The Gearman front: a job server to its clients and its workers. Jobs that clients submit become
-// transactions of the core; each connection that offers functions is an application server of the farm.
+// transactions of the core; each connection that offers functions is an application server to the core.
 #pragma once
 
 #include <functional>
@@ -41,7 +41,7 @@
 
 private:
     class Connection;
-    class Submission;
+    class Job;
     using Handle = std::string;
 
     std::optional<std::size_t> classOf(std::string_view function) const;
@@ -55,13 +55,13 @@
     Deadlines& deadlines_;
     Config config_;
     std::list<std::shared_ptr<Connection>> connections_;
-    std::unordered_map<Handle, std::shared_ptr<Submission>> submissions_;  // not answered yet
-    std::unordered_map<std::string, std::shared_ptr<Submission>> unique_;  // by class and unique id
+    std::unordered_map<Handle, std::shared_ptr<Job>> jobs_;                 // not answered yet
+    std::unordered_map<std::string, std::shared_ptr<Job>> jobsByUniqueId_;  // by class and unique id
     std::unordered_map<Worker, Connection*> workers_;
     std::set<std::size_t> freeSlots_;
-    std::vector<std::size_t> most_;  // open jobs that a class may have; 0: any number
-    std::size_t slots_ = 0;
-    std::uint64_t lastHandle_ = 0, lastConnection_ = 0, occupants_ = 0;
+    std::vector<std::size_t> maxQueue_;  // open jobs that a class may have; 0: any number
+    std::size_t slotCount_ = 0;
+    std::uint64_t lastHandle_ = 0, lastConnection_ = 0, registrations_ = 0;
     std::function<void(Time)> shutdown_;
     bool draining_ = false;
     Counters counters_;
--- a/src/gearman/job.hpp
+++ b/src/gearman/job.hpp
@@ -15,20 +15,20 @@
 enum Priority { high, normal, low };
 
 // One job that clients submitted, and all who wait for it. Jobs of one function with one unique id are one.
-class Front::Submission : public ClientEnd, public std::enable_shared_from_this<Submission> {
+class Front::Job : public ClientEnd, public std::enable_shared_from_this<Job> {
 public:
-    Submission(Front& owner, Handle name, std::size_t kind)
-        : handle(std::move(name)), klass(kind), owner_(owner) {}
+    Job(Front& front, Handle jobHandle, std::size_t jobClass)
+        : handle(std::move(jobHandle)), klass(jobClass), front_(front) {}
 
     const Handle handle;
     const std::size_t klass;
     std::string uniqueKey;
-    bool background = false, running = false, created = false, over = false;
+    bool background = false, running = false, created = false, finished = false;
     int priority = normal;
     TransactionId transaction = 0;
-    double share = 0;
-    std::vector<std::weak_ptr<Connection>> listeners;
-    std::optional<Nanos> refusedAtOnce;  // before the client was told of the job's creation
+    double fractionDone = 0;
+    std::vector<std::weak_ptr<Connection>> waitingClients;
+    std::optional<Nanos> rejectedWithRetry;  // before the client was told of the job's creation
 
     void served(Time now, std::string result) override;
     void unavailable(Time now, Nanos retryIn) override;
@@ -36,15 +36,15 @@
     void started(Time) override { running = true; }
     void progress(Time now, double done) override;
     void partial(Time now, Partial kind, std::string_view bytes) override;
-    void listenerLeft(Time now);
+    void clientDisconnected(Time now);
     bool hasLeft() override;
 
 private:
-    template <class Say>
-    void tell(Say&& say);
+    template <class Notify>
+    void notifyClients(Notify&& notify);
     void close();
 
-    Front& owner_;
+    Front& front_;
 };
 
 }  // namespace amberswitch::gearman
--- a/src/gearman/text.hpp
+++ b/src/gearman/text.hpp
@@ -9,7 +9,7 @@
 
 namespace amberswitch::gearman {
 
-std::string advice(Nanos retryIn);                 // when a client that was refused may try again
-std::uint64_t wholeNumber(std::string_view text);  // as far as there are digits; 0 without any
+std::string retryAfterText(Nanos retryIn);           // when a client that was refused may try again
+std::uint64_t parseUnsigned(std::string_view text);  // as far as there are digits; 0 without any
 
 }  // namespace amberswitch::gearman
--- a/src/gearman/worker_requests.cpp
+++ b/src/gearman/worker_requests.cpp
@@ -11,150 +11,153 @@
 using heronmount::RosterMode;
 using heronmount::Standing;
 
-// What the worker offers has changed: the farm is told. With no function left it drains: what it runs it may
+// What the worker offers has changed: the core is told. With no function left it drains: what it runs it may
 // finish, and what waited for it goes back unstarted.
-void Front::Connection::abilities(Time now) {
+void Front::Connection::updateFunctions(Time now) {
     if (functions_.empty() && !slot_) return;
     if (!slot_) {
-        if (owner_.freeSlots_.empty()) owner_.freeSlots_.insert(owner_.slots_++);
-        slot_ = *owner_.freeSlots_.begin();
-        owner_.freeSlots_.erase(owner_.freeSlots_.begin());
-        server_ = owner_.core_.handleOf(serverName());
-        owner_.workers_[server_] = this;
-        // A new occupant of a place: what was learned of the last one is void. It started long ago for all
-        // that is known here, so it counts as warm.
-        since_ = Time(static_cast<std::int64_t>(++owner_.occupants_));
+        if (front_.freeSlots_.empty()) front_.freeSlots_.insert(front_.slotCount_++);
+        slot_ = *front_.freeSlots_.begin();
+        front_.freeSlots_.erase(front_.freeSlots_.begin());
+        applicationServer_ = front_.core_.handleOf(applicationServerName());
+        front_.workers_[applicationServer_] = this;
+        // A new worker under a number used before: what was learned of the last one is void. It started long
+        // ago for all that is known here, so it counts as warm.
+        startedAt_ = Time(static_cast<std::int64_t>(++front_.registrations_));
     }
-    FarmEntry told;
-    told.name = serverName();
-    told.entry.zone = owner_.core_.site().module.zone, told.placed = false;
-    told.entry.cell = 1'000'000 + static_cast<int>(*slot_);  // no other worker is known to drop its repeats
-    told.entry.units = static_cast<double>(owner_.config_.workerSlots);
-    told.entry.since = since_;
-    told.entry.standing = functions_.empty() ? Standing::draining : Standing::on;
-    for (const std::size_t klass : functions_) told.entry.classes |= std::uint64_t{1} << klass;
-    owner_.core_.farm(now, owner_, owner_, RosterMode::changes, {told});
-    takeBack(now, false);
+    FarmEntry update;
+    update.name = applicationServerName();
+    update.entry.zone = front_.core_.site().module.zone, update.placed = false;
+    update.entry.cell = 1'000'000 + static_cast<int>(*slot_);  // no other worker is known to drop its repeats
+    update.entry.units = static_cast<double>(front_.config_.workerSlots);
+    update.entry.since = startedAt_;
+    update.entry.standing = functions_.empty() ? Standing::draining : Standing::on;
+    for (const std::size_t klass : functions_) update.entry.classes |= std::uint64_t{1} << klass;
+    front_.core_.farm(now, front_, front_, RosterMode::changes, {update});
+    returnPasses(now, false);
 }
 
 // Passes that the worker has not begun go back, proved never to have run; where it has gone, those it runs
 // end as reset.
-void Front::Connection::takeBack(Time now, bool gone) {
+void Front::Connection::returnPasses(Time now, bool disconnected) {
     if (!slot_) return;
     const auto self = shared_from_this();
-    if (gone) {
+    if (disconnected) {
         const std::size_t slot = *slot_;
-        FarmEntry told;
-        told.name = serverName();
-        told.entry.standing = Standing::off;
-        told.entry.zone = owner_.core_.site().module.zone, told.placed = false;
-        told.entry.since = since_;
+        FarmEntry update;
+        update.name = applicationServerName();
+        update.entry.standing = Standing::off;
+        update.entry.zone = front_.core_.site().module.zone, update.placed = false;
+        update.entry.since = startedAt_;
         functions_.clear();
-        owner_.workers_.erase(server_);
+        front_.workers_.erase(applicationServer_);
         slot_.reset();
-        owner_.core_.farm(now, owner_, owner_, RosterMode::changes, {told});
-        owner_.freeSlots_.insert(slot);
+        front_.core_.farm(now, front_, front_, RosterMode::changes, {update});
+        front_.freeSlots_.insert(slot);
     }
-    std::vector<Offered> back;
-    std::erase_if(offered_, [&](const Offered& one) {
-        if (functions_.contains(one.pass.klass)) return false;
-        back.push_back(one);
+    std::vector<QueuedPass> returned;
+    std::erase_if(queue_, [&](const QueuedPass& queued) {
+        if (functions_.contains(queued.pass.klass)) return false;
+        returned.push_back(queued);
         return true;
     });
-    for (const Offered& one : back)
-        owner_.core_.passEnded(now, one.pass.transaction, one.pass.number,
-                               gone ? End::brokeUnsent : End::handedBack);
-    if (!gone) return;
+    for (const QueuedPass& queued : returned)
+        front_.core_.passEnded(now, queued.pass.transaction, queued.pass.number,
+                               disconnected ? End::brokeUnsent : End::handedBack);
+    if (!disconnected) return;
     const auto running = std::exchange(assigned_, {});
-    for (const auto& [handle, one] : running)
-        if (!one.abandoned) owner_.core_.passEnded(now, one.transaction, one.pass, End::lost);
+    for (const auto& [handle, assigned] : running)
+        if (!assigned.abandoned) front_.core_.passEnded(now, assigned.transaction, assigned.pass, End::lost);
 }
 
-void Front::Connection::offer(Time now, const ProxyPass& pass, int priority) {
+void Front::Connection::enqueue(Time now, const ProxyPass& pass, int priority) {
     if (state_ != State::open || !functions_.contains(pass.klass) ||
-        offered_.size() >= owner_.config_.workerQueue + owner_.config_.workerSlots)
-        return owner_.core_.passEnded(now, pass.transaction, pass.number, End::handedBack);
-    const auto at = std::find_if(offered_.begin(), offered_.end(),
-                                 [&](const Offered& other) { return other.priority > priority; });
-    offered_.insert(at, {pass, priority});
-    if (sleeping_ && assigned_.size() < owner_.config_.workerSlots) say(Type::noop, {}), sleeping_ = false;
+        queue_.size() >= front_.config_.workerQueue + front_.config_.workerSlots)
+        return front_.core_.passEnded(now, pass.transaction, pass.number, End::handedBack);
+    const auto at = std::find_if(queue_.begin(), queue_.end(),
+                                 [&](const QueuedPass& other) { return other.priority > priority; });
+    queue_.insert(at, {pass, priority});
+    if (sleeping_ && assigned_.size() < front_.config_.workerSlots) send(Type::noop, {}), sleeping_ = false;
 }
 
-bool Front::Connection::offers(const ProxyPass& pass) const {
-    return std::any_of(offered_.begin(), offered_.end(), [&](const Offered& one) {
-        return one.pass.transaction == pass.transaction && one.pass.number == pass.number;
+bool Front::Connection::hasQueued(const ProxyPass& pass) const {
+    return std::any_of(queue_.begin(), queue_.end(), [&](const QueuedPass& queued) {
+        return queued.pass.transaction == pass.transaction && queued.pass.number == pass.number;
     });
 }
 
 void Front::Connection::abandon(const ProxyPass& pass) {
-    std::erase_if(offered_, [&](const Offered& one) {
-        return one.pass.transaction == pass.transaction && one.pass.number == pass.number;
+    std::erase_if(queue_, [&](const QueuedPass& queued) {
+        return queued.pass.transaction == pass.transaction && queued.pass.number == pass.number;
     });
-    for (auto& [handle, one] : assigned_)
-        if (one.transaction == pass.transaction && one.pass == pass.number) one.abandoned = true;
+    for (auto& [handle, assigned] : assigned_)
+        if (assigned.transaction == pass.transaction && assigned.pass == pass.number)
+            assigned.abandoned = true;
 }
 
-void Front::Connection::grab(Time now, Grab how) {
+void Front::Connection::grabJob(Time now, Grab variant) {
     sleeping_ = false;
-    const auto full = [this] { return offered_.empty() || assigned_.size() >= owner_.config_.workerSlots; };
-    if (full()) return say(Type::noJob, {});
-    ProxyPass pass = offered_.front().pass;
+    const auto nothingToAssign = [this] {
+        return queue_.empty() || assigned_.size() >= front_.config_.workerSlots;
+    };
+    if (nothingToAssign()) return send(Type::noJob, {});
+    ProxyPass pass = queue_.front().pass;
     // Guards against a job that waited here until nobody wants it, or it may not run any more.
-    while (!owner_.core_.mayBegin(now, pass.transaction, pass.number)) {
+    while (!front_.core_.mayBegin(now, pass.transaction, pass.number)) {
         const auto self = shared_from_this();
         abandon(pass);
-        owner_.core_.passEnded(now, pass.transaction, pass.number, End::unsent);
-        if (full()) return say(Type::noJob, {});
-        pass = offered_.front().pass;
+        front_.core_.passEnded(now, pass.transaction, pass.number, End::unsent);
+        if (nothingToAssign()) return send(Type::noJob, {});
+        pass = queue_.front().pass;
     }
-    offered_.pop_front();
-    ++owner_.counters_.assigned;
-    const Handle handle = "H:" + owner_.config_.name + ":j" + std::to_string(pass.transaction) + '.' +
+    queue_.pop_front();
+    ++front_.counters_.assigned;
+    const Handle handle = "H:" + front_.config_.name + ":j" + std::to_string(pass.transaction) + '.' +
                           std::to_string(pass.number);
     assigned_[handle] = {pass.transaction, pass.number, false};
-    if (how == Grab::unique)
-        say(Type::jobAssignUniq, {handle, pass.job->className, pass.job->key, pass.job->body});
-    else if (how == Grab::all)  // no job here is to be reduced: the reducer is empty
-        say(Type::jobAssignAll, {handle, pass.job->className, pass.job->key, "", pass.job->body});
+    if (variant == Grab::unique)
+        send(Type::jobAssignUniq, {handle, pass.job->className, pass.job->key, pass.job->body});
+    else if (variant == Grab::all)  // no job here is to be reduced: the reducer is empty
+        send(Type::jobAssignAll, {handle, pass.job->className, pass.job->key, "", pass.job->body});
     else
-        say(Type::jobAssign, {handle, pass.job->className, pass.job->body});
-    if (const auto most = timeouts_.find(pass.klass); most != timeouts_.end())
-        owner_.deadlines_.once(now + most->second,
-                               [&core = owner_.core_, id = pass.transaction, number = pass.number](Time at) {
+        send(Type::jobAssign, {handle, pass.job->className, pass.job->body});
+    if (const auto timeout = timeouts_.find(pass.klass); timeout != timeouts_.end())
+        front_.deadlines_.once(now + timeout->second,
+                               [&core = front_.core_, id = pass.transaction, number = pass.number](Time at) {
                                    core.passEnded(at, id, number, End::timedOut);
                                });
-    owner_.core_.passStarted(now, pass.transaction, pass.number);
+    front_.core_.passStarted(now, pass.transaction, pass.number);
 }
 
 // Guards against reports that come late or twice: only the worker that a job was given to is heard, once.
-void Front::Connection::report(Time now, const Packet& p) {
-    const auto at = assigned_.find(p.arguments[0]);
+void Front::Connection::handleWorkReport(Time now, const Packet& packet) {
+    const auto at = assigned_.find(packet.arguments[0]);
     if (at == assigned_.end()) {
-        ++owner_.counters_.stray;
+        ++front_.counters_.stray;
         return;
     }
-    const Assigned job = at->second;
-    const bool ends =
-        p.type == Type::workComplete || p.type == Type::workFail || p.type == Type::workException;
+    const AssignedPass job = at->second;
+    const bool ends = packet.type == Type::workComplete || packet.type == Type::workFail ||
+                      packet.type == Type::workException;
     if (ends) assigned_.erase(at);
     if (job.abandoned) {
-        ++owner_.counters_.stray;
+        ++front_.counters_.stray;
         return;
     }
-    Core& core = owner_.core_;
-    if (p.type == Type::workComplete)
-        core.passEnded(now, job.transaction, job.pass, End::served, p.arguments[1]);
-    if (p.type == Type::workFail) core.passEnded(now, job.transaction, job.pass, End::failed);
-    if (p.type == Type::workException)
-        core.passEnded(now, job.transaction, job.pass, End::failed, p.arguments[1]);
-    if (p.type == Type::workData)
-        core.passPartial(now, job.transaction, job.pass, Partial::data, p.arguments[1]);
-    if (p.type == Type::workWarning)
-        core.passPartial(now, job.transaction, job.pass, Partial::warning, p.arguments[1]);
-    if (p.type == Type::workStatus) {
-        const double of = static_cast<double>(wholeNumber(p.arguments[2]));
+    Core& core = front_.core_;
+    if (packet.type == Type::workComplete)
+        core.passEnded(now, job.transaction, job.pass, End::served, packet.arguments[1]);
+    if (packet.type == Type::workFail) core.passEnded(now, job.transaction, job.pass, End::failed);
+    if (packet.type == Type::workException)
+        core.passEnded(now, job.transaction, job.pass, End::failed, packet.arguments[1]);
+    if (packet.type == Type::workData)
+        core.passPartial(now, job.transaction, job.pass, Partial::data, packet.arguments[1]);
+    if (packet.type == Type::workWarning)
+        core.passPartial(now, job.transaction, job.pass, Partial::warning, packet.arguments[1]);
+    if (packet.type == Type::workStatus) {
+        const double total = static_cast<double>(parseUnsigned(packet.arguments[2]));
         core.passProgress(now, job.transaction, job.pass,
-                          of > 0 ? static_cast<double>(wholeNumber(p.arguments[1])) / of : 0);
+                          total > 0 ? static_cast<double>(parseUnsigned(packet.arguments[1])) / total : 0);
     }
 }
 
