--- a/src/cluster/control/operator_api.hpp
+++ b/src/cluster/control/operator_api.hpp
@@ -1,6 +1,7 @@
 // The operator's HTTP interface: Config.Replace, Config.Read, Retire.Start, Retire.Read and status.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
--- a/tests/cluster/control_node_test.cpp
+++ b/tests/cluster/control_node_test.cpp
@@ -340,3 +340,65 @@
     REQUIRE(play.replace(*play.core[0], 2, configurationJson(3)) == 200);
     CHECK(play.world.runUntil([&] { return allHaveGeneration(play, 3); }, Millis(2000)));
 }
+
+TEST_CASE("eight orders at once at all machines: one is taken, the others are refused, none is unclear") {
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        INFO("seed " << seed);
+        ControlWorld play(seed);
+        play.startAll();
+        play.world.run(Millis(2500));
+        std::vector<int> answers;
+        for (int order = 0; order < 8; ++order) {
+            CoreMachine& machine = *play.core[static_cast<std::size_t>(order) % 3];
+            const std::string body = configurationJson(4, "s" + std::to_string(order));
+            machine.node().handleHttp(
+                ControlWorld::replaceRequest(0, body),
+                [&](const HttpResponse& response) { answers.push_back(response.status); });
+        }
+        const SteadyTime sent = play.world.now();
+        CHECK(play.world.runUntil([&] { return answers.size() == 8; }, Millis(3000)));
+        CHECK(play.world.now() - sent < Millis(1000));
+        CHECK(std::count(answers.begin(), answers.end(), 200) == 1);
+        CHECK(std::count(answers.begin(), answers.end(), 412) == 7);
+    }
+}
+
+TEST_CASE(
+    "a change whose answer was lost is acknowledged at another machine, even while the first still runs") {
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        INFO("seed " << seed);
+        ControlWorld play(seed);
+        play.startAll();
+        play.world.run(Millis(2500));
+        const std::string body = configurationJson(4);
+        const HttpRequest request = ControlWorld::replaceRequest(0, body);
+        std::vector<int> answers;
+        const auto note = [&](const HttpResponse& response) { answers.push_back(response.status); };
+        play.core[0]->node().handleHttp(request, note);
+        play.world.run(Millis(static_cast<std::int64_t>(play.world.chance() * 30)));
+        play.core[1]->node().handleHttp(request, note);
+        play.world.run(Millis(2000));
+        CHECK(answers == std::vector<int>{200, 200});
+        CHECK(play.read(*play.core[2]).body == body);
+    }
+}
+
+TEST_CASE("a new leader that has not listened long enough drops no store") {
+    // The whole core restarts while a store is out of reach of it for a moment.
+    ControlWorld play(31);
+    addEdges(play, 1);
+    addStores(play);
+    play.startAll();
+    REQUIRE(play.world.runUntil([&] { return allHaveView(play, 3); }, Millis(5000)));
+    for (auto& machine : play.core) machine->kill();
+    play.world.run(Millis(200));
+    play.startAll();
+    REQUIRE(play.world.runUntil([&] { return play.leader() != nullptr; }, Millis(5000)));
+    // All core machines know storage-1 by now; it is cut off before the leader has listened for long.
+    play.network.isolate("10.1.0.1");
+    play.world.run(Millis(1100));
+    CHECK(allHaveView(play, 3));
+    play.network.healAll();
+    play.world.run(Millis(3000));
+    CHECK(allHaveView(play, 3));
+}
