Grant messages in time before late ones, and no more than the listed servers can take

Cause: when a service of three servers returned after 8 s, each store gave out its whole backlog at once, servers rejected half, and new messages waited behind late ones; the module's budget for cold servers then held all work back, as all three were new. Ruled out: detection of the return, order within keys. Change: ready messages that can still begin within their aim come first; grants outstanding are bounded by twice the slots of the listed servers, shared by partitions owned; no cold budget.

--- a/apps/ambercluster/roles.cpp
+++ b/apps/ambercluster/roles.cpp
@@ -167,6 +167,7 @@
     callbacks.on_configuration = [&node](auto configuration) {
         node.onConfiguration(std::move(configuration));
     };
+    callbacks.on_servers = [&node](auto servers) { node.onServers(std::move(servers)); };
     callbacks.on_view = [&node](auto view) { node.onView(std::move(view)); };
     CoreClient client(loop, transport, self, coreAddresses(settings), callbacks);
     SeedsReloader seeds(loop, settings_path, client);
--- a/src/cluster/edge/service_dispatcher.cpp
+++ b/src/cluster/edge/service_dispatcher.cpp
@@ -13,15 +13,12 @@
 using heronmount::Standing;
 using heronmount::Worker;
 
-constexpr std::uint32_t kMostSends = 3;       // inside one grant, all but the last surely not run
-constexpr Millis kAnswerGrace{100};           // the server itself answers 504 at its Deadline-Ms
-constexpr Millis kLongestQueueing{1000};      // for a free connection, before the grant goes back
-constexpr double kConnectionShare = 0.9;      // of what a server takes; the rest is a reserve
-constexpr std::chrono::seconds kWarmUp{3};    // over which a cold server's share grows
-constexpr std::chrono::seconds kColdSpan{1};  // over which a cold server's budget is kept
-constexpr double kColdFrom = 0.3;             // share of its capacity that a server has at its start
-constexpr double kFallMultiple = 2;           // the budget is then the warming part of a fair share
-constexpr double kRebuildBeyond = 1.5;        // change of the number of dispatchers
+constexpr std::uint32_t kMostSends = 3;     // inside one grant, all but the last surely not run
+constexpr Millis kAnswerGrace{100};         // the server itself answers 504 at its Deadline-Ms
+constexpr Millis kLongestQueueing{1000};    // for a free connection, before the grant goes back
+constexpr double kConnectionShare = 0.9;    // of what a server takes; the rest is a reserve
+constexpr std::chrono::seconds kWarmUp{3};  // over which a cold server's share grows
+constexpr double kRebuildBeyond = 1.5;      // change of the number of dispatchers
 
 std::uint64_t hashOf(std::string_view text) {
     return XXH64(text.data(), text.size(), 0);
@@ -77,10 +74,10 @@
     settings.maxAttempts = module_attempts_;
     settings.weights = heronmount::Weights::nominal;
     settings.handshakePrice = 1;  // connections are kept
-    settings.cold = kWarmUp;
-    settings.overloadFor = kColdSpan;
-    settings.coldFrom = kColdFrom;
-    settings.fallMultiple = kFallMultiple;
+    // No budget for cold servers: these queue and refuse what they can't take, and a budget that is drawn
+    // from what this edge was served lately would hold everything back where all servers of a service start
+    // at once.
+    settings.cold = heronmount::Nanos(0);
     return settings;
 }
 
--- a/src/cluster/storage/granter.cpp
+++ b/src/cluster/storage/granter.cpp
@@ -30,7 +30,8 @@
                                                 const std::string& edge) {
     const SteadyTime now = scheduler_.now();
     if (stopped_ || !owned.queue.grantable(item, now)) return std::nullopt;
-    if (!book_.ready.empty(item.service) || !book_.limiter.mayGrant(item.service, now)) return std::nullopt;
+    if (book_.ready.hasInTime(item.service, now) || !book_.limiter.mayGrant(item.service, now))
+        return std::nullopt;
     const AttemptId id{owned.epoch, ++last_attempt_};
     book_.give(owned, item, edge, id, now, items_.timeoutOf(item));
     return id;
--- a/src/cluster/storage/queue_item.hpp
+++ b/src/cluster/storage/queue_item.hpp
@@ -56,6 +56,7 @@
     std::uint32_t max_failures = 1;
     std::vector<AttemptId> counted;  // attempts whose failure has been counted
     SteadyTime wanted;               // when it was first due; orders the ready ones
+    SteadyTime aim_until;            // beginning later than this is late
     SteadyTime due;                  // not granted earlier
     SteadyTime deadline;             // given up then
     std::uint32_t retries = 0;       // for the backoff
--- a/src/cluster/storage/queue_items.cpp
+++ b/src/cluster/storage/queue_items.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::string_view kCallbackPrefix = "call-back ";
 constexpr std::string_view kSchemeEnd = "://";
+constexpr Millis kDefaultAim{1000};
+constexpr Millis kCallbackAim{5000};
 
 }  // namespace
 
@@ -36,6 +38,7 @@
     item.failures = message.failures;
     item.max_failures = message.max_failures;
     item.wanted = clock_.steadyOf(message.accepted_wall_ms + content.delay_ms);
+    item.aim_until = item.wanted + aimOf(content.route);
     item.due = item.wanted;
     item.deadline = clock_.steadyOf(message.accepted_wall_ms + message.retention_ms) + kRetentionMargin;
     if (message.phase != Phase::pending) turnIntoCallback(item, content.callback_url);
@@ -46,6 +49,7 @@
     item.callback = true;
     item.service = callbackDestination(callback_url);
     item.wanted = clock_.now();
+    item.aim_until = item.wanted + kCallbackAim;
     item.due = item.wanted;
     item.deadline = item.wanted + status_kept_;
 }
@@ -55,6 +59,11 @@
     return route ? route->timeout : item.timeout;
 }
 
+Millis QueueItemFactory::aimOf(const std::string& name) const {
+    const Route* const route = configuration_ ? configuration_->route(name) : nullptr;
+    return route && route->schedule_target.count() > 0 ? route->schedule_target : kDefaultAim;
+}
+
 std::uint32_t QueueItemFactory::maxFailuresOf(const QueueItem& item) const {
     const Route* const route = configuration_ ? configuration_->route(item.route) : nullptr;
     return std::max(item.max_failures, route ? route->max_retries : 0);
--- a/src/cluster/storage/queue_items.hpp
+++ b/src/cluster/storage/queue_items.hpp
@@ -24,6 +24,8 @@
     // Changes what differs for the call-back of an ended message.
     void turnIntoCallback(QueueItem& item, const std::string& callback_url) const;
     // Of one delivery of that item.
+    // How long after it is due a message of the route may begin and still be in time.
+    Millis aimOf(const std::string& route) const;
     Millis timeoutOf(const QueueItem& item) const;
     // Answers of 500 that end the item.
     std::uint32_t maxFailuresOf(const QueueItem& item) const;
--- a/src/cluster/storage/rate_limiter.cpp
+++ b/src/cluster/storage/rate_limiter.cpp
@@ -11,6 +11,8 @@
 constexpr double kMinBurst = 1;
 constexpr double kMaxBurst = 2;
 constexpr std::size_t kMinOutstanding = 2;
+// Servers queue some messages beyond those they work on; more than this is turned away and comes back.
+constexpr double kOutstandingPerSlot = 2;
 constexpr std::uint32_t kDownsUntilProbing = 3;
 constexpr Millis kFirstProbe{20};
 constexpr Millis kLastProbe{500};
@@ -25,8 +27,22 @@
     for (const cluster::Service& configured : configuration.services) {
         Service& service = services_[configured.name];
         service.rate_per_s = configured.rate_per_s;
-        service.max_outstanding = configured.endpoint ? configured.max_connections : 0;
-        service.shared_limit = configured.endpoint.has_value();
+        if (configured.endpoint) {
+            service.max_outstanding = configured.max_connections;
+            service.listed = false;
+        } else if (!service.listed) {
+            service.max_outstanding = 0;
+        }
+        service.shared_limit = service.max_outstanding > 0;
+    }
+}
+
+void RateLimiter::setCapacities(const std::map<std::string, std::uint32_t>& slots) {
+    for (const auto& [name, count] : slots) {
+        Service& service = services_[name];
+        service.max_outstanding = static_cast<std::uint32_t>(std::ceil(kOutstandingPerSlot * count));
+        service.shared_limit = true;
+        service.listed = true;
     }
 }
 
@@ -34,9 +50,10 @@
     services_[destination].max_outstanding = most;
 }
 
-void RateLimiter::setShare(double share, SteadyTime now) {
+void RateLimiter::setShares(double of_ceilings, double owned, SteadyTime now) {
     for (auto& [name, service] : services_) refill(service, now);
-    share_ = share;
+    share_ = of_ceilings;
+    owned_share_ = owned;
 }
 
 double RateLimiter::burstOf(const Service& service) const {
@@ -45,7 +62,7 @@
 
 std::size_t RateLimiter::outstandingLimit(const Service& service) const {
     if (!service.shared_limit) return service.max_outstanding;
-    const auto part = static_cast<std::size_t>(service.max_outstanding * share_);
+    const auto part = static_cast<std::size_t>(service.max_outstanding * owned_share_);
     return std::max(part, kMinOutstanding);
 }
 
--- a/src/cluster/storage/rate_limiter.hpp
+++ b/src/cluster/storage/rate_limiter.hpp
@@ -21,10 +21,13 @@
 public:
     // Ceilings and connection limits of the services; those not named here are unlimited.
     void configure(const Configuration& configuration);
+    // How many messages the listed servers of each service work on at once, all together.
+    void setCapacities(const std::map<std::string, std::uint32_t>& slots);
     // A limit for destinations that are in no configuration, such as receivers of call-backs.
     void limitOutstanding(const std::string& destination, std::uint32_t most);
-    // The part of all partitions whose limits this store uses, 0 to 1.
-    void setShare(double share, SteadyTime now);
+    // The parts of all partitions, 0 to 1, whose ceilings this store uses, and that it owns. They differ
+    // while a previous owner may still use its ceilings.
+    void setShares(double of_ceilings, double owned, SteadyTime now);
 
     bool mayGrant(const std::string& service, SteadyTime now);
     // An attempt is given out. Call only after mayGrant said yes.
@@ -42,6 +45,7 @@
         double rate_per_s = 0;              // 0: no ceiling
         std::uint32_t max_outstanding = 0;  // 0: no limit
         bool shared_limit = false;          // max_outstanding is for all stores together
+        bool listed = false;                // max_outstanding comes from the list of servers
         double tokens = 0;
         SteadyTime refilled{};
         std::size_t outstanding = 0;
@@ -55,7 +59,8 @@
     void refill(Service& service, SteadyTime now);
     static bool probing(const Service& service);
 
-    double share_ = 0;
+    double share_ = 0;        // of the ceilings
+    double owned_share_ = 0;  // of the limits of what is outstanding
     std::map<std::string, Service> services_;
 };
 
--- a/src/cluster/storage/ready_queues.cpp
+++ b/src/cluster/storage/ready_queues.cpp
@@ -9,23 +9,38 @@
 }
 
 void ReadyQueues::add(QueueItem& item) {
-    services_[item.service].in_time.insert(keyOf(item));
+    Service& service = services_[item.service];
+    service.in_time.insert(keyOf(item));
+    service.aims.emplace(item.aim_until, &item);
 }
 
 void ReadyQueues::remove(QueueItem& item) {
-    const auto service = services_.find(item.service);
-    if (service == services_.end()) return;
-    service->second.in_time.erase(keyOf(item));
-    service->second.late.erase(keyOf(item));
-    if (service->second.in_time.empty() && service->second.late.empty()) services_.erase(service);
+    const auto found = services_.find(item.service);
+    if (found == services_.end()) return;
+    Service& service = found->second;
+    service.in_time.erase(keyOf(item));
+    service.late.erase(keyOf(item));
+    service.too_late.erase(keyOf(item));
+    service.aims.erase({item.aim_until, &item});
+    if (service.empty()) services_.erase(found);
 }
 
 void ReadyQueues::moveLate(Service& service, SteadyTime now) {
-    while (!service.in_time.empty()) {
-        const auto first = service.in_time.begin();
-        if (std::get<SteadyTime>(*first) + kLateAfter >= now) return;
-        service.late.insert(*first);
-        service.in_time.erase(first);
+    while (!service.aims.empty() && service.aims.begin()->first < now + kWayToServer) {
+        QueueItem& item = *service.aims.begin()->second;
+        service.aims.erase(service.aims.begin());
+        service.in_time.erase(keyOf(item));
+        service.late.insert(keyOf(item));
+    }
+}
+
+void ReadyQueues::moveTooLate(Service& service, SteadyTime now) {
+    // Only the first ones are looked at: what stands behind them is served later in any case.
+    while (!service.late.empty()) {
+        const auto first = service.late.begin();
+        if (std::get<SteadyTime>(*first) + kTooLateAfter >= now) return;
+        service.too_late.insert(*first);
+        service.late.erase(first);
     }
 }
 
@@ -34,13 +49,22 @@
     if (found == services_.end()) return nullptr;
     Service& service = found->second;
     moveLate(service, now);
-    const auto& source = service.in_time.empty() ? service.late : service.in_time;
+    if (!service.in_time.empty()) return std::get<QueueItem*>(*service.in_time.begin());
+    moveTooLate(service, now);
+    const auto& source = service.late.empty() ? service.too_late : service.late;
     return std::get<QueueItem*>(*source.begin());
 }
 
+bool ReadyQueues::hasInTime(const std::string& name, SteadyTime now) {
+    const auto found = services_.find(name);
+    if (found == services_.end()) return false;
+    moveLate(found->second, now);
+    return !found->second.in_time.empty();
+}
+
 std::size_t ReadyQueues::size() const {
     std::size_t sum = 0;
-    for (const auto& [name, service] : services_) sum += service.in_time.size() + service.late.size();
+    for (const auto& [name, service] : services_) sum += service.size();
     return sum;
 }
 
@@ -49,7 +73,7 @@
     std::vector<Order> heads;
     for (auto& [name, service] : services_) {
         const QueueItem* const first = head(name, now);
-        heads.emplace_back(first->wanted + kLateAfter < now, first->priority, first->wanted, name);
+        heads.emplace_back(first->aim_until < now + kWayToServer, first->priority, first->wanted, name);
     }
     std::sort(heads.begin(), heads.end());
     std::vector<std::string> names;
--- a/src/cluster/storage/store_node.cpp
+++ b/src/cluster/storage/store_node.cpp
@@ -38,6 +38,9 @@
 void StoreNode::onConfiguration(std::shared_ptr<const Configuration> configuration) {
     impl_->onConfiguration(std::move(configuration));
 }
+void StoreNode::onServers(std::shared_ptr<const ServerList> servers) {
+    impl_->onServers(*servers);
+}
 void StoreNode::setEdgeCount(std::uint32_t edges) {
     impl_->setEdgeCount(edges);
 }
@@ -269,12 +272,15 @@
 
 void StoreNode::Impl::updateShare() {
     if (!view_ || view_->partitions.empty()) return;
-    std::size_t counted = 0;
+    double counted = 0;
+    double active = 0;
     for (const auto& [partition, owned] : owned_) {
-        if (owned->active && owned->share_from <= clock_.now()) ++counted;
+        if (!owned->active) continue;
+        ++active;
+        if (owned->share_from <= clock_.now()) ++counted;
     }
-    const double share = static_cast<double>(counted) / static_cast<double>(view_->partitions.size());
-    book_.limiter.setShare(share, clock_.now());
+    const auto all = static_cast<double>(view_->partitions.size());
+    book_.limiter.setShares(counted / all, active / all, clock_.now());
 }
 
 void StoreNode::Impl::onConfiguration(std::shared_ptr<const Configuration> configuration) {
@@ -288,6 +294,15 @@
     granter_.schedule();
 }
 
+void StoreNode::Impl::onServers(const ServerList& servers) {
+    std::map<std::string, std::uint32_t> slots;
+    for (const ServerEntry& server : servers.servers) {
+        if (!server.draining) slots[server.service] += server.capacity;
+    }
+    book_.limiter.setCapacities(slots);
+    granter_.schedule();
+}
+
 void StoreNode::Impl::leave(std::function<void()> done) {
     if (std::exchange(leaving_, true)) return;
     on_left_ = std::move(done);
--- a/src/cluster/storage/store_node.hpp
+++ b/src/cluster/storage/store_node.hpp
@@ -30,6 +30,7 @@
     void onView(std::shared_ptr<const StoreView> view);
     void onConfiguration(std::shared_ptr<const Configuration> configuration);
     // How many edges hold a lease.
+    void onServers(std::shared_ptr<const ServerList> servers);
     void setEdgeCount(std::uint32_t edges);
     // A planned end: accepts and grants nothing more; `done` runs once the successors have everything, or
     // shortly before the grace period is over.
--- a/src/cluster/storage/store_node_impl.hpp
+++ b/src/cluster/storage/store_node_impl.hpp
@@ -18,6 +18,7 @@
 
     void start();
     void onView(std::shared_ptr<const StoreView> view);
+    void onServers(const ServerList& servers);
     void onConfiguration(std::shared_ptr<const Configuration> configuration);
     void setEdgeCount(std::uint32_t edges) { edge_watch_.setEdgeCount(edges); }
     void leave(std::function<void()> done);
--- a/tests/cluster/store_limits_test.cpp
+++ b/tests/cluster/store_limits_test.cpp
@@ -41,7 +41,7 @@
 TEST_CASE("a store takes its share of 0.95 of the ceiling, and starts with nothing") {
     RateLimiter limiter;
     limiter.configure(oneService(40));
-    limiter.setShare(0.5, kStart);
+    limiter.setShares(0.5, 0.5, kStart);
     CHECK(!limiter.mayGrant("partner", kStart));
     SteadyTime now = kStart;
     const int taken = takeAll(limiter, now, Millis(10000));
@@ -52,7 +52,7 @@
 TEST_CASE("after a silence little is saved up") {
     RateLimiter limiter;
     limiter.configure(oneService(100));
-    limiter.setShare(1, kStart);
+    limiter.setShares(1, 1, kStart);
     SteadyTime now = kStart;
     takeAll(limiter, now, Millis(1000));
     now += Millis(60000);
@@ -70,9 +70,9 @@
 TEST_CASE("a new share counts from its moment on") {
     RateLimiter limiter;
     limiter.configure(oneService(10));
-    limiter.setShare(0.1, kStart);
+    limiter.setShares(0.1, 0.1, kStart);
     CHECK(!limiter.mayGrant("partner", kStart));
-    limiter.setShare(1, kStart + Millis(500));
+    limiter.setShares(1, 1, kStart + Millis(500));
     CHECK(!limiter.mayGrant("partner", kStart + Millis(520)));
     SteadyTime now = kStart + Millis(500);
     CHECK(takeAll(limiter, now, Millis(5000)) <= 48);
@@ -81,7 +81,7 @@
 TEST_CASE("the next chance is when the next token is there") {
     RateLimiter limiter;
     limiter.configure(oneService(10));
-    limiter.setShare(1, kStart);
+    limiter.setShares(1, 1, kStart);
     CHECK(!limiter.mayGrant("partner", kStart));
     const auto chance = limiter.nextChance("partner", kStart);
     REQUIRE(chance.has_value());
@@ -93,7 +93,7 @@
 TEST_CASE("connections of a static service are shared out, two at least") {
     RateLimiter limiter;
     limiter.configure(oneService(0, 12));
-    limiter.setShare(0.25, kStart);
+    limiter.setShares(0.25, 0.25, kStart);
     for (int i = 0; i < 3; ++i) {
         REQUIRE(limiter.mayGrant("partner", kStart));
         limiter.granted("partner", kStart);
@@ -101,7 +101,7 @@
     CHECK(!limiter.mayGrant("partner", kStart));
     limiter.settled("partner", DestinationSign::reached, kStart);
     CHECK(limiter.mayGrant("partner", kStart));
-    limiter.setShare(0.01, kStart);
+    limiter.setShares(0.01, 0.01, kStart);
     CHECK(!limiter.mayGrant("partner", kStart));
     limiter.settled("partner", DestinationSign::reached, kStart);
     CHECK(limiter.mayGrant("partner", kStart));
