--- a/src/cluster/edge/edge_node.cpp
+++ b/src/cluster/edge/edge_node.cpp
@@ -10,6 +10,8 @@
 
 constexpr Millis kFallLasts{10'000};  // after which a lower number of dispatchers counts
 constexpr Millis kLeaveCheck{50};
+// The platform sends new connections until an edge has missed two of its looks, a second apart.
+constexpr Millis kNoticedAfter{2300};
 constexpr Millis kLeaveMargin{1000};  // left of the grace when leave() ends at the latest
 constexpr std::string_view kCountersPath = "/counters";
 
@@ -139,6 +141,7 @@
     leaving_ = true;
     left_ = std::move(done);
     leave_by_ = scheduler_.now() + std::max(grace_ - kLeaveMargin, Millis(0));
+    stay_until_ = scheduler_.now() + std::min(kNoticedAfter, grace_ / 2);
     front_.leave();
     links_.leave();
     deliveries_.leave();
@@ -147,7 +150,8 @@
 
 void EdgeNode::checkQuiet() {
     const bool quiet = accepts_.open() == 0 && queries_.open() == 0 && deliveries_.quiet();
-    if (quiet || scheduler_.now() >= leave_by_) {
+    const SteadyTime now = scheduler_.now();
+    if ((quiet && now >= stay_until_) || now >= leave_by_) {
         leave_check_.reset();
         return std::exchange(left_, nullptr)();
     }
--- a/src/cluster/edge/edge_node.hpp
+++ b/src/cluster/edge/edge_node.hpp
@@ -40,8 +40,8 @@
     void handleReadiness(const HttpRequest& request, HttpResponder respond);
     bool ready() const;
 
-    // The planned end: `done` runs once everything open has its end and was reported, or a second before the
-    // grace is over.
+    // The planned end: `done` runs once the platform has noticed that this edge is not ready and everything
+    // open has its end and was reported, or a second before the grace is over.
     void leave(std::function<void()> done);
 
     std::string countersText() const;
@@ -70,6 +70,7 @@
     std::uint32_t fewer_edges_ = 0;  // the highest lower count since the fall
     TimerHandle fall_;
     bool leaving_ = false;
+    SteadyTime stay_until_{};  // clients may still be sent here
     SteadyTime leave_by_{};
     std::function<void()> left_;
     TimerHandle leave_check_;
--- a/tests/cluster/edge_delivery_test.cpp
+++ b/tests/cluster/edge_delivery_test.cpp
@@ -353,6 +353,7 @@
     auto without = std::make_shared<Configuration>(*edge_test::configuration());
     without->generation = 2;
     std::erase_if(without->routes, [](const Route& route) { return route.name == "plain"; });
+    without->buildIndexes();
     world.edge->onConfiguration(without);
     world.push(0, {world.grant("id-1")});
     CHECK(world.http.sent.empty());
--- /dev/null
+++ b/tests/cluster/edge_store_world.hpp
@@ -0,0 +1,350 @@
+// Real edges and real stores on the simulated network: clients, servers and receivers of call-backs are
+// played, and all that they saw is checked against the rules.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cluster/edge/edge_node.hpp"
+#include "tests/cluster/store_world.hpp"
+#include "tests/cluster/store_world_edge.hpp"
+
+namespace amberswitch::cluster::edge_store {
+
+using namespace amberswitch::cluster::simulation;
+
+// What clients and servers know of one message.
+struct Seen {
+    std::string route;
+    std::string order_key;
+    std::string ref;
+    int status = 0;  // of the answer to the client; 0: none yet
+    SteadyTime sent{};
+    SteadyTime answered{};
+    std::optional<SteadyTime> ended;
+    std::set<std::string> stamps;
+    int runs = 0;
+    int failures = 0;
+    bool success_read = false;
+    int runs_after_read_success = 0;
+    bool wants_callback = false;
+    int callbacks_taken = 0;
+    std::string state;  // as told in the end
+};
+
+struct ServerPlay {
+    double lost_answers = 0;
+    double failures = 0;
+    double rejections = 0;
+    double full = 0;
+    Millis work{30};
+    bool receiver_down = false;
+};
+
+class Play;
+
+// The servers as one edge process reaches them; silent once the process is dead.
+class ProcessHttp : public HttpClient {
+public:
+    explicit ProcessHttp(Play& play) : play_(play), alive_(std::make_shared<bool>(true)) {}
+    ~ProcessHttp() override { *alive_ = false; }
+    void send(HttpCall call, std::function<void(HttpOutcome)> done) override;
+    std::size_t connectionsTo(const NodeAddress&) const override { return 0; }
+    void forget(const NodeAddress&) override {}
+
+private:
+    HttpOutcome run(const HttpCall& call, Millis span);
+    HttpOutcome callBack(const HttpCall& call);
+
+    Play& play_;
+    std::shared_ptr<bool> alive_;
+};
+
+struct EdgeProcess {
+    std::unique_ptr<SimulatedScheduler> scheduler;
+    std::unique_ptr<MemoryTransport> transport;
+    std::unique_ptr<ProcessHttp> http;
+    std::unique_ptr<EdgeNode> node;
+};
+
+class Play {
+public:
+    Play(std::uint64_t seed, int edge_count);
+    ~Play() {
+        for (std::size_t i = 0; i < edges.size(); ++i) killEdge(i);
+    }
+
+    void startEdge(std::size_t index);
+    void killEdge(std::size_t index);
+    // Tells everybody of the machines that run.
+    void changeView();
+    void submit(const std::string& route, const std::string& order_key = {}, bool callback = false,
+                std::int64_t delay_ms = 0);
+    // Asks for the state of every accepted message.
+    void askStates();
+    void check();
+    std::size_t accepted() const;
+    std::size_t unfinished() const;
+    std::string faultText() const;
+    World& world() { return stores.world; }
+
+    StoreWorld stores;
+    ServerPlay servers;
+    std::vector<EdgeProcess> edges;
+    std::map<std::string, Seen> seen;
+    std::vector<std::string> faults;
+    std::vector<SteadyTime> limited_arrivals;
+
+private:
+    void tellEdge(std::size_t index);
+
+    Incarnation last_incarnation_ = 1000;
+    int last_id_ = 0;
+};
+
+inline WorldOptions withoutFakeEdges() {
+    WorldOptions options;
+    options.edges = 0;
+    return options;
+}
+
+inline Play::Play(std::uint64_t seed, int edge_count) : stores(seed, withoutFakeEdges()) {
+    for (Route& route : stores.configuration->routes) {
+        route.hostname = "host.example";
+        route.path_prefix = "/" + route.name + "/";
+        route.target_latency = Millis(120);
+        route.schedule_target = Millis(1000);
+        route.callback = route.name == "plain";
+    }
+    for (Service& service : stores.configuration->services) service.max_connections = 96;
+    stores.configuration->buildIndexes();
+    stores.options.edges = edge_count;
+    for (auto& machine : stores.machines) {
+        machine->process->node->setEdgeCount(static_cast<std::uint32_t>(edge_count));
+        machine->process->node->onConfiguration(stores.configuration);
+    }
+    edges.resize(static_cast<std::size_t>(edge_count));
+    for (std::size_t i = 0; i < edges.size(); ++i) startEdge(i);
+    changeView();
+    world().run(Millis(1500));
+}
+
+inline void Play::startEdge(std::size_t index) {
+    NodeSettings settings;
+    settings.name = "edge-" + std::to_string(index);
+    settings.zone = "zone-" + std::to_string(index % 3);
+    settings.ip = "10.5.0." + std::to_string(index + 1);
+    settings.first_port = 7780;
+    EdgeProcess& process = edges[index];
+    process.scheduler = std::make_unique<SimulatedScheduler>(world());
+    process.transport =
+        std::make_unique<MemoryTransport>(world(), stores.network, settings.internal(PortOffset::edge));
+    process.http = std::make_unique<ProcessHttp>(*this);
+    process.node = std::make_unique<EdgeNode>(*process.scheduler, *process.transport, *process.http, settings,
+                                              ++last_incarnation_);
+    process.node->start();
+    process.node->setEdgeCount(static_cast<std::uint32_t>(edges.size()));
+    tellEdge(index);
+}
+
+inline void Play::killEdge(std::size_t index) {
+    EdgeProcess& process = edges[index];
+    if (!process.scheduler) return;
+    process.scheduler->kill();
+    process.transport.reset();
+    process.http.reset();
+    process.node.reset();
+    process.scheduler.reset();
+}
+
+inline void Play::tellEdge(std::size_t index) {
+    auto list = std::make_shared<ServerList>();
+    list->version = {1, 1};
+    for (const char* service : {"servers", "board"}) {
+        for (int i = 0; i < 3; ++i) {
+            ServerEntry entry;
+            entry.uid = std::string(service) + std::to_string(i);
+            entry.service = service;
+            entry.address = {"10.8.0." + std::to_string(i + 1),
+                             service[0] == 's' ? std::uint16_t{80} : std::uint16_t{81}};
+            entry.zone = "zone-" + std::to_string(i);
+            entry.capacity = 12;
+            list->servers.push_back(entry);
+        }
+    }
+    EdgeNode& node = *edges[index].node;
+    node.onView(stores.view);
+    node.onConfiguration(stores.configuration);
+    node.onServers(list);
+}
+
+inline void Play::changeView() {
+    stores.changeView();
+    for (std::size_t i = 0; i < edges.size(); ++i) {
+        world().at(world().now() + Millis(static_cast<std::int64_t>(world().chance() * 20)),
+                   [this, i, view = stores.view] {
+                       if (edges[i].node) edges[i].node->onView(view);
+                   });
+    }
+}
+
+inline void Play::submit(const std::string& route, const std::string& order_key, bool callback,
+                         std::int64_t delay_ms) {
+    const auto index = static_cast<std::size_t>(world().chance() * static_cast<double>(edges.size()));
+    if (!edges[index].node) return;
+    const std::string id = "m" + std::to_string(++last_id_);
+    Seen& message = seen[id];
+    message.route = route;
+    message.order_key = order_key;
+    message.sent = world().now();
+    message.wants_callback = callback;
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/" + route + "/x";
+    request.headers = {{"Host", "host.example"}, {"Request-Id", id}, {"Deadline-Ms", "500"}};
+    if (!order_key.empty()) request.headers.push_back({"Order-Key", order_key});
+    if (callback) request.headers.push_back({"Callback-Url", "http://10.9.0.7:80/done"});
+    if (delay_ms > 0) request.headers.push_back({"Delay-Ms", std::to_string(delay_ms)});
+    request.body = "body of " + id;
+    edges[index].node->handleFront(request, [this, id](const HttpResponse& response) {
+        Seen& answered = seen[id];
+        answered.status = response.status;
+        answered.answered = world().now();
+        answered.ref = headerValue(response.headers, "Message-Ref");
+        const bool promised = response.status == 503;
+        if (promised && answered.runs > 0) faults.push_back("refused: " + id + " had run");
+    });
+}
+
+inline void ProcessHttp::send(HttpCall call, std::function<void(HttpOutcome)> done) {
+    World& world = play_.world();
+    const auto span =
+        Millis(1 + static_cast<std::int64_t>(world.chance() * 2 * double(play_.servers.work.count())));
+    const bool callback = headerValue(call.request.headers, "Request-Id").empty();
+    const HttpOutcome outcome = callback ? callBack(call) : run(call, span);
+    world.at(world.now() + span, [alive = alive_, outcome, done = std::move(done)] {
+        if (*alive) done(outcome);
+    });
+}
+
+inline HttpOutcome ProcessHttp::run(const HttpCall& call, Millis span) {
+    World& world = play_.world();
+    const std::string id(headerValue(call.request.headers, "Request-Id"));
+    Seen& message = play_.seen.at(id);
+    if (call.request.body != "body of " + id) play_.faults.push_back("unasked: the body of " + id);
+    if (message.status == 503) play_.faults.push_back("refused: " + id + " runs");
+    if (message.route == "limited") play_.limited_arrivals.push_back(world.now());
+    HttpOutcome outcome;
+    outcome.verdict = Verdict::answered;
+    if (world.chance() < play_.servers.full) {
+        outcome.response.status = 503;
+        outcome.response.headers = {{"Not-Executed", "1"}};
+        return outcome;
+    }
+    ++message.runs;
+    if (message.success_read) ++message.runs_after_read_success;
+    for (const auto& [other_id, other] : play_.seen) {
+        const bool earlier = other.status == 202 && other.answered < message.sent;
+        if (message.order_key.empty() || other.order_key != message.order_key || !earlier) continue;
+        if (!other.ended) play_.faults.push_back("order: " + id + " before the end of " + other_id);
+    }
+    const double luck = world.chance();
+    const bool failed = luck < play_.servers.failures;
+    const bool rejected = !failed && luck < play_.servers.failures + play_.servers.rejections;
+    const std::string stamp = "s" + std::to_string(message.runs) + id;
+    const bool lost = world.chance() < play_.servers.lost_answers;
+    outcome.response.status = failed ? 500 : rejected ? 422 : 200;
+    if (!failed && !rejected) outcome.response.headers = {{"Response-Stamp", stamp}};
+    world.at(world.now() + span, [&play = play_, alive = alive_, id, failed, rejected, stamp, lost] {
+        Seen& ending = play.seen.at(id);
+        if (failed) ++ending.failures;
+        const bool ends = !failed || ending.failures >= 3;
+        if (!failed && !rejected) ending.stamps.insert(stamp);
+        if (!failed && !rejected && !lost && *alive) ending.success_read = true;
+        if (ends && !ending.ended) ending.ended = play.world().now();
+    });
+    if (lost) return HttpOutcome{};
+    return outcome;
+}
+
+inline HttpOutcome ProcessHttp::callBack(const HttpCall& call) {
+    HttpOutcome outcome;
+    if (play_.servers.receiver_down) {
+        outcome.verdict = Verdict::not_executed;
+        outcome.unreachable = true;
+        return outcome;
+    }
+    const std::string& body = call.request.body;
+    const std::size_t begin = body.find(R"("uid":")") + 7;
+    Seen& message = play_.seen.at(body.substr(begin, body.find('"', begin) - begin));
+    ++message.callbacks_taken;
+    const std::string stamp_key = R"("stamp":")";
+    const std::size_t stamp = body.find(stamp_key);
+    if (stamp != std::string::npos) {
+        const std::size_t from = stamp + stamp_key.size();
+        if (!message.stamps.contains(body.substr(from, body.find('"', from) - from))) {
+            play_.faults.push_back("mixed: a call-back with a stamp of no run");
+        }
+    } else if (!message.ended) {
+        play_.faults.push_back("mixed: a call-back says dead_letter before the end");
+    }
+    outcome.verdict = Verdict::answered;
+    return outcome;
+}
+
+inline void Play::askStates() {
+    std::size_t next = 0;
+    for (auto& [id, message] : seen) {
+        if (message.status != 202) continue;
+        while (!edges[next % edges.size()].node) ++next;
+        HttpRequest request;
+        request.method = "GET";
+        request.target = "/message/" + message.ref;
+        request.headers = {{"Host", "host.example"}};
+        edges[next++ % edges.size()].node->handleFront(
+            request, [&message = message](const HttpResponse& response) {
+                message.state = response.status == 200 ? response.body : std::to_string(response.status);
+            });
+        if (next % 20 == 0) world().run(Millis(20));
+    }
+    world().run(Millis(2500));
+}
+
+inline void Play::check() {
+    askStates();
+    for (const auto& [id, message] : seen) {
+        if (message.status != 202) continue;
+        if (!message.ended) faults.push_back("lost: " + id + " has not ended");
+        const bool completed = message.state.find("completed") != std::string::npos;
+        const bool dead = message.state.find("dead_letter") != std::string::npos;
+        if (!completed && !dead) faults.push_back("state: " + id + " is " + message.state);
+        if (completed && message.stamps.empty()) faults.push_back("mixed: " + id + " has no stamp");
+        if (message.wants_callback && message.callbacks_taken == 0) {
+            faults.push_back("call-back: none for " + id);
+        }
+    }
+}
+
+inline std::size_t Play::accepted() const {
+    std::size_t count = 0;
+    for (const auto& [id, message] : seen) count += message.status == 202;
+    return count;
+}
+
+inline std::size_t Play::unfinished() const {
+    std::size_t count = 0;
+    for (const auto& [id, message] : seen) count += message.status == 202 && !message.ended;
+    return count;
+}
+
+inline std::string Play::faultText() const {
+    std::string text;
+    for (std::size_t i = 0; i < faults.size() && i < 10; ++i) text += faults[i] + "\n";
+    return text;
+}
+
+}  // namespace amberswitch::cluster::edge_store
--- a/tests/cluster/edge_world.hpp
+++ b/tests/cluster/edge_world.hpp
@@ -222,6 +222,7 @@
     partner.rate_per_s = 37;
     partner.endpoint = NodeAddress{"172.20.0.3", 8066};
     made->services = {desk, partner};
+    made->buildIndexes();
     return made;
 }
 
