--- a/src/cluster/edge/edge_node.cpp
+++ b/src/cluster/edge/edge_node.cpp
@@ -12,7 +12,7 @@
 constexpr Millis kLeaveCheck{50};
 // The platform asks for readiness every second and takes a dispatcher out after two misses: new connections
 // come until then.
-constexpr Millis kServesAfterLeave{2200};
+constexpr Millis kServesAfterLeave{2300};
 constexpr Millis kLeaveMargin{1000};  // left of the grace when leave() ends at the latest
 constexpr std::string_view kCountersPath = "/counters";
 
--- a/src/cluster/edge/edge_node.hpp
+++ b/src/cluster/edge/edge_node.hpp
@@ -40,8 +40,8 @@
     void handleReadiness(const HttpRequest& request, HttpResponder respond);
     bool ready() const;
 
-    // The planned end: `done` runs once everything open has its end and was reported, or a second before the
-    // grace is over.
+    // The planned end: `done` runs once the platform has noticed that this edge is not ready and everything
+    // open has its end and was reported, or a second before the grace is over.
     void leave(std::function<void()> done);
     // Nothing is open: no request of a client, no delivery, no report.
     bool quiet() const;
