Let a store that is new to the system count as one that lacks nothing

With one of three stores dead and a new one joined, n - f = 3 valid answers could never come, so partitions stayed without owner. Stores now tell in their pull answers whom they know to be new.

--- a/src/cluster/common/messages.hpp
+++ b/src/cluster/common/messages.hpp
@@ -558,9 +558,10 @@
     std::vector<MessageRecord> records;   // live messages that the owner does not know
     std::vector<RecordUpdate> states;     // all others
     std::vector<RunningAttempt> running;  // where it was the owner: what it has granted
+    std::vector<std::string> newcomers;   // stores that were in no view before and so lack nothing
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(promised, valid, wall_ms, records, states, running);
+        archive(promised, valid, wall_ms, records, states, running, newcomers);
     }
 };
 // Every live message of the partition stands on tolerated + 1 disks of this view: its replicas are valid.
--- a/src/cluster/storage/peering.cpp
+++ b/src/cluster/storage/peering.cpp
@@ -4,19 +4,23 @@
 
 namespace amberswitch::cluster::storage {
 
-PeeringRound::PeeringRound(PartitionId partition, std::vector<PeerStore> others, std::uint32_t tolerated,
-                           bool own_valid)
+PeeringRound::PeeringRound(PartitionId partition, std::string self, std::vector<PeerStore> others,
+                           std::uint32_t tolerated, bool own_valid)
     : partition_(partition),
+      self_(std::move(self)),
       others_(std::move(others)),
       tolerated_(tolerated),
-      valid_answers_(own_valid ? 1 : 0),
+      own_valid_(own_valid),
       copies_wanted_(1) {
-    for (const PeerStore& other : others_) copies_wanted_ += other.alive ? 1 : 0;
+    for (const PeerStore& other : others_) {
+        copies_wanted_ += other.alive ? 1 : 0;
+        if (other.newcomer) newcomers_.insert(other.name);
+    }
     copies_wanted_ = std::min<std::size_t>(copies_wanted_, tolerated + 1);
 }
 
 void PeeringRound::onReply(const std::string& store, const PullReply& reply) {
-    if (!answered_.insert(store).second) return;
+    answered_.insert(store);
     Listing& listing = listings_[store];
     for (const MessageRecord& record : reply.records) {
         listing[record.content.id] = {record.phase, record.failures, record.callback_done, true};
@@ -25,17 +29,20 @@
         // A pending state is listed only for a content that this replica holds.
         listing[state.id] = {state.phase, state.failures, state.callback_done, state.phase == Phase::pending};
     }
-    const bool newcomer = std::any_of(others_.begin(), others_.end(), [&](const PeerStore& other) {
-        return other.name == store && other.newcomer;
-    });
-    if (reply.valid || newcomer) ++valid_answers_;
+    if (!reply.valid) return;
+    valid_.insert(store);
+    newcomers_.insert(reply.newcomers.begin(), reply.newcomers.end());
 }
 
 bool PeeringRound::enough() const {
     const std::size_t stores = others_.size() + 1;
     if (answered_.size() == others_.size()) return true;
     const std::size_t needed = stores > tolerated_ ? stores - tolerated_ : 1;
-    return valid_answers_ >= needed;
+    std::size_t lacking_nothing = own_valid_ || newcomers_.contains(self_) ? 1 : 0;
+    for (const std::string& store : answered_) {
+        if (valid_.contains(store) || newcomers_.contains(store)) ++lacking_nothing;
+    }
+    return lacking_nothing >= needed;
 }
 
 bool PeeringRound::allAliveAnswered() const {
--- a/src/cluster/storage/peering.hpp
+++ b/src/cluster/storage/peering.hpp
@@ -29,9 +29,9 @@
 
 class PeeringRound {
 public:
-    // `others`: all stores of the view but this one, in the order in which they are to hold copies.
-    PeeringRound(PartitionId partition, std::vector<PeerStore> others, std::uint32_t tolerated,
-                 bool own_valid);
+    // `others`: all stores of the view but this one, `self`, in the order in which they are to hold copies.
+    PeeringRound(PartitionId partition, std::string self, std::vector<PeerStore> others,
+                 std::uint32_t tolerated, bool own_valid);
 
     void onReply(const std::string& store, const PullReply& reply);
     bool answered(const std::string& store) const { return answered_.contains(store); }
@@ -67,11 +67,14 @@
                     std::vector<MissingCopy>& missing) const;
 
     PartitionId partition_;
+    std::string self_;
     std::vector<PeerStore> others_;
     std::uint32_t tolerated_;
-    std::size_t valid_answers_;
+    bool own_valid_;
     std::size_t copies_wanted_;  // with this store's own
     std::set<std::string> answered_;
+    std::set<std::string> valid_;              // of those that answered
+    std::set<std::string> newcomers_;          // as far as this store and those that answered know
     std::map<std::string, Listing> listings_;  // by store: what it holds
 };
 
--- a/src/cluster/storage/peering_driver.cpp
+++ b/src/cluster/storage/peering_driver.cpp
@@ -33,7 +33,8 @@
 
 void PeeringDriver::start(PartitionId partition, std::vector<PeerStore> others) {
     rounds_.erase(partition);
-    PeeringRound logic(partition, std::move(others), placement_.tolerated(), replica_.valid(partition));
+    PeeringRound logic(partition, placement_.self(), std::move(others), placement_.tolerated(),
+                       replica_.valid(partition));
     Round& round = rounds_.emplace(partition, Round(std::move(logic))).first->second;
     const std::uint64_t id = ++last_round_;
     round.id = id;
@@ -72,7 +73,9 @@
 }
 
 bool PeeringDriver::wantsPull(const Round& round, const PeerStore& store) const {
-    if (round.logic.answered(store.name)) return false;
+    // Where all have answered and it is not enough, a store may know more of newcomers by now.
+    const bool stuck = !round.logic.enough() && round.logic.allAliveAnswered();
+    if (round.logic.answered(store.name) && !stuck) return false;
     if (!store.alive && round.enough) return false;
     const auto pull = round.pulls.find(store.name);
     return pull == round.pulls.end() || (!pull->second.under_way && pull->second.next <= clock_.now());
--- a/src/cluster/storage/store_node.cpp
+++ b/src/cluster/storage/store_node.cpp
@@ -147,12 +147,16 @@
     for (const StoreMember& store : view.stores) first_seen_.emplace(store.member.name, view.epoch);
 }
 
-std::vector<PeerStore> StoreNode::Impl::peersOf(PartitionId partition) const {
+bool StoreNode::Impl::isNewcomer(const std::string& store, PartitionId partition) const {
+    const auto seen = first_seen_.find(store);
+    if (seen == first_seen_.end() || seen->second <= first_view_epoch_) return false;
     const auto done = last_peering_done_.find(partition);
-    const Epoch newest_done = done == last_peering_done_.end() ? 0 : done->second;
+    return done == last_peering_done_.end() || seen->second > done->second;
+}
+
+std::vector<PeerStore> StoreNode::Impl::peersOf(PartitionId partition) const {
     const auto peer = [&](const std::string& name, bool alive) {
-        const Epoch seen = first_seen_.at(name);
-        return PeerStore{name, alive, seen > first_view_epoch_ && seen > newest_done};
+        return PeerStore{name, alive, isNewcomer(name, partition)};
     };
     std::vector<PeerStore> peers;
     for (const std::string& name : placement_.replicaOrder(partition)) peers.push_back(peer(name, true));
--- a/src/cluster/storage/store_node_impl.hpp
+++ b/src/cluster/storage/store_node_impl.hpp
@@ -41,6 +41,9 @@
     void onFenced(PartitionId partition);
     void noteStores(const StoreView& view);
     std::vector<storage::PeerStore> peersOf(PartitionId partition) const;
+    // The store came in a view that this process has seen to be newer than others, and no peering has ended
+    // since.
+    bool isNewcomer(const std::string& store, PartitionId partition) const;
     void onEnough(PartitionId partition, const std::vector<RunningAttempt>& running);
     void onMerged(PartitionId partition, const std::vector<MessageId>& touched);
     void recoverAll(OwnedPartition& owned);
--- a/src/cluster/storage/store_node_requests.cpp
+++ b/src/cluster/storage/store_node_requests.cpp
@@ -197,6 +197,9 @@
             answer.states.push_back(replica_.state(request.partition, id, message));
         }
     }
+    for (const auto& [store, epoch] : first_seen_) {
+        if (isNewcomer(store, request.partition)) answer.newcomers.push_back(store);
+    }
     const auto former = former_grants_.find(request.partition);
     if (former == former_grants_.end()) return answer;
     if (former->second.successor == 0) former->second.successor = request.epoch;
--- a/tests/cluster/store_peering_test.cpp
+++ b/tests/cluster/store_peering_test.cpp
@@ -64,20 +64,20 @@
 }  // namespace
 
 TEST_CASE("n - f replicas that lack nothing are needed, the owner's own counts if it lacks nothing") {
-    PeeringRound round(1, peers({"b", "c"}), 1, true);
+    PeeringRound round(1, "a", peers({"b", "c"}), 1, true);
     CHECK(!round.enough());
     round.onReply("b", answer(false));
     CHECK(!round.enough());
     round.onReply("c", answer(true));
     CHECK(round.enough());
 
-    PeeringRound empty_owner(1, peers({"b", "c"}), 1, false);
+    PeeringRound empty_owner(1, "a", peers({"b", "c"}), 1, false);
     empty_owner.onReply("b", answer(true));
     CHECK(!empty_owner.enough());
     empty_owner.onReply("c", answer(true));
     CHECK(empty_owner.enough());
 
-    PeeringRound five(1, peers({"b", "c", "d", "e"}), 2, true);
+    PeeringRound five(1, "a", peers({"b", "c", "d", "e"}), 2, true);
     five.onReply("b", answer(true));
     CHECK(!five.enough());
     five.onReply("d", answer(true));
@@ -85,19 +85,19 @@
 }
 
 TEST_CASE("a repeated answer counts once") {
-    PeeringRound round(1, peers({"b", "c", "d", "e"}), 2, true);
+    PeeringRound round(1, "a", peers({"b", "c", "d", "e"}), 2, true);
     round.onReply("b", answer(true));
     round.onReply("b", answer(true));
     CHECK(!round.enough());
 }
 
 TEST_CASE("a lost machine and a wiped one are too much for one tolerated loss, until all have answered") {
-    PeeringRound round(1, peers({"b"}, {"c"}), 1, true);
+    PeeringRound round(1, "a", peers({"b"}, {"c"}), 1, true);
     round.onReply("b", answer(false));
     CHECK(!round.enough());
     round.onReply("c", answer(true));
     CHECK(round.enough());
-    PeeringRound nothing_left(1, peers({"b", "c"}), 1, false);
+    PeeringRound nothing_left(1, "a", peers({"b", "c"}), 1, false);
     nothing_left.onReply("b", answer(false));
     nothing_left.onReply("c", answer(false));
     CHECK(nothing_left.enough());
@@ -106,7 +106,7 @@
 TEST_CASE("a store that is new to the system lacks nothing") {
     auto stores = peers({"b", "d"}, {"c"});
     stores[1].newcomer = true;
-    PeeringRound round(1, stores, 1, true);
+    PeeringRound round(1, "a", stores, 1, true);
     round.onReply("b", answer(true));
     CHECK(!round.enough());
     round.onReply("d", answer(false));
@@ -114,19 +114,19 @@
 }
 
 TEST_CASE("without tolerated losses every store is needed") {
-    PeeringRound round(1, peers({"b", "c"}), 0, true);
+    PeeringRound round(1, "a", peers({"b", "c"}), 0, true);
     round.onReply("b", answer(true));
     CHECK(!round.enough());
     round.onReply("c", answer(true));
     CHECK(round.enough());
-    CHECK(PeeringRound(1, {}, 0, true).enough());
+    CHECK(PeeringRound(1, "a", {}, 0, true).enough());
 }
 
 TEST_CASE("live messages get their content copied until they stand on enough live disks") {
     Owner owner;
     owner.has("two copies");
     owner.has("mine only");
-    PeeringRound round(1, peers({"b", "c"}), 1, true);
+    PeeringRound round(1, "a", peers({"b", "c"}), 1, true);
     round.onReply("b", answer(true));
     round.onReply("c", answer(true, {"two copies"}));
     const auto missing = owner.missing(round);
@@ -141,14 +141,14 @@
 TEST_CASE("copies on dead stores do not count") {
     Owner owner;
     owner.has("a");
-    PeeringRound round(1, peers({"b"}, {"c"}), 1, true);
+    PeeringRound round(1, "a", peers({"b"}, {"c"}), 1, true);
     round.onReply("c", answer(true, {"a"}));
     round.onReply("b", answer(true));
     const auto missing = owner.missing(round);
     REQUIRE(missing.size() == 1);
     CHECK(missing[0].store == "b");
     CHECK(round.enoughAlive());
-    PeeringRound alone(1, peers({}, {"b", "c"}), 1, true);
+    PeeringRound alone(1, "a", peers({}, {"b", "c"}), 1, true);
     CHECK(!alone.enoughAlive());
 }
 
@@ -156,7 +156,7 @@
     Owner owner;
     owner.has("a");
     owner.ended("a");
-    PeeringRound behind(1, peers({"b", "c"}), 1, true);
+    PeeringRound behind(1, "a", peers({"b", "c"}), 1, true);
     behind.onReply("b", answer(true, {"a"}));
     behind.onReply("c", answer(true));
     auto missing = owner.missing(behind);
@@ -164,7 +164,7 @@
     CHECK(missing[0].store == "b");
     CHECK(!missing[0].with_content);
 
-    PeeringRound unknown(1, peers({"b", "c"}), 1, true);
+    PeeringRound unknown(1, "a", peers({"b", "c"}), 1, true);
     unknown.onReply("b", answer(true));
     unknown.onReply("c", answer(true));
     missing = owner.missing(unknown);
@@ -175,7 +175,7 @@
 TEST_CASE("a copy that was made before its store answered does not count as the answer") {
     Owner owner;
     owner.has("a");
-    PeeringRound round(1, peers({"b", "c"}), 1, true);
+    PeeringRound round(1, "a", peers({"b", "c"}), 1, true);
     round.onReply("c", answer(true));
     const auto missing = owner.missing(round);
     REQUIRE(missing.size() == 1);
@@ -184,3 +184,21 @@
     CHECK(!round.answered("b"));
     CHECK(round.holders("a") == std::vector<std::string>{"b"});
 }
+
+TEST_CASE("what others know of newcomers counts too, for this store as well") {
+    PeeringRound round(1, "d", peers({"a", "b", "e"}, {"c"}), 1, false);
+    PullReply first = answer(true);
+    first.newcomers = {"d", "e"};
+    round.onReply("a", first);
+    round.onReply("b", answer(true));
+    CHECK(!round.enough());
+    round.onReply("e", answer(false));
+    CHECK(round.enough());
+
+    PeeringRound invalid_teller(1, "d", peers({"a", "b"}, {"c"}), 1, false);
+    PullReply wiped = answer(false);
+    wiped.newcomers = {"d"};
+    invalid_teller.onReply("a", wiped);
+    invalid_teller.onReply("b", answer(true));
+    CHECK(!invalid_teller.enough());
+}
--- a/tests/cluster/store_world.hpp
+++ b/tests/cluster/store_world.hpp
@@ -249,9 +249,10 @@
     }
 
     // --- Machines ---
-    void start(StoreMachine& machine, bool bootstrap = false) {
+    void start(StoreMachine& machine, bool bootstrap = false, std::int64_t wall_step_ms = 0) {
         auto process = std::make_unique<StoreMachine::Process>();
         process->scheduler = std::make_unique<SimulatedScheduler>(world);
+        process->scheduler->stepWallClock(wall_step_ms);
         process->transport = std::make_unique<MemoryTransport>(world, network, machine.address);
         process->disk = std::make_unique<FakeDisk>(world, *process->scheduler, machine.platter);
         machine.disk_empty = process->disk->wasEmpty() && !bootstrap;
@@ -269,6 +270,11 @@
         process->node->onConfiguration(configuration);
         machine.process = std::move(process);
     }
+    // A new machine that never was in the system.
+    void addMachine() {
+        machines.push_back(makeMachine(static_cast<int>(machines.size())));
+        start(*machines.back());
+    }
     void stop(StoreMachine& machine) {
         if (!machine.process) return;
         machine.process->scheduler->kill();
