--- a/src/cluster/common/messages.hpp
+++ b/src/cluster/common/messages.hpp
@@ -318,10 +318,14 @@
     std::string stamp;           // of the run that succeeded
     std::int64_t ended_wall_ms = 0;
     bool callback_done = false;  // or none is owed
+    // The last unfinished message of its order key from older epochs at the accept (epoch 0: none). One of an
+    // older epoch that its owner did not know was never acknowledged, and goes after it.
+    Epoch after_epoch = 0;
+    std::uint64_t after_sequence = 0;
     template <class Archive>
     void serialize(Archive& archive) {
         archive(content, partition, epoch, sequence, accepted_wall_ms, retention_ms, max_failures, phase,
-                failures, stamp, ended_wall_ms, callback_done);
+                failures, stamp, ended_wall_ms, callback_done, after_epoch, after_sequence);
     }
 };
 
@@ -559,9 +563,10 @@
     std::vector<MessageRecord> records;   // live messages that the owner does not know
     std::vector<RecordUpdate> states;     // all others
     std::vector<RunningAttempt> running;  // where it was the owner: what it has granted
+    std::vector<std::string> newcomers;   // stores that were in no view before and so lack nothing
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(promised, valid, wall_ms, records, states, running);
+        archive(promised, valid, wall_ms, records, states, running, newcomers);
     }
 };
 // Every live message of the partition stands on tolerated + 1 disks of this view: its replicas are valid.
--- a/src/cluster/storage/store_node.cpp
+++ b/src/cluster/storage/store_node.cpp
@@ -150,17 +150,21 @@
     for (const StoreMember& store : view.stores) first_seen_.emplace(store.member.name, view.epoch);
 }
 
-std::vector<PeerStore> StoreNode::Impl::peersOf(PartitionId partition) const {
+bool StoreNode::Impl::isNewcomer(const std::string& store, PartitionId partition) const {
+    const auto seen = first_seen_.find(store);
+    if (seen == first_seen_.end() || seen->second <= first_view_epoch_) return false;
     const auto done = last_peering_done_.find(partition);
-    const Epoch newest_done = done == last_peering_done_.end() ? 0 : done->second;
+    return done == last_peering_done_.end() || seen->second > done->second;
+}
+
+std::vector<PeerStore> StoreNode::Impl::peersOf(PartitionId partition) const {
     const std::int32_t previous = view_->partitions[partition].previous;
     const auto peer = [&](const std::string& name, bool alive) {
-        const Epoch seen = first_seen_.at(name);
         const StoreMember& member = *placement_.member(name);
         const bool previous_owner =
             previous >= 0 && &member == &view_->stores[static_cast<std::size_t>(previous)];
         const bool hands_over = previous_owner && (alive || member.member.leaving);
-        return PeerStore{name, alive, seen > first_view_epoch_ && seen > newest_done, hands_over};
+        return PeerStore{name, alive, isNewcomer(name, partition), hands_over};
     };
     std::vector<PeerStore> peers;
     for (const std::string& name : placement_.replicaOrder(partition)) peers.push_back(peer(name, true));
@@ -259,13 +263,24 @@
 void StoreNode::Impl::onMerged(PartitionId partition, const std::vector<MessageId>& touched) {
     OwnedPartition* const owned = findActive(owned_, partition);
     if (owned == nullptr) return;
-    for (const MessageId& id : touched) {
+    for (const MessageId& id : newestFirst(partition, touched)) {
         outcomes_.refresh(*owned, id);
         if (QueueItem* const item = owned->queue.find(id)) setHolders(*item);
     }
     granter_.schedule();
 }
 
+std::vector<MessageId> StoreNode::Impl::newestFirst(PartitionId partition, std::vector<MessageId> ids) {
+    const auto position = [this, partition](const MessageId& id) {
+        const storage::StoredMessage* const message = replica_.find(partition, id);
+        return message == nullptr ? storage::LinePosition{}
+                                  : storage::LinePosition{message->epoch, message->sequence};
+    };
+    std::sort(ids.begin(), ids.end(),
+              [&position](const MessageId& a, const MessageId& b) { return position(a) > position(b); });
+    return ids;
+}
+
 void StoreNode::Impl::setHolders(QueueItem& item) {
     for (const std::string& store : peering_.holders(item.partition, item.id)) item.holders.insert(store);
 }
