Test the order of late messages and the bound by slots

Need: the new order of ready messages and the bound by listed slots had no test; two checks named what is gone. Change: the order test now asks for four classes in order, the moving one for the aim's end, as strict as before.

--- a/tests/cluster/store_limits_test.cpp
+++ b/tests/cluster/store_limits_test.cpp
@@ -195,3 +195,17 @@
     edges.heard("a", {"10.2.0.1", 1}, kStart + kEdgeAliveFor + Millis(1));
     CHECK(edges.allSynced(4, 1, kStart + kEdgeAliveFor + Millis(1)));  // b is gone
 }
+
+TEST_CASE("a listed service gets no more at once than twice its slots, by the partitions that are owned") {
+    RateLimiter limiter;
+    const SteadyTime now{std::chrono::seconds(1000)};
+    limiter.setCapacities({{"board", 12}});
+    limiter.setShares(0, 0.5, now);  // ceilings of a new owner wait; what it owns counts at once
+    for (int granted = 0; granted < 12; ++granted) {
+        REQUIRE(limiter.mayGrant("board", now));
+        limiter.granted("board", now);
+    }
+    CHECK_FALSE(limiter.mayGrant("board", now));
+    limiter.settled("board", DestinationSign::reached, now);
+    CHECK(limiter.mayGrant("board", now));
+}
--- a/tests/cluster/store_queue_test.cpp
+++ b/tests/cluster/store_queue_test.cpp
@@ -21,6 +21,7 @@
     made.position.epoch = epoch;
     made.position.sequence = sequence;
     made.wanted = kNow;
+    made.aim_until = kNow + Millis(1000);
     made.due = kNow;
     made.deadline = kNow + Millis(90000);
     return made;
@@ -138,7 +139,7 @@
     REQUIRE(play.ready.head("receiver", kNow) != nullptr);
     CHECK(play.ready.head("receiver", kNow)->id == "a1");
     play.queue.remove(*play.queue.find("a1"));
-    CHECK(play.ready.empty("receiver"));
+    CHECK(play.ready.head("receiver", kNow) == nullptr);
     CHECK(play.queue.size() == 1);
 }
 
@@ -153,7 +154,7 @@
     CHECK(play.queue.expired(kNow + Millis(10))[0]->id == "a");
 }
 
-TEST_CASE("priorities first, then age; what is far too late comes after all that is in time") {
+TEST_CASE("those in time first, by priority and age; then the late ones, then those that are far too late") {
     Queue play;
     QueueItem routine = item("routine", 1);
     routine.priority = 5;
@@ -162,24 +163,35 @@
     QueueItem urgent = item("urgent", 2);
     play.stored(urgent);
     QueueItem hopeless = item("hopeless", 3);
-    hopeless.wanted = kNow - kLateAfter - Millis(1);
+    hopeless.wanted = kNow - kTooLateAfter - Millis(1);
+    hopeless.aim_until = hopeless.wanted + Millis(1000);
+    hopeless.priority = -1;
     play.stored(hopeless);
+    QueueItem late = item("late", 4);
+    late.wanted = kNow - Millis(2000);
+    late.aim_until = late.wanted + Millis(1000);
+    play.stored(late);
     CHECK(play.grantHead().id == "urgent");
     CHECK(play.grantHead().id == "routine");
+    CHECK(play.grantHead().id == "late");
     CHECK(play.grantHead().id == "hopeless");
 }
 
 TEST_CASE("a message that becomes late while it waits moves behind") {
     Queue play;
     QueueItem old = item("old", 1);
-    old.wanted = kNow - Millis(14000);
+    old.wanted = kNow - Millis(500);
+    old.aim_until = kNow + Millis(1500);
     play.stored(old);
-    play.stored(item("fresh", 2));
+    QueueItem fresh = item("fresh", 2);
+    fresh.aim_until = kNow + Millis(5000);
+    play.stored(fresh);
     CHECK(play.head() == "old");
+    CHECK(play.ready.hasInTime("service", kNow));
     CHECK(play.head(kNow + Millis(2000)) == "fresh");
     play.queue.remove(*play.queue.find("old"));
     play.queue.remove(*play.queue.find("fresh"));
-    CHECK(play.ready.empty("service"));
+    CHECK(play.ready.head("service", kNow) == nullptr);
 }
 
 TEST_CASE("a queue that is given up leaves nothing behind in the services' queues") {
