Give up a connect after 0.3 s, so that a peer without power is asked again in time

Cause: a packet to a machine without power is sent again after seconds, and a store that was back took 1.2 s to be heard. Ruled out: renewals (they were due every 0.3 s). Change: connect time-out 0.3 s for the transport and for deliveries; the module prefers servers of its own zone a little.

--- a/src/cluster/common/evhttp_client.cpp
+++ b/src/cluster/common/evhttp_client.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr Millis kConnectTimeout{1000};
+constexpr Millis kConnectTimeout{300};
 constexpr Millis kDefaultKeepAlive{5000};
 constexpr Millis kLongestKeepAlive{60'000};
 constexpr Millis kKeepAliveMargin{500};
--- a/src/cluster/common/tcp_peer.cpp
+++ b/src/cluster/common/tcp_peer.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr Millis kConnectTimeout{1000};
+constexpr Millis kConnectTimeout{300};
 // A peer that owes an answer and sent nothing for so long gets a new connection after the next timeout.
 constexpr Millis kSilenceLimit{1000};
 
--- a/src/cluster/edge/service_dispatcher.cpp
+++ b/src/cluster/edge/service_dispatcher.cpp
@@ -18,6 +18,8 @@
 constexpr Millis kLongestQueueing{1000};    // for a free connection, before the grant goes back
 constexpr double kConnectionShare = 0.9;    // of what a server takes; the rest is a reserve
 constexpr std::chrono::seconds kWarmUp{3};  // over which a cold server's share grows
+// A server in another zone is taken once those of the own zone hold about one more message of this edge.
+constexpr double kCrossZonePrice = 0.03;
 constexpr double kRebuildBeyond = 1.5;      // change of the number of dispatchers
 
 std::uint64_t hashOf(std::string_view text) {
@@ -74,6 +76,7 @@
     settings.maxAttempts = module_attempts_;
     settings.weights = heronmount::Weights::nominal;
     settings.handshakePrice = 1;  // connections are kept
+    settings.crossZonePrice = kCrossZonePrice;
     // No budget for cold servers: these queue and refuse what they can't take, and a budget that is drawn
     // from what this edge was served lately would hold everything back where all servers of a service start
     // at once.
