Let the leader change the register's voters, one machine at a time

Needed: a core machine that is gone for good must be replaced by an empty one at another address, and core machines beyond the three seeds must become voters. The voters were fixed: the seeds of the first start.

Change: the voters are a value of the register (key "voters": version and list). Requests carry the proposer's list; a voter refuses an older one than it knows and tells the newer. The leader changes one machine at a time, after it has settled the present list by a keep-round of every key. An empty machine reads "voters" by a round counted without itself before it recovers. Leases are refused to candidates with an older list. CoreClient follows what live core machines name and asks seeds that nobody names only rarely.

--- a/src/cluster/common/messages.hpp
+++ b/src/cluster/common/messages.hpp
@@ -53,13 +53,27 @@
     }
 };
 
-// A register is named by a short key: "config" (ConfigurationState) or "view" (StoreView), encoded by cereal.
+// Who votes on the register. Versions rise by one with each change, which adds or removes one machine.
+struct VoterSet {
+    std::uint64_t version = 0;           // 0: the voters of the first start
+    std::vector<NodeAddress> addresses;  // internal; empty: not known
+    bool operator==(const VoterSet&) const = default;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(version, addresses);
+    }
+};
+
+// A register is named by a short key: "config" (ConfigurationState), "view" (StoreView) or "voters"
+// (VoterSet), encoded by cereal. Requests carry the voters whose majority the proposer counts; a voter
+// refuses an older version than the newest that it knows, and tells that one.
 struct PrepareRequest {
     std::string key;
     Ballot ballot;
+    VoterSet voters{};
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(key, ballot);
+        archive(key, ballot, voters);
     }
 };
 struct PrepareReply {
@@ -68,27 +82,30 @@
     Ballot highest;   // the highest ballot promised or accepted here
     Ballot accepted;  // round 0: nothing accepted yet
     std::string value;
+    std::optional<VoterSet> newer_voters{};  // the request's are out of date
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(voter, promised, highest, accepted, value);
+        archive(voter, promised, highest, accepted, value, newer_voters);
     }
 };
 struct AcceptRequest {
     std::string key;
     Ballot ballot;
     std::string value;
+    VoterSet voters{};
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(key, ballot, value);
+        archive(key, ballot, value, voters);
     }
 };
 struct AcceptReply {
     bool voter = false;
     bool accepted = false;
     Ballot highest;
+    std::optional<VoterSet> newer_voters{};  // the request's are out of date
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(voter, accepted, highest);
+        archive(voter, accepted, highest, newer_voters);
     }
 };
 // A value known to be chosen. Also the reply to ReadChosenRequest (ballot round 0: none known).
@@ -114,11 +131,12 @@
 struct LeaderLeaseRequest {
     std::string candidate;
     Incarnation incarnation = 0;
-    std::int64_t duration_ms = 0;  // 0 gives the lease back
-    std::uint64_t round = 0;       // rises with each asking; what is given back is up to this round
+    std::int64_t duration_ms = 0;      // 0 gives the lease back
+    std::uint64_t round = 0;           // rises with each asking; what is given back is up to this round
+    std::uint64_t voters_version = 0;  // of the voters that the candidate asks
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(candidate, incarnation, duration_ms, round);
+        archive(candidate, incarnation, duration_ms, round, voters_version);
     }
 };
 struct LeaderLeaseReply {
@@ -137,9 +155,11 @@
     std::string zone;
     NodeAddress address;  // internal
     Incarnation incarnation = 0;
-    bool leaving = false;     // a planned end has begun
-    bool disk_empty = false;  // stores: started without its data, not at the first start of the system
-    bool bootstrap = false;   // the settings say that the whole system starts for the first time
+    bool leaving = false;  // a planned end has begun
+    // Stores: started without its data, not at the first start of the system. Core machines: does not have
+    // the register's data and can't become a voter yet.
+    bool disk_empty = false;
+    bool bootstrap = false;  // the settings say that the whole system starts for the first time
     template <class Archive>
     void serialize(Archive& archive) {
         archive(name, kind, zone, address, incarnation, leaving, disk_empty, bootstrap);
--- a/src/cluster/control/control_node.cpp
+++ b/src/cluster/control/control_node.cpp
@@ -22,6 +22,7 @@
 #include "cluster/control/store_view_keeper.hpp"
 #include "cluster/control/typed_call.hpp"
 #include "cluster/control/voter_recovery.hpp"
+#include "cluster/control/voter_set_keeper.hpp"
 
 namespace amberswitch::cluster {
 namespace {
@@ -78,6 +79,7 @@
     Membership membership_;
     LeaderElection election_;
     StoreViewKeeper keeper_;
+    VoterSetKeeper voter_keeper_;
     Distribution distribution_;
     std::optional<ServerPoller> poller_;
     ServerRelay relay_;
@@ -103,9 +105,13 @@
       election_(scheduler, transport, {settings.name, incarnation, self()}, voter_.startedFirst(),
                 {.electors = [this] { return voter_.voters(); },
                  .may_vote = [this] { return !voter_.startedFirst() || voter_.votes(); },
-                 .last_leader = [this] { return acceptedLeader(); }}),
+                 .last_leader = [this] { return acceptedLeader(); },
+                 .electors_version = [this] { return voter_.voterSet().version; }}),
       keeper_(scheduler, proposer_, chosen_, membership_, election_, settings.name,
               settings.tolerated_machines),
+      voter_keeper_(
+          scheduler, transport, voter_, proposer_, membership_, settings.name, settings.tolerated_machines,
+          {.is_acting = [this] { return keeper_.isActing(); }, .peers = [this] { return peers(); }}),
       distribution_(scheduler, [this] { return chosen_.isFresh(); }),
       relay_(scheduler, transport, settings.name,
              {.leader = [this] { return leaderAddress(); },
@@ -148,6 +154,7 @@
     chosen_.start();
     election_.start();
     relay_.start();
+    voter_keeper_.start();
     renewAtPeers();
 }
 
@@ -160,7 +167,8 @@
 
 std::vector<NodeAddress> ControlNode::Impl::coreAddresses() const {
     std::set<NodeAddress> addresses(voter_.voters().begin(), voter_.voters().end());
-    if (addresses.empty()) {
+    // The voters known here may be out of date, where no majority of them answers.
+    if (!chosen_.isFresh()) {
         const std::vector<NodeAddress> seeds = seedAddresses();
         addresses.insert(seeds.begin(), seeds.end());
     }
@@ -200,6 +208,7 @@
     member.incarnation = incarnation_;
     member.leaving = leaving_;
     member.bootstrap = settings_.bootstrap;
+    member.disk_empty = !voter_.hasData();
     return member;
 }
 
@@ -247,8 +256,9 @@
 void ControlNode::Impl::serve(const Envelope& request, const Responder& respond) {
     const auto kind = static_cast<MessageKind>(request.kind);
     if (kind == kReadVoters) {
-        return answerNow<ReadVotersRequest>(
-            request, respond, [this](const ReadVotersRequest&) { return ReadVotersReply{voter_.voters()}; });
+        return answerNow<ReadVotersRequest>(request, respond, [this](const ReadVotersRequest&) {
+            return ReadVotersReply{voter_.voterSet()};
+        });
     }
     switch (kind) {
         case MessageKind::register_prepare:
--- a/src/cluster/control/control_status.cpp
+++ b/src/cluster/control/control_status.cpp
@@ -46,6 +46,7 @@
     write(json, "recovering", sources.voter.needsRecovery());
     write(json, "proved", sources.chosen.isProved());
     write(json, "majorityInContact", sources.chosen.isFresh());
+    write(json, "votersVersion", sources.voter.voterSet().version);
     json.Key("voters");
     json.StartArray();
     for (const NodeAddress& voter : sources.voter.voters()) json.String(voter.text().c_str());
--- a/src/cluster/control/core_client.cpp
+++ b/src/cluster/control/core_client.cpp
@@ -26,6 +26,9 @@
 constexpr Millis kRecently{1500};       // an answer that makes a core machine preferred
 constexpr Millis kEdgeCountKept{2000};  // a count of edges that counts
 constexpr int kMissesToMove = 2;        // renewals missed in a row by the machine that is being watched
+constexpr Millis kNamesKept{5000};      // the core machines that one of them named count for this long
+constexpr int kMissesOfStaleSeed = 10;  // a seed that nobody names any more is then asked rarely
+constexpr int kStaleSeedEvery = 20;     // renewals
 
 }  // namespace
 
@@ -36,7 +39,7 @@
 
     void start();
     void leave();
-    void setSeeds(std::vector<NodeAddress> core) { seeds_ = std::move(core); }
+    void setSeeds(std::vector<NodeAddress> core);
 
     std::shared_ptr<const Configuration> configuration() const { return configuration_; }
     std::shared_ptr<const ServerList> servers() const { return servers_; }
@@ -50,9 +53,13 @@
         std::optional<SteadyTime> last_answer;
         std::uint32_t edges = 0;
         int missed_renewals = 0;
+        std::vector<NodeAddress> named;  // the core machines that it told last
     };
 
     std::vector<NodeAddress> addresses() const;
+    std::set<NodeAddress> namedLately() const;
+    bool isStaleSeed(const NodeAddress& seed) const;
+    void forgetUnnamed();
     bool answeredLately(const NodeAddress& address) const;
 
     void renewAll();
@@ -75,11 +82,12 @@
     Transport& transport_;
     Member self_;
     std::vector<NodeAddress> seeds_;
-    std::vector<NodeAddress> learned_;
     Callbacks callbacks_;
     std::mt19937_64 random_;
 
     std::map<NodeAddress, CoreMachine> machines_;
+    std::set<NodeAddress> last_named_;  // kept while no core machine answers
+    std::uint64_t renewals_ = 0;
     std::uint32_t last_edges_ = 1;  // kept while no core machine can tell
     std::optional<SteadyTime> last_contact_;
     std::vector<NodeAddress> round_;  // machines to watch next, the next one last
@@ -116,12 +124,50 @@
     renewAll();
 }
 
+void CoreClient::Impl::setSeeds(std::vector<NodeAddress> core) {
+    if (core == seeds_) return;
+    seeds_ = std::move(core);
+    for (const NodeAddress& seed : seeds_) machines_[seed].missed_renewals = 0;
+}
+
 std::vector<NodeAddress> CoreClient::Impl::addresses() const {
-    std::set<NodeAddress> all(seeds_.begin(), seeds_.end());
-    all.insert(learned_.begin(), learned_.end());
+    std::set<NodeAddress> all = namedLately();
+    if (all.empty()) all = last_named_;
+    for (const NodeAddress& seed : seeds_) {
+        if (!isStaleSeed(seed) || renewals_ % kStaleSeedEvery == 0) all.insert(seed);
+    }
     return {all.begin(), all.end()};
 }
 
+// All that core machines told which answered lately, they themselves included.
+std::set<NodeAddress> CoreClient::Impl::namedLately() const {
+    std::set<NodeAddress> named;
+    for (const auto& [address, machine] : machines_) {
+        if (!machine.last_answer || scheduler_.now() - *machine.last_answer > kNamesKept) continue;
+        named.insert(address);
+        named.insert(machine.named.begin(), machine.named.end());
+    }
+    return named;
+}
+
+// A machine that was replaced: silent for long, while others answer that don't name it.
+bool CoreClient::Impl::isStaleSeed(const NodeAddress& seed) const {
+    const auto found = machines_.find(seed);
+    if (found == machines_.end() || found->second.missed_renewals < kMissesOfStaleSeed) return false;
+    const std::set<NodeAddress> named = namedLately();
+    return !named.empty() && !named.contains(seed);
+}
+
+void CoreClient::Impl::forgetUnnamed() {
+    const std::set<NodeAddress> named = namedLately();
+    if (named.empty()) return;
+    last_named_ = named;
+    std::erase_if(machines_, [&](const auto& entry) {
+        const bool is_seed = std::find(seeds_.begin(), seeds_.end(), entry.first) != seeds_.end();
+        return !is_seed && !named.contains(entry.first);
+    });
+}
+
 std::uint32_t CoreClient::Impl::edges() const {
     std::uint32_t most = 0;
     for (const auto& [address, machine] : machines_) {
@@ -140,6 +186,8 @@
 // --- The lease ---------------------------------------------------------------------------------------------
 
 void CoreClient::Impl::renewAll() {
+    ++renewals_;
+    forgetUnnamed();
     for (const NodeAddress& address : addresses()) renewAt(address);
     Millis pause = self_.kind == NodeKind::store ? kStoreRenewInterval : kEdgeRenewInterval;
     if (self_.leaving) pause = kLeaveRenewInterval;
@@ -168,7 +216,7 @@
     machine.last_answer = last_contact_ = scheduler_.now();
     machine.edges = reply->edges;
     last_edges_ = edges();
-    if (!reply->core.empty()) learned_ = reply->core;
+    machine.named = reply->core;
 }
 
 // A machine without power never breaks the connection: the renewals tell sooner than the timeout of the
--- a/src/cluster/control/leader_election.cpp
+++ b/src/cluster/control/leader_election.cpp
@@ -72,7 +72,8 @@
 }
 
 LeaderLeaseReply LeaderElection::vote(const LeaderLeaseRequest& request) {
-    if (!hooks_.may_vote()) return {false, {}};
+    const bool outdated = request.voters_version < hooks_.electors_version();
+    if (!hooks_.may_vote() || (outdated && request.duration_ms > 0)) return {false, {}};
     return grantor_.answer(request, hooks_.last_leader());
 }
 
@@ -101,7 +102,8 @@
 
 void LeaderElection::ask(const NodeAddress& elector, Millis duration, std::uint64_t round,
                          std::function<void(bool)> done) {
-    const LeaderLeaseRequest request{identity_.name, identity_.incarnation, duration.count(), round};
+    const LeaderLeaseRequest request{identity_.name, identity_.incarnation, duration.count(), round,
+                                     hooks_.electors_version()};
     if (elector == identity_.self) return done(vote(request).granted);
     const auto answered = [done = std::move(done)](const std::optional<LeaderLeaseReply>& reply) {
         done(reply && reply->granted);
--- a/src/cluster/control/leader_election.hpp
+++ b/src/cluster/control/leader_election.hpp
@@ -47,6 +47,8 @@
     std::function<bool()> may_vote;
     // The leader named in this machine's own copy of the store view; empty if there is none.
     std::function<std::string()> last_leader;
+    // Of the electors. A vote is refused to a candidate who asks by an older version than this.
+    std::function<std::uint64_t()> electors_version = [] { return std::uint64_t{0}; };
 };
 
 struct ElectionIdentity {
--- a/src/cluster/control/register_messages.hpp
+++ b/src/cluster/control/register_messages.hpp
@@ -1,9 +1,6 @@
 // Messages and disk records of the register that only core machines use.
 #pragma once
 
-#include <cereal/types/vector.hpp>
-#include <vector>
-
 #include "cluster/common/messages.hpp"
 
 namespace amberswitch::cluster {
@@ -11,8 +8,9 @@
 // The keys of the register.
 inline constexpr const char* kConfigKey = "config";  // ConfigurationState
 inline constexpr const char* kViewKey = "view";      // StoreView
+inline constexpr const char* kVotersKey = "voters";  // VoterSet; empty until the first change
 
-// Asks a core machine who votes; used by one that starts without its data.
+// Asks a core machine who votes.
 inline constexpr MessageKind kReadVoters = static_cast<MessageKind>(60);
 
 struct ReadVotersRequest {
@@ -23,7 +21,7 @@
     }
 };
 struct ReadVotersReply {
-    std::vector<NodeAddress> voters;  // internal addresses; empty: not known here
+    VoterSet voters;  // the newest known here
     template <class Archive>
     void serialize(Archive& archive) {
         archive(voters);
@@ -32,7 +30,7 @@
 
 // Record on disk: this machine's data is whole, and these are the voters.
 struct VoterSetRecord {
-    std::vector<NodeAddress> voters;
+    VoterSet voters;
     template <class Archive>
     void serialize(Archive& archive) {
         archive(voters);
--- a/src/cluster/control/register_proposer.cpp
+++ b/src/cluster/control/register_proposer.cpp
@@ -30,6 +30,7 @@
     // The current attempt:
     std::uint64_t attempt = 0;
     ChangePhase phase = ChangePhase::waiting;
+    VoterSet voters;
     Ballot ballot;
     std::size_t asked = 0;
     std::size_t answers = 0;
@@ -37,6 +38,8 @@
     Ballot best;          // the highest accepted ballot among the promises
     std::string current;  // its value
     Decision decision;
+
+    std::size_t majority() const { return voters.addresses.size() / 2 + 1; }
 };
 
 RegisterProposer::RegisterProposer(Scheduler& scheduler, Transport& transport, RegisterVoter& voter,
@@ -47,6 +50,15 @@
       identity_(std::move(identity)),
       random_(seed) {}
 
+RegisterProposer::~RegisterProposer() {
+    for (const auto& [key, queue] : queues_) {
+        for (const ChangeHandle& change : queue) {
+            change->timer.reset();
+            change->deadline.reset();
+        }
+    }
+}
+
 void RegisterProposer::change(const std::string& key, DecideFunction decide, ChangeOptions options,
                               std::function<void(ChangeOutcome)> done) {
     const auto change = std::make_shared<Change>();
@@ -61,19 +73,24 @@
 }
 
 void RegisterProposer::startNext(const std::string& key) {
-    std::deque<ChangeHandle>& queue = queues_[key];
-    if (!queue.empty() && queue.front()->attempt == 0) startAttempt(queue.front());
+    const std::deque<ChangeHandle>& queue = queues_[key];
+    if (queue.empty() || queue.front()->attempt != 0) return;
+    const ChangeHandle first = queue.front();  // may leave the queue at once
+    startAttempt(first);
 }
 
 std::vector<NodeAddress> RegisterProposer::electorate(const Change& change) const {
-    std::vector<NodeAddress> chosen = voter_.voters();
+    std::vector<NodeAddress> chosen = change.voters.addresses;
     if (change.options.recovery) std::erase(chosen, voter_.self());
     return chosen;
 }
 
 void RegisterProposer::startAttempt(const ChangeHandle& change) {
     ++change->attempt;
-    if (electorate(*change).size() < majority()) return retryLater(change);
+    change->voters = voter_.voterSet();
+    const std::optional<std::uint64_t>& wanted = change->options.voters_version;
+    if (wanted && *wanted != change->voters.version) return giveUp(change);
+    if (electorate(*change).size() < change->majority()) return retryLater(change);
     highest_round_ += change->options.recovery ? kRecoveryRoundStep : 1;
     change->ballot = Ballot{highest_round_, identity_};
     change->best = {};
@@ -87,7 +104,7 @@
     change->asked = voters.size();
     change->answers = change->votes = 0;
     change->timer = later(change, kRoundTimeout, &RegisterProposer::retryLater);
-    const PrepareRequest request{change->key, change->ballot};
+    const PrepareRequest request{change->key, change->ballot, change->voters};
     for (const NodeAddress& voter : voters) {
         const auto answer = lifetime_.guard([this, change, attempt = change->attempt](auto reply) {
             onPrepareReply(change, attempt, std::optional<PrepareReply>(std::move(reply)));
@@ -106,7 +123,9 @@
 void RegisterProposer::onPrepareReply(const ChangeHandle& change, std::uint64_t attempt,
                                       std::optional<PrepareReply> reply) {
     if (reply) noteRound(reply->highest);
+    const bool outdated = reply && learnVoters(change, reply->newer_voters);
     if (change->attempt != attempt || change->phase != ChangePhase::prepare) return;
+    if (outdated) return retryLater(change);
     ++change->answers;
     if (reply && reply->voter && reply->promised) {
         ++change->votes;
@@ -115,8 +134,14 @@
             change->current = std::move(reply->value);
         }
     }
-    if (change->votes >= majority()) return onPromised(change);
-    if (change->votes + change->asked - change->answers < majority()) retryLater(change);
+    if (change->votes >= change->majority()) return onPromised(change);
+    if (change->votes + change->asked - change->answers < change->majority()) retryLater(change);
+}
+
+// Whether the voters of this attempt are out of date.
+bool RegisterProposer::learnVoters(const ChangeHandle& change, const std::optional<VoterSet>& newer) {
+    if (newer) voter_.learnVoters(*newer);
+    return change->voters.version < voter_.voterSet().version;
 }
 
 // A recovery prepares twice: only the second ballot is surely a whole step above the promises of a majority.
@@ -133,7 +158,7 @@
     change->answers = change->votes = 0;
     change->timer = later(change, kRoundTimeout, &RegisterProposer::retryLater);
     const std::string& value = change->decision.write ? change->decision.value : change->current;
-    const AcceptRequest request{change->key, change->ballot, value};
+    const AcceptRequest request{change->key, change->ballot, value, change->voters};
     for (const NodeAddress& voter : voters) {
         const auto answer = lifetime_.guard([this, change, attempt = change->attempt](auto reply) {
             onAcceptReply(change, attempt, std::optional<AcceptReply>(std::move(reply)));
@@ -152,15 +177,17 @@
 void RegisterProposer::onAcceptReply(const ChangeHandle& change, std::uint64_t attempt,
                                      std::optional<AcceptReply> reply) {
     if (reply) noteRound(reply->highest);
+    const bool outdated = reply && learnVoters(change, reply->newer_voters);
     if (change->attempt != attempt || change->phase != ChangePhase::accept) return;
     ++change->answers;
     if (reply && reply->voter && reply->accepted) ++change->votes;
-    if (change->votes >= majority()) {
+    if (change->votes >= change->majority()) {
         const bool wrote = change->decision.write;
-        return finish(change,
-                      {true, wrote, change->ballot, wrote ? change->decision.value : change->current});
+        return finish(change, {true, wrote, change->ballot, wrote ? change->decision.value : change->current,
+                               change->voters.version});
     }
-    if (change->votes + change->asked - change->answers < majority()) retryLater(change);
+    const bool lost = change->votes + change->asked - change->answers < change->majority();
+    if (outdated || lost) retryLater(change);
 }
 
 void RegisterProposer::retryLater(const ChangeHandle& change) {
--- a/src/cluster/control/register_proposer.hpp
+++ b/src/cluster/control/register_proposer.hpp
@@ -1,5 +1,6 @@
 // The proposer of the register (CASPaxos): a change is a prepare round and an accept round at a majority of
 // the voters. Values that are kept are written back too, so every known outcome rests on a chosen value.
+// An attempt counts one set of voters, the newest known at its begin; at news of a newer set it begins anew.
 #pragma once
 
 #include <cstdint>
@@ -34,12 +35,15 @@
     bool wrote = false;  // the last decision was to write
     Ballot ballot;       // of the chosen value
     std::string value;   // chosen; empty where nothing was ever written
+    std::uint64_t voters_version = 0;  // of the voters that chose it
 };
 
 struct ChangeOptions {
     Millis timeout{1500};
     // Leaves out this machine's own vote and jumps far ahead of all ballots; for a voter without data.
     bool recovery = false;
+    // If set: only by these voters; once newer ones are known the outcome is unknown.
+    std::optional<std::uint64_t> voters_version{};
 };
 
 class RegisterProposer {
@@ -47,6 +51,10 @@
     // `identity`: of this process, never used by another one (node name and incarnation).
     RegisterProposer(Scheduler& scheduler, Transport& transport, RegisterVoter& voter, std::string identity,
                      std::uint64_t seed);
+    // Ends the timers of open changes: calls that still wait hold these changes for longer.
+    ~RegisterProposer();
+    RegisterProposer(const RegisterProposer&) = delete;
+    RegisterProposer& operator=(const RegisterProposer&) = delete;
 
     // Changes of one key run one after the other. `done` never runs inside change().
     void change(const std::string& key, DecideFunction decide, ChangeOptions options,
@@ -62,6 +70,7 @@
     void startAttempt(const ChangeHandle& change);
     void sendPrepare(const ChangeHandle& change);
     void onPrepareReply(const ChangeHandle& change, std::uint64_t attempt, std::optional<PrepareReply> reply);
+    bool learnVoters(const ChangeHandle& change, const std::optional<VoterSet>& newer);
     void onPromised(const ChangeHandle& change);
     void sendAccept(const ChangeHandle& change);
     void onAcceptReply(const ChangeHandle& change, std::uint64_t attempt, std::optional<AcceptReply> reply);
@@ -71,7 +80,6 @@
     void finish(const ChangeHandle& change, ChangeOutcome outcome);
     void noteRound(const Ballot& ballot);
     std::vector<NodeAddress> electorate(const Change& change) const;
-    std::size_t majority() const { return voter_.voters().size() / 2 + 1; }
 
     Scheduler& scheduler_;
     Transport& transport_;
--- a/src/cluster/control/register_voter.cpp
+++ b/src/cluster/control/register_voter.cpp
@@ -32,8 +32,9 @@
         return;
     }
     voters_ = voter_set->voters;
+    voters_stored_ = true;
     valid_ = true;
-    for (const std::string key : {kConfigKey, kViewKey}) {
+    for (const std::string key : {kConfigKey, kViewKey, kVotersKey}) {
         KeyState& state = keys_[key];
         if (const auto stored = disk_.read(kPromisePrefix + key)) {
             const auto promised = decode<Ballot>(*stored);
@@ -51,14 +52,15 @@
 
 // Safe without wasEmpty(): a machine that has ever answered as a voter has its voter set on disk.
 void RegisterVoter::startFirst(const std::vector<NodeAddress>& first_voters) {
-    voters_ = first_voters;
+    voters_ = {0, first_voters};
     started_first_ = true;
     if (!storeVoters()) return;
     afterSync([this](bool synced) { valid_ = synced; });
 }
 
 bool RegisterVoter::storeVoters() {
-    return disk_.put(kVotersRecord, encode(VoterSetRecord{voters_}));
+    voters_stored_ = disk_.put(kVotersRecord, encode(VoterSetRecord{voters_}));
+    return voters_stored_;
 }
 
 bool RegisterVoter::storePromise(const std::string& key, const Ballot& ballot) {
@@ -84,7 +86,8 @@
 }
 
 bool RegisterVoter::isAmongVoters() const {
-    return std::find(voters_.begin(), voters_.end(), self_) != voters_.end();
+    const std::vector<NodeAddress>& all = voters_.addresses;
+    return std::find(all.begin(), all.end(), self_) != all.end();
 }
 
 std::string RegisterVoter::acceptedValue(const std::string& key) const {
@@ -92,17 +95,27 @@
     return found == keys_.end() ? std::string() : found->second.accepted.value;
 }
 
-bool RegisterVoter::votes() const {
-    return valid_ && !disk_failed_ && isAmongVoters();
+void RegisterVoter::learnVoters(const VoterSet& voters) {
+    const bool newer = voters_.addresses.empty() || voters.version > voters_.version;
+    if (!newer || voters.addresses.empty()) return;
+    voters_ = voters;
+    voters_stored_ = false;
+    // On the disk of a machine without its data, the record would say that it has them.
+    const bool may_store = valid_ || started_first_;
+    if (may_store && storeVoters()) afterSync([](bool) {});
 }
 
-void RegisterVoter::learnVoters(std::vector<NodeAddress> voters) {
-    if (voters_.empty()) voters_ = std::move(voters);
+bool RegisterVoter::followsVoters(const VoterSet& asked) {
+    learnVoters(asked);
+    if (asked.version < voters_.version) return false;
+    return voters_stored_ || !valid_ || storeVoters();
 }
 
 void RegisterVoter::prepare(const PrepareRequest& request, std::function<void(PrepareReply)> done) {
     PrepareReply answer;
-    if (!votes()) return done(answer);
+    const bool follows = followsVoters(request.voters);
+    if (request.voters.version < voters_.version) answer.newer_voters = voters_;
+    if (!follows || !votes()) return done(answer);
     const KeyState& state = keys_[request.key];
     answer.voter = true;
     answer.highest = state.promised;
@@ -119,7 +132,9 @@
 
 void RegisterVoter::accept(const AcceptRequest& request, std::function<void(AcceptReply)> done) {
     AcceptReply answer;
-    if (!votes()) return done(answer);
+    const bool follows = followsVoters(request.voters);
+    if (request.voters.version < voters_.version) answer.newer_voters = voters_;
+    if (!follows || !votes()) return done(answer);
     const KeyState& state = keys_[request.key];
     answer.voter = true;
     answer.highest = state.promised;
--- a/src/cluster/control/register_voter.hpp
+++ b/src/cluster/control/register_voter.hpp
@@ -1,4 +1,6 @@
-// The voter of the register: promises ballots and accepts values, each synced to disk before it is told.
+// The voter of the register: promises ballots and accepts values, each synced to disk before it is told. It
+// takes part only in rounds of the newest voters that it knows, so that a majority of older ones ends with
+// them.
 #pragma once
 
 #include <functional>
@@ -30,21 +32,25 @@
     void prepare(const PrepareRequest& request, std::function<void(PrepareReply)> done);
     void accept(const AcceptRequest& request, std::function<void(AcceptReply)> done);
 
-    // Has its data, is among the voters and its disk works.
-    bool votes() const;
+    // Has its data and its disk works, so that it may be a voter.
+    bool hasData() const { return valid_ && !disk_failed_; }
+    // Has its data and is among the newest voters known.
+    bool votes() const { return hasData() && isAmongVoters(); }
     // Has no data, or none that may be trusted; must recover before it may vote.
     bool needsRecovery() const { return !valid_ && !started_first_ && !disk_failed_; }
     // True where this process started the register for the first time.
     bool startedFirst() const { return started_first_; }
     const NodeAddress& self() const { return self_; }
     // Empty while they are not known.
-    const std::vector<NodeAddress>& voters() const { return voters_; }
+    const std::vector<NodeAddress>& voters() const { return voters_.addresses; }
+    // The newest known. Only sets that were chosen are ever known here.
+    const VoterSet& voterSet() const { return voters_; }
     bool isAmongVoters() const;
     // What this voter accepted last, chosen or not; empty if nothing.
     std::string acceptedValue(const std::string& key) const;
 
-    // Sets the voters that others told; only while none are known.
-    void learnVoters(std::vector<NodeAddress> voters);
+    // Takes over chosen voters that are newer than those known here.
+    void learnVoters(const VoterSet& voters);
     // Takes over the registers and is valid once they are synced; `done(false)`: the disk failed.
     void recover(const std::vector<RecoveredRegister>& registers, std::function<void(bool)> done);
 
@@ -57,6 +63,9 @@
     void load();
     void startFirst(const std::vector<NodeAddress>& first_voters);
     bool storeVoters();
+    // Learns the voters of a request. False: a vote may not be given, as they are not this machine's newest,
+    // or can't be kept.
+    bool followsVoters(const VoterSet& asked);
     bool storePromise(const std::string& key, const Ballot& ballot);
     bool storeAccepted(const std::string& key, AcceptedRecord accepted);
     // Runs `done` with whether everything staged so far is durable.
@@ -64,7 +73,8 @@
 
     RecordStore& disk_;
     NodeAddress self_;
-    std::vector<NodeAddress> voters_;
+    VoterSet voters_;
+    bool voters_stored_ = false;  // on disk, or staged
     std::map<std::string, KeyState> keys_;
     bool valid_ = false;
     bool started_first_ = false;
--- a/src/cluster/control/voter_recovery.cpp
+++ b/src/cluster/control/voter_recovery.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <utility>
 
+#include "cluster/common/codec.hpp"
 #include "cluster/control/typed_call.hpp"
 
 namespace amberswitch::cluster {
@@ -13,7 +14,7 @@
 constexpr Millis kRetryInterval{200};
 constexpr Millis kAskTimeout{400};
 constexpr Millis kRoundsTimeout{3000};
-const std::array<std::string, 2> kKeys{kConfigKey, kViewKey};
+const std::array<std::string, 3> kKeys{kVotersKey, kConfigKey, kViewKey};
 
 }  // namespace
 
@@ -33,7 +34,9 @@
 void VoterRecovery::step() {
     if (!voter_.needsRecovery()) return;
     if (voter_.voters().empty()) return askForVoters();
-    if (voter_.isAmongVoters()) recoverNext();
+    if (voter_.voterSet().version != voters_version_) recovered_.clear();
+    voters_version_ = voter_.voterSet().version;
+    recoverNext();
 }
 
 void VoterRecovery::stepLater() {
@@ -55,18 +58,26 @@
     if (recovered_.size() == kKeys.size()) return store();
     const std::string& key = kKeys[recovered_.size()];
     const auto keep = [](const std::string&) { return Decision::keep(); };
-    const auto done = [this, key](ChangeOutcome outcome) {
-        if (!outcome.known) return stepLater();
-        recovered_.push_back({key, outcome.ballot, std::move(outcome.value)});
-        recoverNext();
-    };
-    const ChangeOptions options{.timeout = kRoundsTimeout, .recovery = true};
+    const auto done = [this, key](ChangeOutcome outcome) { onKept(key, std::move(outcome)); };
+    const ChangeOptions options{
+        .timeout = kRoundsTimeout, .recovery = true, .voters_version = voters_version_};
     proposer_.change(key, keep, options, lifetime_.guard(done));
 }
 
+void VoterRecovery::onKept(const std::string& key, ChangeOutcome outcome) {
+    // The voters known here may be long gone.
+    if (!outcome.known) return askForVoters();
+    if (key == kVotersKey) {
+        if (const auto newest = decode<VoterSet>(outcome.value)) voter_.learnVoters(*newest);
+    }
+    if (voter_.voterSet().version != voters_version_) return step();
+    recovered_.push_back({key, outcome.ballot, std::move(outcome.value)});
+    recoverNext();
+}
+
 void VoterRecovery::store() {
     voter_.recover(recovered_, lifetime_.guard([](bool stored) {
-        if (stored) LOG(INFO) << "the register is copied; this machine votes again";
+        if (stored) LOG(INFO) << "the register is copied; this machine may vote";
     }));
 }
 
--- a/src/cluster/control/voter_recovery.hpp
+++ b/src/cluster/control/voter_recovery.hpp
@@ -1,9 +1,11 @@
-// Makes a core machine that started without its data able to vote again.
+// Makes a core machine that started without its data able to vote: one that lost its disk, or a new one.
 //
 // It learns the voters from the others, then has a majority counted without itself accept each register's
 // value at a ballot far above every one that it may have promised before its data was lost. After that round
 // no older proposal can still be chosen with a vote that was forgotten here, and what was chosen with one is
-// among the values read. Only then are the registers stored here, and this machine votes.
+// among the values read. Only then are the registers stored here, and this machine votes if it is a voter.
+// The register of the voters comes first. Its value is the newest set at that time, so no vote of a newer set
+// can have been forgotten; where it is newer than the set that was asked, all begins again with it.
 #pragma once
 
 #include <functional>
@@ -33,6 +35,7 @@
     void stepLater();
     void askForVoters();
     void recoverNext();
+    void onKept(const std::string& key, ChangeOutcome outcome);
     void store();
 
     Scheduler& scheduler_;
@@ -42,6 +45,7 @@
     std::string name_;
     PeersFunction peers_;
     std::vector<RecoveredRegister> recovered_;
+    std::uint64_t voters_version_ = 0;  // of the voters that accepted what is recovered
     TimerHandle timer_;
     Lifetime lifetime_;
 };
--- a/tests/cluster/control_register_test.cpp
+++ b/tests/cluster/control_register_test.cpp
@@ -66,7 +66,7 @@
             const auto message = decode<AcceptRequest>(request.body);
             voter_->accept(*message, [respond](const AcceptReply& answer) { respond(reply(answer)); });
         } else {
-            respond(reply(ReadVotersReply{voter_->voters()}));
+            respond(reply(ReadVotersReply{voter_->voterSet()}));
         }
     }
 
--- /dev/null
+++ b/tests/cluster/control_voters_test.cpp
@@ -0,0 +1,236 @@
+// Core machines that are replaced or added: they become voters, lost ones are voters no more, and the
+// dispatchers follow.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "cluster/control/voter_change.hpp"
+#include "tests/cluster/control_world.hpp"
+
+using namespace amberswitch::cluster;
+using namespace amberswitch::cluster::simulation;
+
+namespace {
+
+NodeAddress address(int number) {
+    return {"10.0.0." + std::to_string(number), kFirstPort};
+}
+
+// The voters as a core machine's status tells them, as JSON.
+std::string votersOf(const CoreMachine& machine) {
+    const std::string status = const_cast<CoreMachine&>(machine).node().statusJson();
+    const std::string begin = "\"voters\":[";
+    const std::size_t from = status.find(begin) + begin.size();
+    return status.substr(from, status.find(']', from) - from);
+}
+std::size_t countOf(const std::string& voters) {
+    return voters.empty() ? 0 : 1 + static_cast<std::size_t>(std::count(voters.begin(), voters.end(), ','));
+}
+bool names(const std::string& voters, const std::string& ip) {
+    return voters.find("\"" + ip + ":") != std::string::npos;
+}
+
+class VotersWorld : public ControlWorld {
+public:
+    explicit VotersWorld(std::uint64_t seed, std::size_t machines = 3) : ControlWorld(seed, machines) {
+        addClient("edge-1", NodeKind::edge, "10.2.0.1");
+        addClient("storage-1", NodeKind::store, "10.1.0.1");
+    }
+    // An empty machine at a new address, which is told the machines that run now.
+    CoreMachine& addEmpty() {
+        NodeSettings settings = core.front()->settings();
+        const std::string number = std::to_string(core.size() + 1);
+        settings.name = "core-new-" + number;
+        settings.ip = "10.0.0." + number;
+        settings.bootstrap = false;
+        settings.seeds.clear();
+        for (const auto& machine : core) {
+            if (machine->runs() && settings.seeds.size() < 3) settings.seeds.push_back({machine->ip(), 8064});
+        }
+        core.push_back(std::make_unique<CoreMachine>(world, network, cloud, settings));
+        core.back()->start();
+        return *core.back();
+    }
+    // All machines that run vote, and only they.
+    bool runningMachinesVote() const {
+        std::size_t running = 0;
+        for (const auto& machine : core) running += machine->runs() ? 1 : 0;
+        return std::all_of(core.begin(), core.end(), [&](const auto& machine) {
+            if (!machine->runs()) return true;
+            const std::string voters = votersOf(*machine);
+            if (!machine->votes() || countOf(voters) != running) return false;
+            return std::all_of(core.begin(), core.end(), [&](const auto& other) {
+                return other->runs() == names(voters, other->ip());
+            });
+        });
+    }
+    CoreMachine& anyRunning() {
+        const auto found =
+            std::find_if(core.begin(), core.end(), [](const auto& machine) { return machine->runs(); });
+        return **found;
+    }
+    bool clientsHave(std::int64_t generation) const {
+        return std::all_of(clients.begin(), clients.end(), [&](const auto& client) {
+            const auto configuration = client.second->client().configuration();
+            return configuration && configuration->generation == generation;
+        });
+    }
+    // The operator's next change is taken, reaches all, and the one before it was not lost.
+    void checkChange(std::int64_t generation) {
+        CoreMachine& machine = anyRunning();
+        if (generation > 1) CHECK(read(machine).body == configurationJson(generation - 1));
+        CHECK(replace(machine, generation - 1, configurationJson(generation)) == 200);
+        CHECK(world.runUntil([&] { return clientsHave(generation); }, Millis(3000)));
+    }
+};
+
+}  // namespace
+
+TEST_CASE("a lost core machine is replaced in time, and a second loss is borne") {
+    SteadyTime::duration longest{};
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        INFO("seed " << seed);
+        VotersWorld play(seed);
+        play.startAll();
+        play.world.run(Millis(4000));
+        play.checkChange(1);
+        play.core[seed % 3]->kill();
+        play.world.run(Millis(1000));
+        play.addEmpty();
+        const SteadyTime began = play.world.now();
+        // catchUpS is 4.5 s; where the leader was lost, the next one listens for a while first.
+        CHECK(play.world.runUntil([&] { return play.runningMachinesVote(); }, Millis(7500)));
+        longest = std::max(longest, play.world.now() - began);
+        play.checkChange(2);
+        play.core[(seed + 1) % 3]->kill();
+        play.world.run(Millis(3000));
+        play.checkChange(3);
+    }
+    MESSAGE("at most " << std::chrono::duration_cast<Millis>(longest).count() << " ms after its start");
+}
+
+TEST_CASE("a planned replacement: the new machine comes first") {
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        INFO("seed " << seed);
+        VotersWorld play(seed);
+        play.startAll();
+        play.world.run(Millis(4000));
+        play.checkChange(1);
+        play.addEmpty();
+        play.world.run(Millis(1500));
+        CoreMachine& old = *play.core[seed % 3];
+        bool left = false;
+        old.node().leave([&] { left = true; });
+        REQUIRE(play.world.runUntil([&] { return left; }, Millis(1000)));
+        old.kill();
+        CHECK(play.world.runUntil([&] { return play.runningMachinesVote(); }, Millis(7500)));
+        play.checkChange(2);
+        play.core[(seed + 1) % 3]->kill();
+        play.world.run(Millis(3000));
+        play.checkChange(3);
+    }
+}
+
+TEST_CASE("all machines of the first start are replaced in turn, and the dispatchers still follow") {
+    for (std::uint64_t seed = 1; seed <= 15; ++seed) {
+        INFO("seed " << seed);
+        VotersWorld play(seed);
+        play.startAll();
+        play.world.run(Millis(4000));
+        for (std::size_t index = 0; index < 3; ++index) {
+            play.checkChange(static_cast<std::int64_t>(index) + 1);
+            play.core[index]->kill();
+            play.world.run(Millis(1000));
+            play.addEmpty();
+            CHECK(play.world.runUntil([&] { return play.runningMachinesVote(); }, Millis(8000)));
+            play.world.run(Millis(1000));
+        }
+        // The seeds of the dispatchers are all gone by now.
+        play.checkChange(4);
+        // They still ask their old seeds now and then, and only rarely.
+        std::size_t asked_in_vain = 0;
+        MemoryTransport dead(play.world, play.network, address(1));
+        dead.serve([&](const Envelope&, const Responder&) { ++asked_in_vain; });
+        play.world.run(Millis(12000));
+        CHECK(asked_in_vain > 0);
+        CHECK(asked_in_vain < 10);
+        // A whole-core kill: the new voters come back with their disks and know each other.
+        for (std::size_t index = 3; index < 6; ++index) play.core[index]->kill();
+        play.world.run(Millis(800));
+        for (std::size_t index = 3; index < 6; ++index) play.core[index]->start();
+        play.world.run(Millis(4000));
+        CHECK(play.read(*play.core[4]).body == configurationJson(4));
+        CHECK(play.replace(*play.core[5], 4, configurationJson(5)) == 200);
+    }
+}
+
+TEST_CASE("five core machines with three seeds: all become voters, and two losses are borne") {
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        INFO("seed " << seed);
+        VotersWorld play(seed, 5);
+        for (auto& machine : play.core) machine->settings().tolerated_machines = 2;
+        play.startAll();
+        CHECK(play.world.runUntil([&] { return play.runningMachinesVote(); }, Millis(8000)));
+        play.checkChange(1);
+        play.core[seed % 5]->kill();
+        play.core[(seed + 2) % 5]->kill();
+        play.world.run(Millis(4000));
+        play.checkChange(2);
+        // Without new machines, the voters stay.
+        CHECK(countOf(votersOf(play.anyRunning())) == 5);
+        play.core[seed % 5]->wipe();
+        play.core[seed % 5]->start();
+        play.core[(seed + 2) % 5]->start();
+        CHECK(play.world.runUntil([&] { return play.runningMachinesVote(); }, Millis(8000)));
+        play.checkChange(3);
+    }
+}
+
+TEST_CASE("a restart changes no voters, and a voter that was removed meanwhile finds out") {
+    VotersWorld play(9);
+    play.startAll();
+    play.world.run(Millis(4000));
+    CoreMachine& lost = *play.core[1];
+    lost.kill();
+    play.world.run(Millis(6000));
+    CHECK(countOf(votersOf(*play.core[0])) == 3);
+    CHECK(names(votersOf(*play.core[0]), lost.ip()));
+    play.addEmpty();
+    REQUIRE(play.world.runUntil([&] { return play.runningMachinesVote(); }, Millis(8000)));
+    const std::string now = votersOf(*play.core[0]);
+    // Its disk still says that it votes; it meets one machine that knows better.
+    play.network.cutBoth(lost.ip(), play.core[2]->ip());
+    play.network.cutBoth(lost.ip(), play.core[3]->ip());
+    lost.start();
+    CHECK(play.world.runUntil([&] { return votersOf(lost) == now; }, Millis(1500)));
+    CHECK_FALSE(lost.votes());
+    play.network.healAll();
+    // It is a machine like any other now, and is taken as a voter again.
+    CHECK(play.world.runUntil([&] { return play.runningMachinesVote(); }, Millis(6000)));
+    play.checkChange(1);
+}
+
+TEST_CASE("one change adds or removes one machine, and only where the rest has a majority") {
+    const VoterSet three{4, {address(1), address(2), address(3)}};
+    const VoterSet four{5, {address(1), address(2), address(3), address(4)}};
+    const CoreObservation one{address(1), true, false, true};
+    const CoreObservation two{address(2), true, false, true};
+    const CoreObservation third_gone{address(3), false, true, false};
+    const CoreObservation newcomer{address(4), true, false, true};
+    const CoreObservation unready{address(4), true, false, false};
+    CHECK(nextVoters(three, {one, two, third_gone, newcomer}, 1) == four);
+    CHECK(nextVoters(four, {one, two, third_gone, newcomer}, 1) ==
+          VoterSet{6, {address(1), address(2), address(4)}});
+    // Not without a replacement, not below 2f + 1, and not a machine without data.
+    CHECK_FALSE(nextVoters(three, {one, two, third_gone}, 1).has_value());
+    CHECK_FALSE(nextVoters(three, {one, two, third_gone, unready}, 1).has_value());
+    CHECK_FALSE(nextVoters(four, {one, two, third_gone, newcomer}, 2).has_value());
+    // Two of four could not choose anything.
+    const CoreObservation two_gone{address(2), false, true, false};
+    CHECK_FALSE(nextVoters(three, {one, two_gone, third_gone, newcomer}, 1).has_value());
+    // Never two at once.
+    const VoterSet five{7, {address(1), address(2), address(3), address(4), address(5)}};
+    CHECK(nextVoters(five, {one, two, third_gone, newcomer, {address(5), false, true, false}}, 1)
+              ->addresses.size() == 4);
+}
