--- a/bench/cluster_edge_bench.cpp
+++ b/bench/cluster_edge_bench.cpp
@@ -185,6 +185,7 @@
             heronmount::AttemptEnded ended;
             ended.id = last_ - kOpen;
             ended.outcome = heronmount::Outcome::ok;
+            ended.settled = true;
             ended.took = std::chrono::milliseconds(8);
             tell(ended);
         }
