--- a/bench/cluster_core_bench.cpp
+++ b/bench/cluster_core_bench.cpp
@@ -1,7 +1,8 @@
 // Processor time and memory of one core machine for lease renewals, long polls, changes of the configuration
 // and changes of the server list, by the number of edges. The core machine is a whole process; the parent
 // plays the edges over loopback.
-//   cluster_core_bench [RUNS]
+//   cluster_core_bench [RUNS] [PART]
+// PART: renewals, rest, memory, polls or changes; all without it.
 #include <filesystem>
 #include <memory>
 
@@ -9,6 +10,7 @@
 #include "cluster/common/evhttp_client.hpp"
 #include "cluster/common/tcp_transport.hpp"
 #include "cluster/control/control_node.hpp"
+#include "cluster/control/core_client.hpp"
 #include "cluster/control/distribution.hpp"
 #include "cluster/control/typed_call.hpp"
 #include "cluster/storage/ring_store.hpp"
@@ -29,15 +31,16 @@
 constexpr std::uint16_t kSetConfiguration = 900;
 constexpr std::uint16_t kSetServers = 901;
 
-// A core machine that is the only one of its system.
-void playCore(std::uint16_t port, const std::string& folder) {
+// A core machine; `seeds`: of all of them.
+void playCore(const std::string& ip, std::uint16_t port, const std::vector<NodeAddress>& seeds,
+              const std::string& folder) {
     NodeSettings settings;
-    settings.name = "core-0";
+    settings.name = "core-" + ip;
     settings.zone = "zone-0";
-    settings.ip = "127.0.0.1";
+    settings.ip = ip;
     settings.first_port = port;
     settings.last_port = static_cast<std::uint16_t>(port + 2);
-    settings.seeds = {{"127.0.0.1", port}};
+    settings.seeds = seeds;
     settings.bootstrap = true;
     EventLoop loop;
     TcpTransport transport(loop, settings.internal(PortOffset::core));
@@ -75,7 +78,9 @@
     for (int run = 0; run < runs; ++run) {
         std::filesystem::remove_all(folder);
         const std::uint16_t port = freePort();
-        const ChildProcess core([port, folder] { playCore(port, folder); });
+        const ChildProcess core([port, folder] {
+            playCore("127.0.0.1", port, {{"127.0.0.1", port}}, folder);
+        });
         EventLoop loop;
         TcpTransport transport(loop, {"127.0.0.1", 0});
         const NodeAddress address{"127.0.0.1", port};
@@ -91,6 +96,42 @@
     micros.print("core: renewal, " + std::to_string(edges) + " edges known", "us");
 }
 
+// What an edge spends on leases and long polls while nothing changes, with three core machines; and what each
+// of these spends on one more edge.
+void playCoreClient(const std::vector<NodeAddress>& core) {
+    EventLoop loop;
+    TcpTransport transport(loop, {"127.0.0.1", 0});
+    Member self = edgeMember(0);
+    self.address = transport.self();
+    CoreClient client(loop, transport, self, core, {});
+    client.start();
+    loop.run();
+}
+
+void measureEdgeAtRest(int runs, const std::string& folder) {
+    constexpr Millis kSpan{5000};
+    std::filesystem::remove_all(folder);
+    const std::uint16_t port = freePort();
+    const std::vector<NodeAddress> core{{"127.0.0.1", port}, {"127.0.0.2", port}, {"127.0.0.3", port}};
+    std::vector<std::unique_ptr<ChildProcess>> machines;
+    for (const NodeAddress& address : core) {
+        machines.push_back(std::make_unique<ChildProcess>(
+            [&] { playCore(address.ip, port, core, folder + "/" + address.ip); }));
+    }
+    const ChildProcess edge([&core] { playCoreClient(core); });
+    EventLoop loop;
+    runFor(loop, kStartUp);
+    Series micros, memory;
+    for (int run = 0; run < runs; ++run) {
+        const double start = edge.micros();
+        runFor(loop, kSpan);
+        micros.add((edge.micros() - start) / static_cast<double>(kSpan.count()) * 1000);
+    }
+    memory.add(edge.resident());
+    micros.print("edge: leases and long polls at rest, per second", "us");
+    memory.print("edge: a process of these only", "bytes");
+}
+
 // Memory of one edge: its entry, and its connection.
 void measureEdgeMemory(int runs, const std::string& folder) {
     Series entry, connection;
@@ -98,7 +139,9 @@
     for (int run = 0; run < runs; ++run) {
         std::filesystem::remove_all(folder);
         const std::uint16_t port = freePort();
-        const ChildProcess core([port, folder] { playCore(port, folder); });
+        const ChildProcess core([port, folder] {
+            playCore("127.0.0.1", port, {{"127.0.0.1", port}}, folder);
+        });
         EventLoop loop;
         std::vector<std::unique_ptr<TcpTransport>> edges;
         edges.push_back(std::make_unique<TcpTransport>(loop, NodeAddress{"127.0.0.1", 0}));
@@ -258,6 +301,19 @@
     micros.print("core: long poll without news", "us");
 }
 
+void measureChanges(int runs) {
+    for (const int listeners : {100, 400, 1'600}) {
+        for (const std::size_t size : {10'000u, 100'000u}) {
+            measureChange(runs, kSetConfiguration, size, listeners,
+                          "configuration of " + std::to_string(size) + " bytes");
+        }
+    }
+    for (const std::size_t servers : {40u, 400u, 4'000u}) {
+        measureChange(runs, kSetServers, servers, 400, "list of " + std::to_string(servers) + " servers");
+    }
+    measureChange(runs, kSetServers, 400, 1'600, "list of 400 servers");
+}
+
 void printSizes() {
     RenewLeaseRequest renewal;
     renewal.member = edgeMember(4711);
@@ -277,20 +333,16 @@
     quietLog(argv[0]);
     const int runs = argc > 1 ? std::atoi(argv[1]) : 5;
     const std::string folder = "/tmp/cluster_core_bench." + std::to_string(getpid());
+    const std::string part = argc > 2 ? argv[2] : "";
+    const auto wanted = [&part](const char* name) { return part.empty() || part == name; };
     printSizes();
-    for (const int edges : {100, 1'000, 4'000, 13'000}) measureRenewals(runs, edges, folder);
-    measureEdgeMemory(runs, folder);
-    measureEmptyPolls(runs);
-    for (const int listeners : {100, 400, 1'600}) {
-        for (const std::size_t size : {10'000u, 100'000u}) {
-            measureChange(runs, kSetConfiguration, size, listeners,
-                          "configuration of " + std::to_string(size) + " bytes");
-        }
+    if (wanted("renewals")) {
+        for (const int edges : {100, 1'000, 4'000, 13'000}) measureRenewals(runs, edges, folder);
     }
-    for (const std::size_t servers : {40u, 400u, 4'000u}) {
-        measureChange(runs, kSetServers, servers, 400, "list of " + std::to_string(servers) + " servers");
-    }
-    measureChange(runs, kSetServers, 400, 1'600, "list of 400 servers");
+    if (wanted("rest")) measureEdgeAtRest(runs, folder);
+    if (wanted("memory")) measureEdgeMemory(runs, folder);
+    if (wanted("polls")) measureEmptyPolls(runs);
+    if (wanted("changes")) measureChanges(runs);
     std::filesystem::remove_all(folder);
     return 0;
 }
--- a/bench/cluster_stores.hpp
+++ b/bench/cluster_stores.hpp
@@ -12,7 +12,7 @@
 
 namespace amberswitch::cluster::bench {
 
-constexpr Millis kStartUp{1800};  // views, promises and the wait for what edges run
+constexpr Millis kStartUp{3000};  // views, promises and the wait for what edges run
 constexpr std::uint64_t kRingBytes = 700u << 20;
 
 // A configuration of one route. `endpoint`: of its service; nothing where nobody delivers.
