--- a/bench/cluster_message_bench.cpp
+++ b/bench/cluster_message_bench.cpp
@@ -58,16 +58,15 @@
         });
         EvhttpClient client(loop);
         int taken = 0;
-        int next = 100'000'000;
+        std::uint64_t next = 941'070'100'000'000;
         const auto begin = [&](int, const std::function<void()>& done) {
             HttpCall call;
             call.to = ports.front;
-            call.request = {"POST",
-                            "/bose230/zi72/2f",
-                            {{"Host", "a.example"},
-                             {"Request-Id", "9c41d07b" + std::to_string(next++)},
-                             {"Deadline-Ms", "5000"}},
-                            std::string(body_bytes, 'x')};
+            call.request = {
+                "POST",
+                "/bose230/zi72/2f",
+                {{"Host", "a.example"}, {"Request-Id", std::to_string(next++)}, {"Deadline-Ms", "5000"}},
+                std::string(body_bytes, 'x')};
             call.timeout = kTimeout;
             call.max_connections = 64;
             client.send(call, [&taken, done](const HttpOutcome& outcome) {
@@ -90,7 +89,7 @@
         std::printf("run %d: %d of %d taken, %d delivered\n", run, taken - warm, kMessages,
                     delivered - warm_delivered);
     }
-    const std::string size = ", body of " + std::to_string(body_bytes);
+    const std::string size = std::string(", body of ").append(std::to_string(body_bytes));
     edge_micros.print("edge: whole message" + size, "us");
     first_store.print("store of the edge's zone: whole message" + size, "us");
     second_store.print("other store: whole message" + size, "us");
--- a/bench/cluster_store_bench.cpp
+++ b/bench/cluster_store_bench.cpp
@@ -9,6 +9,7 @@
 #include "bench/cluster_stores.hpp"
 #include "cluster/common/tcp_transport.hpp"
 #include "cluster/control/typed_call.hpp"
+#include "cluster/storage/edges.hpp"
 
 namespace {
 
@@ -182,12 +183,34 @@
     idle_after.print("owner: idle, backlog of 100000, per second", "us");
 }
 
+// Which edge takes the next grant that is pushed. In this process.
+void measureChoice(int runs, int count) {
+    constexpr int kChoices = 2'000;
+    Series micros;
+    storage::Edges edges("zone-0", 7);
+    const SteadyTime now{std::chrono::seconds(1000)};
+    for (int i = 0; i < count; ++i) {
+        storage::Edge& edge = edges.heard("edge-hall-trakia-" + std::to_string(i), {"10.20.1.17", 7781}, now);
+        edge.zone = "zone-" + std::to_string(i % 12);
+        edge.synced_epoch = 1;
+    }
+    for (int run = 0; run < runs; ++run) {
+        const double start = processorMicros(getpid());
+        for (int i = 0; i < kChoices; ++i) {
+            if (edges.choose(now) == nullptr) std::printf("no edge\n");
+        }
+        micros.add((processorMicros(getpid()) - start) / kChoices);
+    }
+    micros.print("owner: choice of an edge for a push, " + std::to_string(count) + " edges", "us");
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
     quietLog(argv[0]);
     const int runs = argc > 1 ? std::atoi(argv[1]) : 5;
     const std::string folder = argc > 2 ? argv[2] : "/tmp/cluster_store_bench." + std::to_string(getpid());
+    for (const int edges : {8, 300, 1'000, 13'000}) measureChoice(runs, edges);
     for (const std::size_t body_bytes : {600u, 5000u}) measureWholeLife(runs, folder, body_bytes);
     measureBacklog(runs, folder, 600);
     std::filesystem::remove_all(folder);
