--- a/apps/ambercluster/roles.cpp
+++ b/apps/ambercluster/roles.cpp
@@ -28,6 +28,7 @@
 constexpr std::uint32_t kMessageSegmentBytes = 8 * kMegabyte;
 constexpr double kRingShareOfDisk = 0.85;
 constexpr Millis kSeedsCheck{5000};
+constexpr Millis kEdgeCountInterval{1000};
 constexpr Millis kExitCheck{10};
 constexpr Millis kQuietBeforeExit{60};
 constexpr Millis kExitBeforeGrace{400};
@@ -95,6 +96,26 @@
     TimerHandle timer_;
 };
 
+// Tells an edge once a second how many dispatchers share the servers' connections.
+class EdgeCountTeller {
+public:
+    EdgeCountTeller(EventLoop& loop, const CoreClient& client, EdgeNode& node)
+        : loop_(loop), client_(client), node_(node) {
+        tell();
+    }
+
+private:
+    void tell() {
+        node_.setEdgeCount(client_.edges());
+        timer_ = loop_.after(kEdgeCountInterval, [this] { tell(); });
+    }
+
+    EventLoop& loop_;
+    const CoreClient& client_;
+    EdgeNode& node_;
+    TimerHandle timer_;
+};
+
 // The last steps of an edge's planned end: answers that are still being written leave before the process
 // does.
 class EdgeShutdown {
@@ -196,21 +217,17 @@
                            [&node](const HttpRequest& request, HttpResponder respond) {
                                node.handleReadiness(request, std::move(respond));
                            });
-    CoreClient* link = nullptr;
     CoreClient::Callbacks callbacks;
     callbacks.on_configuration = [&](auto configuration) {
         front.setLimits(configuration->limits);
         node.onConfiguration(std::move(configuration));
     };
-    callbacks.on_servers = [&](auto list) {
-        node.setEdgeCount(link->edges());
-        node.onServers(std::move(list));
-    };
+    callbacks.on_servers = [&node](auto list) { node.onServers(std::move(list)); };
     callbacks.on_view = [&](auto view) { node.onView(std::move(view)); };
     CoreClient client(loop, transport, describe(settings, NodeKind::edge, PortOffset::edge, incarnation),
                       coreAddresses(settings), callbacks);
-    link = &client;
     SeedsReloader seeds(loop, settings_path, client);
+    EdgeCountTeller edge_count(loop, client, node);
     EdgeShutdown shutdown(loop, front, node, settings.bounds.grace);
     loop.onSignal(SIGTERM, [&] {
         shutdown.begin();
