Let stores join, retire and be dropped from the view

Need: the view's stores only grew, so a lost and replaced one was needed for ever, and Retire.Start was not built.

--- a/src/cluster/common/messages.hpp
+++ b/src/cluster/common/messages.hpp
@@ -37,6 +37,8 @@
     pull_partition,
     peering_done,
     replica_body,  // store -> store: StateQuery, answered by any replica that holds the body
+    // core -> store
+    peering_progress,
 };
 
 enum class NodeKind : std::uint8_t { core, edge, store };
@@ -227,9 +229,25 @@
 struct StoreMember {
     Member member;
     bool alive = true;
+    // The view with which it came (0: the first one), and the process it had then. What it was given before
+    // counts no more.
+    Epoch joined_epoch = 0;
+    Incarnation joined_incarnation = 0;
+    bool retire_ordered = false;  // by the operator; the leader's next view obeys
+    bool retiring = false;        // owns nothing and is given no copies, but still answers
+    bool keepsCopies() const { return alive && !retiring; }
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(member, alive);
+        archive(member, alive, joined_epoch, joined_incarnation, retire_ordered, retiring);
+    }
+};
+// A store that was emptied and has left the view for good; this process of it does not come back.
+struct RetiredStore {
+    std::string name;
+    Incarnation incarnation = 0;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(name, incarnation);
     }
 };
 struct PartitionOwner {
@@ -250,9 +268,10 @@
     std::uint32_t tolerated = 1;  // faultTolerance.machines
     std::vector<StoreMember> stores;
     std::vector<PartitionOwner> partitions;
+    std::vector<RetiredStore> retired;  // the latest ones, newest last
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(epoch, leader_term, leader, tolerated, stores, partitions);
+        archive(epoch, leader_term, leader, tolerated, stores, partitions, retired);
     }
 };
 
@@ -544,24 +563,28 @@
     std::string store;
     PartitionId partition = 0;
     Epoch epoch = 0;
-    std::vector<MessageId> known;  // live messages whose content the owner holds already
+    std::vector<MessageId> known;  // messages whose content the owner holds already
+    // Of the asked store, as the owner's view names it.
+    Epoch joined_epoch = 0;
+    Incarnation joined_incarnation = 0;
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(store, partition, epoch, known);
+        archive(store, partition, epoch, known, joined_epoch, joined_incarnation);
     }
 };
 struct PullReply {
     bool promised = false;  // false: a newer epoch is promised already
-    // Whether what this replica was ever given of the partition is still there; false after a lost disk until
-    // the owner has said peering_done.
+    // Whether what this replica was given of the partition since it joined is still there; false after a lost
+    // disk until the owner has said peering_done.
     bool valid = false;
     std::int64_t wall_ms = 0;             // the replica's clock
-    std::vector<MessageRecord> records;   // live messages that the owner does not know
+    std::vector<MessageRecord> records;   // live messages and dead letters that the owner does not know
     std::vector<RecordUpdate> states;     // all others
     std::vector<RunningAttempt> running;  // where it was the owner: what it has granted
+    std::vector<MessageId> dead_letters;  // those of `states` whose content is here
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(promised, valid, wall_ms, records, states, running);
+        archive(promised, valid, wall_ms, records, states, running, dead_letters);
     }
 };
 // Every live message of the partition stands on tolerated + 1 disks of this view: its replicas are valid.
@@ -574,6 +597,22 @@
         archive(store, partition, epoch);
     }
 };
+// The leader asks whether all partitions that the store owns in the view of that epoch have been peered in
+// it.
+struct PeeringProgressRequest {
+    Epoch epoch = 0;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(epoch);
+    }
+};
+struct PeeringProgressReply {
+    bool done = false;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(done);
+    }
+};
 struct Acknowledgement {
     bool done = true;
     template <class Archive>
--- a/src/cluster/control/control_node.cpp
+++ b/src/cluster/control/control_node.cpp
@@ -104,7 +104,7 @@
                 {.electors = [this] { return voter_.voters(); },
                  .may_vote = [this] { return !voter_.startedFirst() || voter_.votes(); },
                  .last_leader = [this] { return acceptedLeader(); }}),
-      keeper_(scheduler, proposer_, chosen_, membership_, election_, settings.name,
+      keeper_(scheduler, transport, proposer_, chosen_, membership_, election_, settings.name,
               settings.tolerated_machines),
       distribution_(scheduler, [this] { return chosen_.isFresh(); }),
       relay_(scheduler, transport, settings.name,
--- a/src/cluster/control/control_status.cpp
+++ b/src/cluster/control/control_status.cpp
@@ -93,6 +93,8 @@
         write(json, "name", store.member.name);
         write(json, "alive", store.alive);
         write(json, "incarnation", store.member.incarnation);
+        write(json, "joinedEpoch", store.joined_epoch);
+        write(json, "retiring", store.retire_ordered);
         json.EndObject();
     }
     json.EndArray();
--- a/src/cluster/control/operator_api.cpp
+++ b/src/cluster/control/operator_api.cpp
@@ -12,6 +12,7 @@
 
 #include "cluster/common/codec.hpp"
 #include "cluster/common/configuration.hpp"
+#include "cluster/control/store_view.hpp"
 
 namespace amberswitch::cluster {
 namespace {
@@ -63,6 +64,13 @@
     return state ? std::move(*state) : ConfigurationState{};
 }
 
+StoreView decodeView(const std::string& bytes) {
+    if (bytes.empty()) return {};
+    std::optional<StoreView> view = decode<StoreView>(bytes);
+    if (!view) LOG(ERROR) << "the store view in the register is not readable";
+    return view ? std::move(*view) : StoreView{};
+}
+
 HttpResponse answerOf(ReplaceVerdict verdict) {
     switch (verdict) {
         case ReplaceVerdict::taken:
@@ -101,10 +109,10 @@
     if (is_get && path == kReadPath) return readConfiguration(std::move(respond));
     if (is_get && path == kStatusPath) return respond(jsonAnswer(hooks_.status()));
     if (is_post && path.starts_with(kRetireStartPath)) {
-        return answerRetire(path.substr(kRetireStartPath.size()), respond);
+        return startRetirement(path.substr(kRetireStartPath.size()), std::move(respond));
     }
     if (is_get && path.starts_with(kRetireReadPath))
-        return answerRetire(path.substr(kRetireReadPath.size()), respond);
+        return readRetirement(path.substr(kRetireReadPath.size()), std::move(respond));
     respond(textAnswer(404, "no such call"));
 }
 
@@ -150,9 +158,36 @@
     proposer_.change(kConfigKey, keep, ChangeOptions{.timeout = kReadTimeout}, lifetime_.guard(done));
 }
 
-void OperatorApi::answerRetire(const std::string& node, const HttpResponder& respond) {
-    if (!hooks_.is_store(node)) return respond(textAnswer(404, "there is no such storage machine"));
-    respond(textAnswer(409, "moving a storage machine empty is not supported yet"));
+void OperatorApi::startRetirement(const std::string& node, HttpResponder respond) {
+    const auto verdict = std::make_shared<RetireVerdict>(RetireVerdict::unknown_store);
+    const auto decide = [verdict, node](const std::string& current) {
+        StoreView view = decodeView(current);
+        const bool was_ordered = retirePhase(view, node) != RetirePhase::none;
+        *verdict = orderRetirement(view, node);
+        const bool write = *verdict == RetireVerdict::ordered && !was_ordered;
+        return write ? Decision::replaceBy(encode(view)) : Decision::keep();
+    };
+    const auto done = [this, verdict, node, respond = std::move(respond)](const ChangeOutcome& outcome) {
+        if (!outcome.known) return respond(unknownOutcome());
+        chosen_.chosenHere(kViewKey, outcome);
+        if (*verdict == RetireVerdict::ordered) return respond(textAnswer(200, "ordered"));
+        const bool exists = *verdict == RetireVerdict::too_few_left || hooks_.is_store(node);
+        if (!exists) return respond(textAnswer(404, "there is no such storage machine"));
+        respond(textAnswer(409, "too few storage machines would be left"));
+    };
+    proposer_.change(kViewKey, decide, ChangeOptions{.timeout = kReplaceTimeout}, lifetime_.guard(done));
+}
+
+void OperatorApi::readRetirement(const std::string& node, HttpResponder respond) {
+    const auto keep = [](const std::string&) { return Decision::keep(); };
+    const auto done = [node, respond = std::move(respond)](const ChangeOutcome& outcome) {
+        if (!outcome.known) return respond(unknownOutcome());
+        const RetirePhase phase = retirePhase(decodeView(outcome.value), node);
+        if (phase == RetirePhase::none) return respond(textAnswer(404, "no such machine is being retired"));
+        respond(jsonAnswer(phase == RetirePhase::completed ? R"({"phase":"completed"})"
+                                                           : R"({"phase":"in_progress"})"));
+    };
+    proposer_.change(kViewKey, keep, ChangeOptions{.timeout = kReadTimeout}, lifetime_.guard(done));
 }
 
 }  // namespace amberswitch::cluster
--- a/src/cluster/control/operator_api.hpp
+++ b/src/cluster/control/operator_api.hpp
@@ -41,8 +41,9 @@
     void replaceConfiguration(const HttpRequest& request, HttpResponder respond);
     void proposeConfiguration(const TakenChange& change, std::string body, HttpResponder respond);
     void readConfiguration(HttpResponder respond);
-    // Moving a store empty is not built yet: 404 for an unknown one, 409 for a known one.
-    void answerRetire(const std::string& node, const HttpResponder& respond);
+    // Orders through the register that the leader empties the store; a repeat is answered as the first order.
+    void startRetirement(const std::string& node, HttpResponder respond);
+    void readRetirement(const std::string& node, HttpResponder respond);
 
     RegisterProposer& proposer_;
     ChosenValues& chosen_;
--- a/src/cluster/control/store_view_keeper.cpp
+++ b/src/cluster/control/store_view_keeper.cpp
@@ -18,6 +18,8 @@
 constexpr Millis kOwnPause{500};         // between two looks: this process stood still itself
 constexpr Millis kSettledAfter{3000};    // grants of an old owner end after this
 constexpr Millis kChangeTimeout{1000};
+constexpr Millis kDropAfter{4000};  // of a store that is away; a restart is sooner
+constexpr Millis kEvenOutInterval{1000};
 
 StoreView decodeView(const std::string& bytes) {
     if (bytes.empty()) return {};
@@ -33,14 +35,15 @@
 
 }  // namespace
 
-StoreViewKeeper::StoreViewKeeper(Scheduler& scheduler, RegisterProposer& proposer, ChosenValues& chosen,
-                                 Membership& membership, LeaderElection& election, std::string self,
-                                 std::uint32_t tolerated)
+StoreViewKeeper::StoreViewKeeper(Scheduler& scheduler, Transport& transport, RegisterProposer& proposer,
+                                 ChosenValues& chosen, Membership& membership, LeaderElection& election,
+                                 std::string self, std::uint32_t tolerated)
     : scheduler_(scheduler),
       proposer_(proposer),
       chosen_(chosen),
       membership_(membership),
       election_(election),
+      progress_(scheduler, transport),
       self_(std::move(self)),
       tolerated_(tolerated) {}
 
@@ -49,7 +52,8 @@
 }
 
 void StoreViewKeeper::onElected() {
-    listens_since_ = last_tick_ = doubt_since_ = scheduler_.now();
+    listens_since_ = last_tick_ = doubt_since_ = last_change_ = scheduler_.now();
+    away_since_.clear();
     last_new_store_ = scheduler_.now();
     stores_seen_ = 0;
     claim();
@@ -94,7 +98,31 @@
     if (value == nullptr) return;
     const StoreView view = decodeView(value->value);
     if (view.stores.empty() && !firstViewMayBeMade()) return;
-    if (nextView(view, observeStores(), {})) propose();
+    noteAway(view);
+    if (waitsForPeering(view)) progress_.ask(view);
+    if (nextView(view, observeStores(), rulesFor(view))) propose();
+}
+
+void StoreViewKeeper::noteAway(const StoreView& view) {
+    std::map<std::string, SteadyTime> away;
+    for (const StoreMember& store : view.stores) {
+        if (store.alive) continue;
+        const auto known = away_since_.find(store.member.name);
+        away[store.member.name] = known == away_since_.end() ? scheduler_.now() : known->second;
+    }
+    away_since_ = std::move(away);
+}
+
+ViewRules StoreViewKeeper::rulesFor(const StoreView& view) const {
+    ViewRules rules;
+    rules.settled = scheduler_.now() - doubt_since_ >= kSettledAfter;
+    rules.peered = progress_.isPeered(view);
+    for (const auto& [name, since] : away_since_) {
+        if (scheduler_.now() - since >= kDropAfter) rules.long_away.push_back(name);
+    }
+    rules.may_even_out = scheduler_.now() - last_change_ >= kEvenOutInterval;
+    rules.moves_gradually = true;
+    return rules;
 }
 
 bool StoreViewKeeper::hasListened() const {
@@ -139,8 +167,7 @@
     const StoreView view = decodeView(current);
     const bool own = view.leader == self_ && view.leader_term == term_;
     if (!isActing() || !own) return Decision::keep();
-    const bool settled = scheduler_.now() - doubt_since_ >= kSettledAfter;
-    const std::optional<StoreView> next = nextView(view, observeStores(), ViewRules{.settled = settled});
+    const std::optional<StoreView> next = nextView(view, observeStores(), rulesFor(view));
     return next ? Decision::replaceBy(encode(*next)) : Decision::keep();
 }
 
@@ -151,6 +178,7 @@
     const StoreView view = decodeView(outcome.value);
     const bool own = view.leader == self_ && view.leader_term == term_;
     if (!own && election_.isLeader()) return claim();
+    if (outcome.wrote) last_change_ = scheduler_.now();
     if (outcome.wrote && hasDoubt(view)) doubt_since_ = scheduler_.now();
     if (outcome.wrote)
         LOG(INFO) << "store view " << view.epoch << " with " << view.stores.size() << " stores";
--- a/src/cluster/control/store_view_keeper.hpp
+++ b/src/cluster/control/store_view_keeper.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,7 @@
 #include "cluster/control/leader_election.hpp"
 #include "cluster/control/lifetime.hpp"
 #include "cluster/control/membership.hpp"
+#include "cluster/control/peering_progress.hpp"
 #include "cluster/control/register_proposer.hpp"
 #include "cluster/control/store_view.hpp"
 
@@ -19,8 +21,8 @@
 
 class StoreViewKeeper {
 public:
-    StoreViewKeeper(Scheduler& scheduler, RegisterProposer& proposer, ChosenValues& chosen,
-                    Membership& membership, LeaderElection& election, std::string self,
+    StoreViewKeeper(Scheduler& scheduler, Transport& transport, RegisterProposer& proposer,
+                    ChosenValues& chosen, Membership& membership, LeaderElection& election, std::string self,
                     std::uint32_t tolerated);
 
     // A reign has begun: claims the view with a new term.
@@ -41,6 +43,8 @@
     bool hasListened() const;
     bool firstViewMayBeMade();
     std::vector<StoreObservation> observeStores() const;
+    ViewRules rulesFor(const StoreView& view) const;
+    void noteAway(const StoreView& view);
     void propose();
     Decision decide(const std::string& current);
     void onProposed(const ChangeOutcome& outcome);
@@ -50,6 +54,7 @@
     ChosenValues& chosen_;
     Membership& membership_;
     LeaderElection& election_;
+    PeeringProgress progress_;
     std::string self_;
     std::uint32_t tolerated_;
     std::function<void(std::uint64_t)> on_claimed_;
@@ -61,6 +66,8 @@
     SteadyTime last_new_store_{};  // before the first view
     std::size_t stores_seen_ = 0;
     SteadyTime doubt_since_{};  // the last change whose old owners may still run, or the begin of the reign
+    SteadyTime last_change_{};  // of the view, in this reign
+    std::map<std::string, SteadyTime> away_since_;  // stores of the view that are not alive, in this reign
     TimerHandle timer_;
     Lifetime lifetime_;
 };
--- a/src/cluster/storage/accepts.cpp
+++ b/src/cluster/storage/accepts.cpp
@@ -55,9 +55,10 @@
 
 Accepts::Job Accepts::continuedJob(const QueueItem& item, MessageRecord record) const {
     Job job;
-    job.copies = item.holders.size();
     job.holders = item.holders;
-    job.tried = item.holders;
+    std::erase_if(job.holders, [this](const auto& store) { return !placement_.keepsCopies(store); });
+    job.copies = job.holders.size();
+    job.tried = job.holders;
     job.record = std::make_shared<MessageRecord>(std::move(record));
     return job;
 }
@@ -77,7 +78,7 @@
 }
 
 bool Accepts::begin(OwnedPartition& owned, AcceptMessageRequest& request, Answer answer) {
-    if (placement_.aliveOthers() < placement_.tolerated() || !hasRoom()) return false;
+    if (placement_.otherKeepers() < placement_.tolerated() || !hasRoom()) return false;
     const auto record = std::make_shared<MessageRecord>();
     record->partition = owned.id;
     record->epoch = owned.epoch;
@@ -137,7 +138,7 @@
         return finish(name, AcceptStatus::unknown);
     }
     if (outcome == ReplicateOutcome::fenced) job.tried.erase(store);
-    if (outcome == ReplicateOutcome::stored) {
+    if (outcome == ReplicateOutcome::stored && placement_.keepsCopies(store)) {
         ++job.copies;
         job.holders.insert(store);
         return finishIfStored(name);
@@ -147,6 +148,22 @@
         finish(name, AcceptStatus::unknown);
 }
 
+void Accepts::onView(PartitionId partition) {
+    std::vector<MessageName> names;
+    for (const auto& [name, job] : jobs_) {
+        if (name.first == partition) names.push_back(name);
+    }
+    for (const MessageName& name : names) {
+        Job& job = jobs_.at(name);
+        std::erase_if(job.holders, [this](const auto& store) { return !placement_.keepsCopies(store); });
+        job.copies = job.holders.size();
+        bool room = true;
+        while (room && job.copies + job.calls_under_way < job.copies_wanted)
+            room = replicateToNext(name, job);
+        if (!room) finish(name, AcceptStatus::unknown);
+    }
+}
+
 bool Accepts::raiseEpoch(Job& job, Epoch sent) const {
     const OwnedPartition* const owned = findActive(owned_, job.record->partition);
     if (owned == nullptr || owned->epoch <= sent) return false;
--- a/src/cluster/storage/accepts.hpp
+++ b/src/cluster/storage/accepts.hpp
@@ -29,6 +29,9 @@
     // Goes on with messages whose copies could not all be made; they run only once they stand on enough
     // disks. Call every 100 ms or so.
     void tick();
+    // Copies at stores that the present view does not count are made again elsewhere; call it where this
+    // store stays the owner.
+    void onView(PartitionId partition);
     // The partition goes to another owner: accepts that have not all their copies are answered as unknown,
     // and what nobody was told of is removed, since its place in the order would be wrong later.
     void abandon(PartitionId partition);
--- a/src/cluster/storage/peering.cpp
+++ b/src/cluster/storage/peering.cpp
@@ -11,7 +11,7 @@
       tolerated_(tolerated),
       valid_answers_(own_valid ? 1 : 0),
       copies_wanted_(1) {
-    for (const PeerStore& other : others_) copies_wanted_ += other.alive ? 1 : 0;
+    for (const PeerStore& other : others_) copies_wanted_ += keepsCopies(other) ? 1 : 0;
     copies_wanted_ = std::min<std::size_t>(copies_wanted_, tolerated + 1);
 }
 
@@ -25,10 +25,8 @@
         // A pending state is listed only for a content that this replica holds.
         listing[state.id] = {state.phase, state.failures, state.callback_done, state.phase == Phase::pending};
     }
-    const bool newcomer = std::any_of(others_.begin(), others_.end(), [&](const PeerStore& other) {
-        return other.name == store && other.newcomer;
-    });
-    if (reply.valid || newcomer) ++valid_answers_;
+    for (const MessageId& id : reply.dead_letters) listing[id].content = true;
+    if (reply.valid) ++valid_answers_;
 }
 
 bool PeeringRound::enough() const {
@@ -48,6 +46,16 @@
                        [this](const PeerStore& other) { return !other.hands_over || answered(other.name); });
 }
 
+bool PeeringRound::emptied() const {
+    return std::all_of(others_.begin(), others_.end(), [this](const PeerStore& other) {
+        return !other.alive || other.keeps_copies || answered(other.name);
+    });
+}
+
+bool PeeringRound::keepsCopies(const PeerStore& store) {
+    return store.alive && store.keeps_copies;
+}
+
 const PeeringRound::Listed* PeeringRound::listed(const std::string& store, const MessageId& id) const {
     const auto listing = listings_.find(store);
     if (listing == listings_.end()) return nullptr;
@@ -72,11 +80,11 @@
 
 void PeeringRound::addMissing(const MessageId& id, const StoredMessage& message,
                               std::vector<MissingCopy>& missing) const {
-    const bool needs_content = message.live() && message.content_on_disk;
+    const bool needs_content = message.needsContent() && message.content_on_disk;
     std::size_t copies = 1;
     for (const PeerStore& other : others_) {
         const Listed* const known = listed(other.name, id);
-        if (!other.alive || known == nullptr) continue;
+        if (!keepsCopies(other) || known == nullptr) continue;
         if (behind(*known, message)) missing.push_back({other.name, id, false});
         if (known->content || !needs_content) ++copies;
     }
@@ -84,7 +92,7 @@
         if (copies >= copies_wanted_) return;
         const Listed* const known = listed(other.name, id);
         const bool has_it = known != nullptr && (known->content || !needs_content);
-        if (!other.alive || has_it) continue;
+        if (!keepsCopies(other) || has_it) continue;
         missing.push_back({other.name, id, needs_content});
         ++copies;
     }
--- a/src/cluster/storage/peering.hpp
+++ b/src/cluster/storage/peering.hpp
@@ -17,10 +17,10 @@
 struct PeerStore {
     std::string name;
     bool alive = true;
-    bool newcomer = false;  // it has never been given anything before this view, so it lacks nothing
     // It owned the partition until now and is still there (planned end, or the partition moves): only it
     // knows the newest ends, and what it has granted.
     bool hands_over = false;
+    bool keeps_copies = true;  // false: it is retiring, so that copies there don't count
 };
 
 // One copy that another store should get.
@@ -44,6 +44,8 @@
     bool allAliveAnswered() const;
     // False while a store that hands the partition over has not told what it knows.
     bool handedOver() const;
+    // False while a live store that is retiring has not told what it knows.
+    bool emptied() const;
     // f + 1 copies can be made; else no replica may be called valid.
     bool enoughAlive() const { return copies_wanted_ == std::size_t{tolerated_} + 1; }
     // What must be copied so that each live message, and each end, stands on f + 1 live stores, and so that
@@ -66,6 +68,7 @@
     };
     using Listing = std::unordered_map<MessageId, Listed>;
 
+    static bool keepsCopies(const PeerStore& store);
     const Listed* listed(const std::string& store, const MessageId& id) const;
     static bool behind(const Listed& listed, const StoredMessage& message);
     void addMissing(const MessageId& id, const StoredMessage& message,
--- a/src/cluster/storage/peering_driver.cpp
+++ b/src/cluster/storage/peering_driver.cpp
@@ -92,8 +92,10 @@
     request.partition = partition;
     request.epoch = round.epoch;
     for (const auto& [id, message] : replica_.messages(partition)) {
-        if (message.live() && message.content_on_disk) request.known.push_back(id);
+        if (message.needsContent() && message.content_on_disk) request.known.push_back(id);
     }
+    request.joined_epoch = member->joined_epoch;
+    request.joined_incarnation = member->joined_incarnation;
     Pull& pull = round.pulls[store.name];
     pull.under_way = true;
     pull.next = clock_.now() + (answersSoon(store) ? kPullRetry : kPullRetryOfDead);
@@ -227,15 +229,19 @@
         Round* const finished = findRound(partition, id);
         if (finished == nullptr || !durable || finished->copies_under_way > 0) return;
         finished->copies_made = true;
-        if (!finished->logic.enoughAlive()) return;
+        if (!mayBeDone(*finished)) return;
         replica_.markValid(partition, finished->epoch);
         hooks_.on_done(partition, finished->epoch);
         tellDone(partition, *finished);
     });
 }
 
+bool PeeringDriver::mayBeDone(const Round& round) {
+    return round.logic.enoughAlive() && round.logic.emptied();
+}
+
 void PeeringDriver::tellDone(PartitionId partition, Round& round) {
-    if (!round.logic.enoughAlive()) return;
+    if (!mayBeDone(round)) return;
     for (const PeerStore& store : round.logic.others()) {
         if (!store.alive || !round.logic.answered(store.name) || round.told_done.contains(store.name))
             continue;
--- a/src/cluster/storage/peering_driver.hpp
+++ b/src/cluster/storage/peering_driver.hpp
@@ -88,6 +88,8 @@
     void onCopy(PartitionId partition, std::uint64_t id, const MissingCopy& copy, const RecordUpdate& state,
                 ReplicateOutcome outcome);
     void onCopiesMade(PartitionId partition, Round& round);
+    // Replicas may be called valid once the copies are made.
+    static bool mayBeDone(const Round& round);
     void tellDone(PartitionId partition, Round& round);
     // Forgets a round of which nothing more can come.
     void finishIfAllTold(PartitionId partition, Round& round, const std::string& store);
--- a/src/cluster/storage/placement.cpp
+++ b/src/cluster/storage/placement.cpp
@@ -23,7 +23,18 @@
     return store != nullptr && store->alive;
 }
 
+bool Placement::keepsCopies(const std::string& name) const {
+    const StoreMember* const store = member(name);
+    return store != nullptr && store->keepsCopies();
+}
+
 std::vector<std::string> Placement::replicaOrder(PartitionId partition) const {
+    std::vector<std::string> names = liveOrder(partition);
+    std::erase_if(names, [this](const std::string& name) { return !keepsCopies(name); });
+    return names;
+}
+
+std::vector<std::string> Placement::liveOrder(PartitionId partition) const {
     struct Candidate {
         bool leaving;
         std::uint64_t weight;
@@ -34,7 +45,8 @@
     for (const StoreMember& store : view_->stores) {
         if (!store.alive || store.member.name == self_) continue;
         const std::string& name = store.member.name;
-        candidates.push_back({store.member.leaving, rendezvousWeight(name, partition), name});
+        candidates.push_back(
+            {store.member.leaving || store.retiring, rendezvousWeight(name, partition), name});
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
         if (a.leaving != b.leaving) return b.leaving;
@@ -45,11 +57,11 @@
     return names;
 }
 
-std::size_t Placement::aliveOthers() const {
+std::size_t Placement::otherKeepers() const {
     if (!view_) return 0;
     return static_cast<std::size_t>(
         std::count_if(view_->stores.begin(), view_->stores.end(),
-                      [this](const auto& s) { return s.alive && s.member.name != self_; }));
+                      [this](const auto& s) { return s.keepsCopies() && s.member.name != self_; }));
 }
 
 }  // namespace amberswitch::cluster::storage
--- a/src/cluster/storage/placement.hpp
+++ b/src/cluster/storage/placement.hpp
@@ -26,9 +26,14 @@
     // Null if the view does not name the store.
     const StoreMember* member(const std::string& name) const;
     bool alive(const std::string& name) const;
-    // The other live stores, those that are not leaving first, then by weight for the partition.
+    // Alive and not retiring: what stands there counts as a copy.
+    bool keepsCopies(const std::string& name) const;
+    // The other live stores, those that are not leaving or retiring first, then by weight for the partition.
+    std::vector<std::string> liveOrder(PartitionId partition) const;
+    // Those of them that keep copies.
     std::vector<std::string> replicaOrder(PartitionId partition) const;
-    std::size_t aliveOthers() const;
+    // How many other stores keep copies.
+    std::size_t otherKeepers() const;
 
 private:
     std::string self_;
--- a/src/cluster/storage/replica.cpp
+++ b/src/cluster/storage/replica.cpp
@@ -12,15 +12,17 @@
 constexpr std::string_view kContentPrefix = "c/";
 constexpr std::string_view kStatePrefix = "s/";
 constexpr std::string_view kPromisePrefix = "p/";
-constexpr std::string_view kDefaultKey = "meta/valid_by_default";
+constexpr std::string_view kCompleteKey = "meta/complete_from";
+constexpr std::string_view kJoinedKey = "meta/joined";
 constexpr std::int64_t kMillisPerSecond = 1000;
 
 struct StoredPromise {
     Epoch promised = 0;
     bool valid = false;
+    Epoch valid_from = 0;
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(promised, valid);
+        archive(promised, valid, valid_from);
     }
 };
 
@@ -44,13 +46,13 @@
     : disk_(disk), clock_(clock), bootstrap_(bootstrap), status_kept_(status_kept) {}
 
 void Replica::load() {
-    const auto by_default = disk_.read(kDefaultKey);
-    if (by_default) {
-        valid_by_default_ = *by_default == "1";
-    } else {
-        valid_by_default_ = bootstrap_;
-        disk_.put(kDefaultKey, valid_by_default_ ? "1" : "0");
+    if (const auto complete = disk_.read(kCompleteKey)) {
+        complete_from_ = decode<Epoch>(*complete);
+    } else if (bootstrap_) {
+        complete_from_ = 0;
+        disk_.put(kCompleteKey, encode(*complete_from_));
     }
+    if (const auto joined = disk_.read(kJoinedKey)) joined_ = decode<Epoch>(*joined).value_or(0);
     std::vector<std::string> states;
     disk_.forEach([&](std::string_view key, const std::string& value) {
         if (key.starts_with(kContentPrefix)) loadContent(value);
@@ -90,7 +92,7 @@
     const auto parsed = std::from_chars(begin, key.data() + key.size(), partition);
     if (!stored || parsed.ec != std::errc()) return;
     partitions_[partition].promised = stored->promised;
-    partitions_[partition].valid = stored->valid;
+    if (stored->valid) partitions_[partition].valid_from = stored->valid_from;
 }
 
 Epoch Replica::promised(PartitionId partition) const {
@@ -100,7 +102,23 @@
 
 bool Replica::valid(PartitionId partition) const {
     const auto found = partitions_.find(partition);
-    return found == partitions_.end() ? valid_by_default_ : found->second.valid.value_or(valid_by_default_);
+    std::optional<Epoch> from = complete_from_;
+    if (found != partitions_.end()) from = std::max(from, found->second.valid_from);  // nothing is least
+    return from && *from >= joined_;
+}
+
+void Replica::joined(Epoch epoch, bool this_process) {
+    if (epoch > joined_) {
+        joined_ = epoch;
+        disk_.put(kJoinedKey, encode(epoch));
+        for (auto& [partition, kept] : partitions_) {
+            for (auto& [id, message] : kept.messages) message.before_join = true;
+        }
+    }
+    const bool newer = !complete_from_ || *complete_from_ < epoch;
+    if (!this_process || !newer) return;
+    complete_from_ = epoch;
+    disk_.put(kCompleteKey, encode(epoch));
 }
 
 void Replica::promise(PartitionId partition, Epoch epoch) {
@@ -115,13 +133,14 @@
     if (kept.promised > epoch) return false;
     if (valid(partition) && kept.promised == epoch) return true;
     kept.promised = epoch;
-    kept.valid = true;
+    kept.valid_from = epoch;
     writePromise(partition);
     return true;
 }
 
 void Replica::writePromise(PartitionId partition) {
-    const StoredPromise stored{promised(partition), valid(partition)};
+    const Partition& kept = partitions_[partition];
+    const StoredPromise stored{kept.promised, kept.valid_from.has_value(), kept.valid_from.value_or(0)};
     disk_.put(std::string(kPromisePrefix) + std::to_string(partition), encode(stored));
 }
 
@@ -131,6 +150,7 @@
     if (known == nullptr || !known->content_on_disk) {
         if (!disk_.put(messageKey(kContentPrefix, record.partition, id), encode(record))) return false;
     }
+    if (known != nullptr) known->before_join = false;
     if (known == nullptr) {
         StoredMessage& message = partitions_[record.partition].messages[id];
         adopt(message, record, keep_body);
@@ -321,6 +341,15 @@
     partitions_[partition].messages.erase(MessageId(id));
 }
 
+void Replica::forgetOutdated(PartitionId partition) {
+    std::vector<MessageId> outdated;
+    for (const auto& [id, message] : messages(partition)) {
+        const bool expired = message.accepted_wall_ms + message.retention_ms <= clock_.wallMillis();
+        if (message.before_join && expired && message.phase == Phase::pending) outdated.push_back(id);
+    }
+    for (const MessageId& id : outdated) forget(partition, id);
+}
+
 std::size_t Replica::size() const {
     std::size_t sum = 0;
     for (const auto& [partition, kept] : partitions_) sum += kept.messages.size();
--- a/src/cluster/storage/replica.hpp
+++ b/src/cluster/storage/replica.hpp
@@ -43,8 +43,11 @@
     std::int64_t ended_wall_ms = 0;
     bool callback_done = false;
     std::int64_t keep_until_wall_ms = 0;
+    bool before_join = false;  // here since before this store joined, and not given again since
 
     bool live() const { return phase == Phase::pending || !callback_done; }
+    // Somebody may still want its content: copies must hold it.
+    bool needsContent() const { return live() || phase == Phase::dead_letter; }
 };
 
 // The order in which states override each other: pending, dead_letter, completed.
@@ -67,7 +70,12 @@
 
     // --- Promises ---
     Epoch promised(PartitionId partition) const;
+    // Whether all that this store was given of the partition since it joined is here.
     bool valid(PartitionId partition) const;
+    // This store came to the system with that epoch; what it held before does not count. `this_process`: with
+    // its present process, which therefore lacks nothing of what it was given since. Durable after the next
+    // sync.
+    void joined(Epoch epoch, bool this_process);
     // Takes nothing from epochs before `epoch` any more; durable after the next sync.
     void promise(PartitionId partition, Epoch epoch);
     // False where a newer epoch has been promised.
@@ -89,6 +97,9 @@
 
     // Removes a message of which nobody was told.
     void forget(PartitionId partition, const MessageId& id);
+    // Removes what is here since before this store joined, is pending and has outlived its retention: the
+    // others may have forgotten its end by now. Until then no end of it is forgotten anywhere.
+    void forgetOutdated(PartitionId partition);
     // Forgets what nobody may ask for any more. At most `limit` messages at a time.
     void trim(std::size_t limit);
 
@@ -98,7 +109,7 @@
 private:
     struct Partition {
         Epoch promised = 0;
-        std::optional<bool> valid;  // nothing: as the machine started
+        std::optional<Epoch> valid_from;  // the epoch of the last peering_done
         Messages messages;
     };
 
@@ -118,7 +129,9 @@
     const StoreClock& clock_;
     const bool bootstrap_;
     const Millis status_kept_;
-    bool valid_by_default_ = false;
+    // The epoch from which this disk lacks nothing: of the first start (0), or of its joining.
+    std::optional<Epoch> complete_from_;
+    Epoch joined_ = 0;
     std::map<PartitionId, Partition> partitions_;
     std::size_t resident_body_bytes_ = 0;
     // By second of the day's clock; entries that were prolonged are put back when their second comes.
--- a/src/cluster/storage/store_node.cpp
+++ b/src/cluster/storage/store_node.cpp
@@ -127,7 +127,7 @@
     const Epoch previous_epoch = view_ ? view_->epoch : 0;
     view_ = std::move(view);
     placement_.update(view_);
-    noteStores(*view_);
+    noteOwnJoin();
     const auto partitions = static_cast<PartitionId>(view_->partitions.size());
     for (PartitionId partition = 0; partition < partitions; ++partition) {
         const bool mine = ownsInView(*view_, partition) && replica_.promised(partition) <= view_->epoch;
@@ -142,25 +142,22 @@
               << " partitions";
 }
 
-void StoreNode::Impl::noteStores(const StoreView& view) {
-    if (first_view_epoch_ == 0) first_view_epoch_ = view.epoch;
-    for (const StoreMember& store : view.stores) first_seen_.emplace(store.member.name, view.epoch);
+void StoreNode::Impl::noteOwnJoin() {
+    const StoreMember* const self = placement_.member(settings_.name);
+    if (self != nullptr) replica_.joined(self->joined_epoch, self->joined_incarnation == incarnation_);
 }
 
 std::vector<PeerStore> StoreNode::Impl::peersOf(PartitionId partition) const {
-    const auto done = last_peering_done_.find(partition);
-    const Epoch newest_done = done == last_peering_done_.end() ? 0 : done->second;
     const std::int32_t previous = view_->partitions[partition].previous;
     const auto peer = [&](const std::string& name, bool alive) {
-        const Epoch seen = first_seen_.at(name);
         const StoreMember& member = *placement_.member(name);
         const bool previous_owner =
             previous >= 0 && &member == &view_->stores[static_cast<std::size_t>(previous)];
         const bool hands_over = previous_owner && (alive || member.member.leaving);
-        return PeerStore{name, alive, seen > first_view_epoch_ && seen > newest_done, hands_over};
+        return PeerStore{name, alive, hands_over, !member.retiring};
     };
     std::vector<PeerStore> peers;
-    for (const std::string& name : placement_.replicaOrder(partition)) peers.push_back(peer(name, true));
+    for (const std::string& name : placement_.liveOrder(partition)) peers.push_back(peer(name, true));
     for (const StoreMember& store : view_->stores) {
         if (!store.alive && store.member.name != settings_.name)
             peers.push_back(peer(store.member.name, false));
@@ -186,10 +183,12 @@
         owned->queue.forEach([this](QueueItem& item) {
             if (!accepts_.underWay(item.partition, item.id)) item.holders.clear();
         });
+        accepts_.onView(partition);
     }
     owned->epoch = view.epoch;
     owned->last_sequence = 0;
     if (leaving_) awaiting_pull_.insert(partition);
+    replica_.forgetOutdated(partition);
     peering_.start(partition, peersOf(partition));
 }
 
@@ -260,6 +259,7 @@
         outcomes_.refresh(*owned, id);
         if (QueueItem* const item = owned->queue.find(id)) setHolders(*item);
     }
+    outcomes_.endOverdue(*owned);  // before any of it is granted
     granter_.schedule();
 }
 
--- a/src/cluster/storage/store_node_impl.hpp
+++ b/src/cluster/storage/store_node_impl.hpp
@@ -39,7 +39,7 @@
     void relinquish(PartitionId partition);
     // A replica has promised a newer epoch: there is another owner, whose view has not come yet.
     void onFenced(PartitionId partition);
-    void noteStores(const StoreView& view);
+    void noteOwnJoin();
     std::vector<storage::PeerStore> peersOf(PartitionId partition) const;
     void onEnough(PartitionId partition, const std::vector<RunningAttempt>& running);
     void onMerged(PartitionId partition, const std::vector<MessageId>& touched);
@@ -63,6 +63,7 @@
     void onReplicate(ReplicateBatch batch, const Responder& respond);
     void onPull(PullRequest request, const Responder& respond);
     void onPeeringDone(PeeringDone done, const Responder& respond);
+    void onPeeringProgress(PeeringProgressRequest request, const Responder& respond);
     StateReply stateOf(const StateQuery& query);
     void fetchBody(const StateQuery& query, StateReply reply, std::vector<std::string> stores,
                    const Responder& respond);
@@ -91,8 +92,6 @@
     std::shared_ptr<const StoreView> view_;
     std::shared_ptr<const Configuration> configuration_;
     std::map<PartitionId, FormerGrants> former_grants_;
-    Epoch first_view_epoch_ = 0;
-    std::map<std::string, Epoch> first_seen_;         // by store: the first view that named it
     std::map<PartitionId, Epoch> last_peering_done_;  // the newest view whose replicas are known to be valid
     TimerHandle tick_timer_;
     TimerHandle grace_timer_;
--- a/src/cluster/storage/store_node_requests.cpp
+++ b/src/cluster/storage/store_node_requests.cpp
@@ -49,6 +49,8 @@
             return dispatch<PullRequest>(request, respond, &Impl::onPull);
         case MessageKind::peering_done:
             return dispatch<PeeringDone>(request, respond, &Impl::onPeeringDone);
+        case MessageKind::peering_progress:
+            return dispatch<PeeringProgressRequest>(request, respond, &Impl::onPeeringProgress);
         default:
             LOG_EVERY_N(WARNING, 1000) << "a store does not take requests of kind " << request.kind;
     }
@@ -98,7 +100,7 @@
         answer.body = std::move(content->body);
         return respond(reply(answer));
     }
-    fetchBody(query, std::move(answer), placement_.replicaOrder(query.partition), respond);
+    fetchBody(query, std::move(answer), placement_.liveOrder(query.partition), respond);
 }
 
 void StoreNode::Impl::fetchBody(const StateQuery& query, StateReply answer, std::vector<std::string> stores,
@@ -171,6 +173,8 @@
     const OwnedPartition* const owned = findOwned(owned_, request.partition);
     if (owned != nullptr && owned->epoch < request.epoch) relinquish(request.partition);
     replica_.promise(request.partition, request.epoch);
+    replica_.joined(request.joined_epoch, request.joined_incarnation == incarnation_);
+    replica_.forgetOutdated(request.partition);
     disk_.sync([this, request = std::move(request), respond](bool synced) {
         if (!synced || replica_.promised(request.partition) > request.epoch)
             return respond(reply(PullReply{}));
@@ -187,7 +191,7 @@
     const std::unordered_set<MessageId> known(request.known.begin(), request.known.end());
     std::size_t bytes = 0;
     for (const auto& [id, message] : replica_.messages(request.partition)) {
-        const bool wanted = message.live() && message.content_on_disk && !known.contains(id);
+        const bool wanted = message.needsContent() && message.content_on_disk && !known.contains(id);
         auto record = wanted ? replica_.record(request.partition, id) : std::nullopt;
         if (record) {
             bytes += record->content.body.size();
@@ -196,6 +200,8 @@
             answer.records.push_back(std::move(*record));
         } else if (message.content_on_disk || message.phase != Phase::pending) {
             answer.states.push_back(replica_.state(request.partition, id, message));
+            const bool dead = message.phase == Phase::dead_letter && message.content_on_disk;
+            if (dead) answer.dead_letters.push_back(id);
         }
     }
     const auto former = former_grants_.find(request.partition);
@@ -212,4 +218,16 @@
     disk_.sync([respond](bool synced) { respond(reply(Acknowledgement{synced})); });
 }
 
+void StoreNode::Impl::onPeeringProgress(PeeringProgressRequest request, const Responder& respond) {
+    PeeringProgressReply answer;
+    answer.done = view_ != nullptr && view_->epoch == request.epoch;
+    const auto partitions = static_cast<PartitionId>(answer.done ? view_->partitions.size() : 0);
+    for (PartitionId partition = 0; partition < partitions; ++partition) {
+        if (!ownsInView(*view_, partition)) continue;
+        const auto newest = last_peering_done_.find(partition);
+        if (newest == last_peering_done_.end() || newest->second < request.epoch) answer.done = false;
+    }
+    respond(reply(answer));
+}
+
 }  // namespace amberswitch::cluster
--- a/tests/cluster/simulation.hpp
+++ b/tests/cluster/simulation.hpp
@@ -20,6 +20,12 @@
 class World {
 public:
     explicit World(std::uint64_t seed) : random_(seed) {}
+    // What is still due may hold timers, which cancel themselves here.
+    ~World() {
+        while (!queue_.empty()) queue_.extract(queue_.begin());
+    }
+    World(const World&) = delete;
+    World& operator=(const World&) = delete;
 
     SteadyTime now() const { return now_; }
     std::mt19937_64& random() { return random_; }
