--- a/tests/cluster/control_node_test.cpp
+++ b/tests/cluster/control_node_test.cpp
@@ -402,3 +402,42 @@
     play.world.run(Millis(3000));
     CHECK(allHaveView(play, 3));
 }
+
+TEST_CASE("a retirement goes on after the leader has died, and every core machine tells of it") {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        INFO("seed " << seed);
+        ControlWorld play(seed);
+        addStores(play, 4);
+        play.startAll();
+        REQUIRE(play.world.runUntil([&] { return allHaveView(play, 4); }, Millis(5000)));
+        for (auto& [name, client] : play.clients) client->peers = false;
+        const HttpRequest start{"POST", "/Retire.Start/storage-2", {}, R"({"deadlineS":10})"};
+        const HttpRequest read{"GET", "/Retire.Read/storage-2", {}, {}};
+        CHECK(play.call(*play.core[seed % 3], read).status == 404);
+        CHECK(play.call(*play.core[seed % 3], start).status == 200);
+        if (seed % 2 == 0) play.world.run(Millis(500));
+        CoreMachine* leader = play.leader();
+        REQUIRE(leader != nullptr);
+        leader->kill();
+        for (auto& machine : play.core) {
+            if (machine.get() == leader) continue;
+            CHECK(play.call(*machine, start).status == 200);
+            CHECK(play.call(*machine, read).body == R"({"phase":"in_progress"})");
+        }
+        play.world.run(Millis(5000));
+        for (auto& machine : play.core) {
+            if (machine.get() != leader)
+                CHECK(play.call(*machine, read).body == R"({"phase":"in_progress"})");
+        }
+        for (auto& [name, client] : play.clients) client->peers = true;
+        play.world.run(Millis(1500));
+        leader->start();
+        play.world.run(Millis(1500));
+        for (auto& machine : play.core) {
+            CHECK(play.call(*machine, read).body == R"({"phase":"completed"})");
+            CHECK(play.call(*machine, start).status == 200);
+        }
+        CHECK(play.call(*leader, {"POST", "/Retire.Start/storage-1", {}, "{}"}).status == 409);
+        CHECK(allHaveView(play, 3));
+    }
+}
--- a/tests/cluster/control_world.hpp
+++ b/tests/cluster/control_world.hpp
@@ -196,6 +196,13 @@
         callbacks.on_view = [this](auto view) { epochs.push_back(view->epoch); };
         client_ = std::make_unique<CoreClient>(scheduler_, *transport_, member, std::move(core), callbacks);
         client_->start();
+        transport_->serve([this](const Envelope& request, const Responder& respond) {
+            const auto message = decode<PeeringProgressRequest>(request.body);
+            const bool asked = static_cast<MessageKind>(request.kind) == MessageKind::peering_progress;
+            if (!asked || !message) return;
+            const auto view = client_->view();
+            respond(reply(PeeringProgressReply{peers && view && view->epoch == message->epoch}));
+        });
     }
     ~ClientProcess() {
         scheduler_.kill();
@@ -206,6 +213,7 @@
     std::vector<std::int64_t> generations;
     std::vector<ServerListVersion> server_versions;
     std::vector<Epoch> epochs;
+    bool peers = true;  // as a store it says that its partitions are peered
 
 private:
     SimulatedScheduler scheduler_;
--- a/tests/cluster/store_members_test.cpp
+++ b/tests/cluster/store_members_test.cpp
@@ -215,7 +215,8 @@
         StoreWorld play(seed, troubled(4));
         traffic(play, 100);
         StoreMachine& dropped = *play.machines[seed % 4];
-        // Its process ends in either case: one that was only cut off may grant what it knew until the view comes.
+        // Its process ends in either case: one that was only cut off may grant what it knew until the view
+        // comes.
         if (seed % 2 == 0)
             play.cutPower(dropped);
         else
