--- a/src/cluster/control/control_node.cpp
+++ b/src/cluster/control/control_node.cpp
@@ -107,7 +107,7 @@
                  .may_vote = [this] { return !voter_.startedFirst() || voter_.votes(); },
                  .last_leader = [this] { return acceptedLeader(); },
                  .electors_version = [this] { return voter_.voterSet().version; }}),
-      keeper_(scheduler, proposer_, chosen_, membership_, election_, settings.name,
+      keeper_(scheduler, transport, proposer_, chosen_, membership_, election_, settings.name,
               settings.tolerated_machines),
       voter_keeper_(
           scheduler, transport, voter_, proposer_, membership_, settings.name, settings.tolerated_machines,
--- a/src/cluster/storage/peering.cpp
+++ b/src/cluster/storage/peering.cpp
@@ -4,23 +4,19 @@
 
 namespace amberswitch::cluster::storage {
 
-PeeringRound::PeeringRound(PartitionId partition, std::string self, std::vector<PeerStore> others,
-                           std::uint32_t tolerated, bool own_valid)
+PeeringRound::PeeringRound(PartitionId partition, std::vector<PeerStore> others, std::uint32_t tolerated,
+                           bool own_valid)
     : partition_(partition),
-      self_(std::move(self)),
       others_(std::move(others)),
       tolerated_(tolerated),
-      own_valid_(own_valid),
+      valid_answers_(own_valid ? 1 : 0),
       copies_wanted_(1) {
-    for (const PeerStore& other : others_) {
-        copies_wanted_ += other.alive ? 1 : 0;
-        if (other.newcomer) newcomers_.insert(other.name);
-    }
+    for (const PeerStore& other : others_) copies_wanted_ += keepsCopies(other) ? 1 : 0;
     copies_wanted_ = std::min<std::size_t>(copies_wanted_, tolerated + 1);
 }
 
 void PeeringRound::onReply(const std::string& store, const PullReply& reply) {
-    answered_.insert(store);
+    if (!answered_.insert(store).second) return;
     Listing& listing = listings_[store];
     for (const MessageRecord& record : reply.records) {
         listing[record.content.id] = {record.phase, record.failures, record.callback_done, true};
@@ -29,20 +25,15 @@
         // A pending state is listed only for a content that this replica holds.
         listing[state.id] = {state.phase, state.failures, state.callback_done, state.phase == Phase::pending};
     }
-    if (!reply.valid) return;
-    valid_.insert(store);
-    newcomers_.insert(reply.newcomers.begin(), reply.newcomers.end());
+    for (const MessageId& id : reply.dead_letters) listing[id].content = true;
+    if (reply.valid) ++valid_answers_;
 }
 
 bool PeeringRound::enough() const {
     const std::size_t stores = others_.size() + 1;
     if (answered_.size() == others_.size()) return true;
     const std::size_t needed = stores > tolerated_ ? stores - tolerated_ : 1;
-    std::size_t lacking_nothing = own_valid_ || newcomers_.contains(self_) ? 1 : 0;
-    for (const std::string& store : answered_) {
-        if (valid_.contains(store) || newcomers_.contains(store)) ++lacking_nothing;
-    }
-    return lacking_nothing >= needed;
+    return valid_answers_ >= needed;
 }
 
 bool PeeringRound::allAliveAnswered() const {
@@ -55,6 +46,16 @@
                        [this](const PeerStore& other) { return !other.hands_over || answered(other.name); });
 }
 
+bool PeeringRound::emptied() const {
+    return std::all_of(others_.begin(), others_.end(), [this](const PeerStore& other) {
+        return !other.alive || other.keeps_copies || answered(other.name);
+    });
+}
+
+bool PeeringRound::keepsCopies(const PeerStore& store) {
+    return store.alive && store.keeps_copies;
+}
+
 const PeeringRound::Listed* PeeringRound::listed(const std::string& store, const MessageId& id) const {
     const auto listing = listings_.find(store);
     if (listing == listings_.end()) return nullptr;
@@ -79,11 +80,11 @@
 
 void PeeringRound::addMissing(const MessageId& id, const StoredMessage& message,
                               std::vector<MissingCopy>& missing) const {
-    const bool needs_content = message.live() && message.content_on_disk;
+    const bool needs_content = message.needsContent() && message.content_on_disk;
     std::size_t copies = 1;
     for (const PeerStore& other : others_) {
         const Listed* const known = listed(other.name, id);
-        if (!other.alive || known == nullptr) continue;
+        if (!keepsCopies(other) || known == nullptr) continue;
         if (behind(*known, message)) missing.push_back({other.name, id, false});
         if (known->content || !needs_content) ++copies;
     }
@@ -91,7 +92,7 @@
         if (copies >= copies_wanted_) return;
         const Listed* const known = listed(other.name, id);
         const bool has_it = known != nullptr && (known->content || !needs_content);
-        if (!other.alive || has_it) continue;
+        if (!keepsCopies(other) || has_it) continue;
         missing.push_back({other.name, id, needs_content});
         ++copies;
     }
--- a/src/cluster/storage/peering.hpp
+++ b/src/cluster/storage/peering.hpp
@@ -17,10 +17,10 @@
 struct PeerStore {
     std::string name;
     bool alive = true;
-    bool newcomer = false;  // it has never been given anything before this view, so it lacks nothing
     // It owned the partition until now and is still there (planned end, or the partition moves): only it
     // knows the newest ends, and what it has granted.
     bool hands_over = false;
+    bool keeps_copies = true;  // false: it is retiring, so that copies there don't count
 };
 
 // One copy that another store should get.
@@ -32,9 +32,9 @@
 
 class PeeringRound {
 public:
-    // `others`: all stores of the view but this one, `self`, in the order in which they are to hold copies.
-    PeeringRound(PartitionId partition, std::string self, std::vector<PeerStore> others,
-                 std::uint32_t tolerated, bool own_valid);
+    // `others`: all stores of the view but this one, in the order in which they are to hold copies.
+    PeeringRound(PartitionId partition, std::vector<PeerStore> others, std::uint32_t tolerated,
+                 bool own_valid);
 
     void onReply(const std::string& store, const PullReply& reply);
     bool answered(const std::string& store) const { return answered_.contains(store); }
@@ -44,6 +44,8 @@
     bool allAliveAnswered() const;
     // False while a store that hands the partition over has not told what it knows.
     bool handedOver() const;
+    // False while a live store that is retiring has not told what it knows.
+    bool emptied() const;
     // f + 1 copies can be made; else no replica may be called valid.
     bool enoughAlive() const { return copies_wanted_ == std::size_t{tolerated_} + 1; }
     // What must be copied so that each live message, and each end, stands on f + 1 live stores, and so that
@@ -66,20 +68,18 @@
     };
     using Listing = std::unordered_map<MessageId, Listed>;
 
+    static bool keepsCopies(const PeerStore& store);
     const Listed* listed(const std::string& store, const MessageId& id) const;
     static bool behind(const Listed& listed, const StoredMessage& message);
     void addMissing(const MessageId& id, const StoredMessage& message,
                     std::vector<MissingCopy>& missing) const;
 
     PartitionId partition_;
-    std::string self_;
     std::vector<PeerStore> others_;
     std::uint32_t tolerated_;
-    bool own_valid_;
+    std::size_t valid_answers_;
     std::size_t copies_wanted_;  // with this store's own
     std::set<std::string> answered_;
-    std::set<std::string> valid_;              // of those that answered
-    std::set<std::string> newcomers_;          // as far as this store and those that answered know
     std::map<std::string, Listing> listings_;  // by store: what it holds
 };
 
