--- a/tests/cluster/store_world.hpp
+++ b/tests/cluster/store_world.hpp
@@ -190,11 +190,6 @@
         process->node->onConfiguration(configuration);
         machine.process = std::move(process);
     }
-    // A new machine that never was in the system.
-    void addMachine() {
-        machines.push_back(makeMachine(static_cast<int>(machines.size())));
-        start(*machines.back());
-    }
     void stop(StoreMachine& machine) {
         if (!machine.process) return;
         machine.process->scheduler->kill();
