--- a/src/cluster/storage/ring_store.cpp
+++ b/src/cluster/storage/ring_store.cpp
@@ -107,7 +107,9 @@
         for (const Entry& entry : segment.live) {
             const std::size_t size = entry.recordSize();
             const auto unwritten = writer_.readUnwritten(placeOf(segment, entry.offset), size);
-            visit(*entry.key, valueOf(entry, unwritten ? *unwritten : reader.at(entry.offset, size)));
+            auto value = valueOf(entry, unwritten ? *unwritten : reader.at(entry.offset, size));
+            // The reader's window may be older than the record.
+            visit(*entry.key, value ? *value : readValue(entry));
         }
     }
 }
@@ -147,13 +149,15 @@
 std::string RingStore::readValue(const Entry& entry) const {
     const SyncThread::Place place = placeOf(*entry.segment, entry.offset);
     const std::size_t size = entry.recordSize();
-    if (const auto unwritten = writer_.readUnwritten(place, size)) return valueOf(entry, *unwritten);
-    return valueOf(entry, place.file->readAt(place.offset, size));
+    const auto unwritten = writer_.readUnwritten(place, size);
+    auto value = valueOf(entry, unwritten ? *unwritten : place.file->readAt(place.offset, size));
+    if (!value) throw StorageError(directory_, "read", "a record is damaged");
+    return *std::move(value);
 }
 
-std::string RingStore::valueOf(const Entry& entry, std::string_view record_bytes) const {
+std::optional<std::string> RingStore::valueOf(const Entry& entry, std::string_view record_bytes) const {
     const auto record = decodeRecord(record_bytes, entry.segment->checksum_seed);
-    if (!record || record->key != *entry.key) throw StorageError(directory_, "read", "a record is damaged");
+    if (!record || record->key != *entry.key) return std::nullopt;
     return std::string(record->value);
 }
 
--- a/src/cluster/storage/ring_store.hpp
+++ b/src/cluster/storage/ring_store.hpp
@@ -103,8 +103,8 @@
     void setCurrent(std::string_view key, Segment& segment, std::uint64_t offset, std::size_t value_bytes);
     void link(Entry& entry, Segment& segment, std::uint64_t offset, std::size_t value_bytes);
     void unlink(Entry& entry);
-    // The value of the record in these bytes, which must be that of the entry.
-    std::string valueOf(const Entry& entry, std::string_view record_bytes) const;
+    // The value in these bytes, if they are the intact record of the entry.
+    std::optional<std::string> valueOf(const Entry& entry, std::string_view record_bytes) const;
     std::string readValue(const Entry& entry) const;
 
     // Space.
--- a/tests/cluster/ring_harness.hpp
+++ b/tests/cluster/ring_harness.hpp
@@ -21,6 +21,16 @@
     return options;
 }
 
+inline std::string keyOf(int number) {
+    return "key" + std::to_string(1000 + number);
+}
+
+inline std::size_t filesIn(const std::string& directory) {
+    std::size_t count = 0;
+    for ([[maybe_unused]] const auto& item : std::filesystem::directory_iterator(directory)) ++count;
+    return count;
+}
+
 class RingHarness : public RecordStoreHarness {
 public:
     explicit RingHarness(std::uint64_t seed, RingOptions options = smallRing())
--- a/tests/cluster/ring_test_support.hpp
+++ b/tests/cluster/ring_test_support.hpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cerrno>
+#include <chrono>
 #include <condition_variable>
 #include <cstdlib>
 #include <filesystem>
@@ -88,6 +89,19 @@
         changed_.notify_all();
     }
 
+    void countWrite(std::size_t bytes) {
+        {
+            const std::lock_guard lock(mutex_);
+            written_bytes_ += bytes;
+        }
+        changed_.notify_all();
+    }
+    // Waits until this much has been written in all; false if that takes long.
+    bool awaitWritten(std::size_t bytes) {
+        std::unique_lock lock(mutex_);
+        return changed_.wait_for(lock, kLongestWait, [this, bytes] { return written_bytes_ >= bytes; });
+    }
+
     int sync(int descriptor) {
         {
             std::unique_lock lock(mutex_);
@@ -126,6 +140,8 @@
     }
 
 private:
+    static constexpr std::chrono::seconds kLongestWait{20};
+
     static std::string tear(const std::string& durable, const std::string& written, std::mt19937_64& random) {
         if (durable == written) return written;
         constexpr std::size_t kBlockBytes = 64;
@@ -153,6 +169,7 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     bool held_ = false;
+    std::size_t written_bytes_ = 0;
     std::map<std::string, std::string> durable_;
 };
 
@@ -165,6 +182,15 @@
     return static_cast<int>(::syscall(SYS_fdatasync, descriptor));
 }
 
+extern "C" inline __attribute__((used)) ssize_t pwrite(int descriptor, const void* bytes, std::size_t size,
+                                                       off_t offset) {
+    using amberswitch::cluster::ring_test::WatchedDisk;
+    const ssize_t written = ::syscall(SYS_pwrite64, descriptor, bytes, size, offset);
+    WatchedDisk* disk = WatchedDisk::current();
+    if (disk != nullptr && written > 0) disk->countWrite(static_cast<std::size_t>(written));
+    return written;
+}
+
 // Of folders only, whose names the watched disk keeps anyway: no test has to wait for the real disk.
 extern "C" inline __attribute__((used)) int fsync(int) {
     return 0;
