--- a/src/cluster/storage/ring_store.cpp
+++ b/src/cluster/storage/ring_store.cpp
@@ -26,6 +26,9 @@
 constexpr std::size_t kUrgentCleaningRate = 32;
 // A segment is nearly dead while at most one byte in this many is live.
 constexpr std::uint64_t kNearlyDeadDivisor = 8;
+// A ring is long with more than this beyond twice its live bytes. Records mostly die in the order of their
+// writing, so the last ones of the oldest segment will mostly be dead soon.
+constexpr std::uint64_t kShortRingSegments = 8;
 // Free segments are few while they are no more than one in this many beyond the reserve.
 constexpr std::size_t kFewFreeDivisor = 16;
 
@@ -244,7 +247,9 @@
     if (freeSlots() <= reserved_ + 1) return kUrgentCleaningRate;
     if (freeSlots() <= reserved_ + 1 + slot_count_ / kFewFreeDivisor) return kBusyCleaningRate;
     const bool nearly_dead = segments_.front().live_bytes <= options_.segment_bytes / kNearlyDeadDivisor;
-    return nearly_dead ? kRelaxedCleaningRate : 0;
+    const std::uint64_t ring_bytes = segments_.size() * std::uint64_t{options_.segment_bytes};
+    const bool ring_is_long = ring_bytes > 2 * live_bytes_ + kShortRingSegments * options_.segment_bytes;
+    return nearly_dead && ring_is_long ? kRelaxedCleaningRate : 0;
 }
 
 // With one free segment left, what is current in the oldest one always fits into that.
