--- a/src/cluster/storage/ring_store.cpp
+++ b/src/cluster/storage/ring_store.cpp
@@ -26,6 +26,9 @@
 constexpr std::size_t kUrgentCleaningRate = 32;
 // A segment is nearly dead while at most one byte in this many is live.
 constexpr std::uint64_t kNearlyDeadDivisor = 8;
+// A ring is long with more than this beyond twice its live bytes. Records mostly die in the order of their
+// writing, so the last ones of the oldest segment will mostly be dead soon.
+constexpr std::uint64_t kShortRingSegments = 8;
 // Free segments are few while they are no more than one in this many beyond the reserve.
 constexpr std::size_t kFewFreeDivisor = 16;
 
@@ -107,7 +110,9 @@
         for (const Entry& entry : segment.live) {
             const std::size_t size = entry.recordSize();
             const auto unwritten = writer_.readUnwritten(placeOf(segment, entry.offset), size);
-            visit(*entry.key, valueOf(entry, unwritten ? *unwritten : reader.at(entry.offset, size)));
+            auto value = valueOf(entry, unwritten ? *unwritten : reader.at(entry.offset, size));
+            // The reader's window may be older than the record.
+            visit(*entry.key, value ? *value : readValue(entry));
         }
     }
 }
@@ -147,13 +152,15 @@
 std::string RingStore::readValue(const Entry& entry) const {
     const SyncThread::Place place = placeOf(*entry.segment, entry.offset);
     const std::size_t size = entry.recordSize();
-    if (const auto unwritten = writer_.readUnwritten(place, size)) return valueOf(entry, *unwritten);
-    return valueOf(entry, place.file->readAt(place.offset, size));
+    const auto unwritten = writer_.readUnwritten(place, size);
+    auto value = valueOf(entry, unwritten ? *unwritten : place.file->readAt(place.offset, size));
+    if (!value) throw StorageError(directory_, "read", "a record is damaged");
+    return *std::move(value);
 }
 
-std::string RingStore::valueOf(const Entry& entry, std::string_view record_bytes) const {
+std::optional<std::string> RingStore::valueOf(const Entry& entry, std::string_view record_bytes) const {
     const auto record = decodeRecord(record_bytes, entry.segment->checksum_seed);
-    if (!record || record->key != *entry.key) throw StorageError(directory_, "read", "a record is damaged");
+    if (!record || record->key != *entry.key) return std::nullopt;
     return std::string(record->value);
 }
 
@@ -240,7 +247,9 @@
     if (freeSlots() <= reserved_ + 1) return kUrgentCleaningRate;
     if (freeSlots() <= reserved_ + 1 + slot_count_ / kFewFreeDivisor) return kBusyCleaningRate;
     const bool nearly_dead = segments_.front().live_bytes <= options_.segment_bytes / kNearlyDeadDivisor;
-    return nearly_dead ? kRelaxedCleaningRate : 0;
+    const std::uint64_t ring_bytes = segments_.size() * std::uint64_t{options_.segment_bytes};
+    const bool ring_is_long = ring_bytes > 2 * live_bytes_ + kShortRingSegments * options_.segment_bytes;
+    return nearly_dead && ring_is_long ? kRelaxedCleaningRate : 0;
 }
 
 // With one free segment left, what is current in the oldest one always fits into that.
