--- a/apps/ambercluster/commands.cpp
+++ b/apps/ambercluster/commands.cpp
@@ -8,6 +8,7 @@
 
 #include "cluster/common/configuration.hpp"
 #include "cluster/common/settings.hpp"
+#include "cluster/storage/inspect.hpp"
 #include "exit_status.hpp"
 
 namespace amberswitch::cluster {
@@ -56,8 +57,13 @@
 }
 
 int inspectFolder(const std::string& folder) {
-    std::cerr << folder << ": inspection is not available in this build\n";
-    return kExitFailure;
+    try {
+        inspectRing(folder, std::cout);
+    } catch (const std::exception& error) {
+        std::cerr << error.what() << '\n';
+        return kExitFailure;
+    }
+    return kExitOk;
 }
 
 }  // namespace amberswitch::cluster
--- a/src/cluster/edge/service_dispatcher.cpp
+++ b/src/cluster/edge/service_dispatcher.cpp
@@ -20,7 +20,7 @@
 constexpr std::chrono::seconds kWarmUp{3};  // over which a cold server's share grows
 // A server in another zone is taken once those of the own zone hold about one more message of this edge.
 constexpr double kCrossZonePrice = 0.03;
-constexpr double kRebuildBeyond = 1.5;      // change of the number of dispatchers
+constexpr double kRebuildBeyond = 1.5;  // change of the number of dispatchers
 
 std::uint64_t hashOf(std::string_view text) {
     return XXH64(text.data(), text.size(), 0);
