--- a/apps/ambercluster/roles.cpp
+++ b/apps/ambercluster/roles.cpp
@@ -2,8 +2,8 @@
 #include "roles.hpp"
 
 #include <glog/logging.h>
-#include <signal.h>
 
+#include <csignal>
 #include <memory>
 #include <random>
 #include <utility>
--- a/src/cluster/edge/accepts.cpp
+++ b/src/cluster/edge/accepts.cpp
@@ -173,7 +173,7 @@
     finish(id, std::move(response));
     if (!reply.granted) return;
     ++counters_.granted_with_accept;
-    if (deliveries_.take(std::move(grant))) return;
+    if (deliveries_.take(grant)) return;
     ++counters_.grants_refused;
     deliveries_.giveBack(grant);
 }
--- a/src/cluster/edge/deliveries.cpp
+++ b/src/cluster/edge/deliveries.cpp
@@ -108,7 +108,7 @@
     return found != services_.end() && found->second->hasServer();
 }
 
-bool Deliveries::take(Grant&& grant) {
+bool Deliveries::take(Grant& grant) {
     const GrantKey key{grant.partition, grant.content.id};
     const bool known = book_.find(key) != nullptr;
     if (!known && (leaving_ || book_.size() >= kMostGrants)) return false;
--- a/src/cluster/edge/deliveries.hpp
+++ b/src/cluster/edge/deliveries.hpp
@@ -41,7 +41,7 @@
     bool hasRoomFor(const std::string& service) const;
     // False: not taken, not begun and left as it is; it is the owner's again. A repeated grant is taken and
     // not begun twice.
-    bool take(Grant&& grant);
+    bool take(Grant& grant);  // moved from where it is taken
     // Tells the owner that a grant which take() did not take will not run here.
     void giveBack(const Grant& grant) { notRun(grant, false); }
     std::vector<RunningAttempt> attempts() const { return book_.attempts(); }
--- a/src/cluster/edge/edge_node.cpp
+++ b/src/cluster/edge/edge_node.cpp
@@ -121,7 +121,7 @@
 GrantPushReply EdgeNode::take(GrantPush push) {
     GrantPushReply answer;
     for (Grant& grant : push.grants) {
-        const bool taken = !leaving_ && !stale(push, grant) && deliveries_.take(std::move(grant));
+        const bool taken = !leaving_ && !stale(push, grant) && deliveries_.take(grant);
         ++(taken ? counters_.granted_by_push : counters_.grants_refused);
         answer.taken.push_back(taken);
     }
--- a/src/cluster/edge/message_ref.cpp
+++ b/src/cluster/edge/message_ref.cpp
@@ -55,7 +55,7 @@
 }
 
 MessageRef parseMessageRef(std::string_view text) {
-    const MessageRef bare{std::nullopt, std::string(text)};
+    MessageRef bare{std::nullopt, std::string(text)};
     if (text.size() < 3 || text[0] != 'p') return bare;
     PartitionId partition = 0;
     const char* const last = text.data() + text.size();
--- a/src/cluster/storage/placement.cpp
+++ b/src/cluster/storage/placement.cpp
@@ -53,6 +53,7 @@
         return a.weight != b.weight ? a.weight > b.weight : a.name < b.name;
     });
     std::vector<std::string> names;
+    names.reserve(candidates.size());
     for (Candidate& candidate : candidates) names.push_back(std::move(candidate.name));
     return names;
 }
--- a/src/cluster/storage/ready_queues.cpp
+++ b/src/cluster/storage/ready_queues.cpp
@@ -77,6 +77,7 @@
     }
     std::sort(heads.begin(), heads.end());
     std::vector<std::string> names;
+    names.reserve(heads.size());
     for (Order& order : heads) names.push_back(std::move(std::get<std::string>(order)));
     return names;
 }
