--- a/src/grpc/front.hpp
+++ b/src/grpc/front.hpp
@@ -21,7 +21,7 @@
     // The planned end: clients are told to open elsewhere at once, and half a second later what they begin
     // after that is not looked at.
     void drain(Time now);
-    void resume();  // what comes from now on is served: the drain is taken back
+    void resume();            // what comes from now on is served: the drain is taken back
     void closeAll(Time now);  // nothing is owed any more
     bool quiet() const;
     std::size_t held() const { return counters_.calls.held; }  // bytes of all calls, both ways
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -30,8 +30,8 @@
 // The classes of a wire that a machine of this kind can do, a bit each.
 std::uint64_t classesOf(const Site& site, std::size_t wire, int kind);
 
-// Of the zones' and kinds' names. What is kept on disk has them as numbers, which mean nothing where the names
-// are others.
+// Of the zones' and kinds' names. What is kept on disk has them as numbers, which mean nothing where the
+// names are others.
 std::uint64_t siteOf(const Site& site);
 
 // FNV-1a: the same number for a worker at every instance.
--- a/tests/gearman_test.cpp
+++ b/tests/gearman_test.cpp
@@ -143,8 +143,8 @@
     EXPECT_EQ(end[0].arguments, (std::vector<std::string>{created.arguments[0], "result"}));
 }
 
-// A foreground job whose client has closed is not handed out, also where that close was not read yet; one that
-// somebody else waits for, or that runs in the background, is.
+// A foreground job whose client has closed is not handed out, also where that close was not read yet; one
+// that somebody else waits for, or that runs in the background, is.
 TEST_F(GearmanFrontTest, AJobIsNotHandedOutOnceItsClientsHaveLeft) {
     struct Gone : wire::Driver {
         void wake() override {}
--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -39,8 +39,9 @@
     EXPECT_EQ(fault("{}"), "taken");
     EXPECT_EQ(fault("{").substr(0, 36), "op.json: the file: is not valid JSON");
     EXPECT_EQ(fault("[]"), "op.json: the file: is not an object");
-    EXPECT_EQ(fault(R"({"grcp":{}})"),
-              "op.json: grcp: there is no such field; known are gearman, consul, grpc, log, start, placement");
+    EXPECT_EQ(
+        fault(R"({"grcp":{}})"),
+        "op.json: grcp: there is no such field; known are gearman, consul, grpc, log, start, placement");
     EXPECT_EQ(fault(R"({"log":{"trace":1}})"), "op.json: log.trace: is not true or false");
     EXPECT_EQ(fault(R"({"log":{"lines_per_s":0}})"), "op.json: log.lines_per_s: is not from 1 to 100000");
     EXPECT_EQ(fault(R"({"grpc":{},"grpc":{}})"), "op.json: grpc: is given twice");
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -796,7 +796,8 @@
     EXPECT_EQ(refused, 0);
 }
 
-// Guards against refusing work that has its place: where queues are short many an attempt meets a full worker.
+// Guards against refusing work that has its place: where queues are short many an attempt meets a full
+// worker.
 TEST(Admission, AFullWorkerIsNoJamWhereTheNextOneTakesTheJob) {
     Drive d(plainSettings());
     d.fleet(20);
