--- a/apps/ambercluster/main.cpp
+++ b/apps/ambercluster/main.cpp
@@ -21,10 +21,10 @@
 
 constexpr const char* kSettingsVariable = "AMBERSWITCH_NODE_FILE";
 
-using Role = int (*)(const NodeSettings&, const std::string&);
+using Role = int (*)(const NodeSettings&, const RoleOptions&);
 
 struct CommandLine {
-    std::string settings_path;
+    RoleOptions role_options;
     std::string checked_file;
     std::string inspected_folder;
     std::function<int()> chosen;  // what the subcommand asks for; returns the exit status
@@ -36,16 +36,16 @@
     google::InitGoogleLogging(program);
 }
 
-int serve(Role role, const std::string& settings_path) {
+int serve(Role role, const RoleOptions& options) {
     NodeSettings settings;
     try {
-        settings = loadNodeSettings(settings_path);
+        settings = loadNodeSettings(options.settings_path);
     } catch (const SettingsError& error) {
         std::cerr << error.what() << '\n';
         return kExitBadInput;
     }
     try {
-        return role(settings, settings_path);
+        return role(settings, options);
     } catch (const std::exception& error) {
         LOG(ERROR) << settings.name << ": ends: " << error.what();
         return kExitFailure;
@@ -54,11 +54,13 @@
 
 void addRole(CLI::App& app, CommandLine& line, const char* name, const char* description, Role role) {
     CLI::App* command = app.add_subcommand(name, description);
-    command->add_option("--settings", line.settings_path, "settings file (YAML)")
+    command->add_option("--settings", line.role_options.settings_path, "settings file (YAML)")
         ->envname(kSettingsVariable)
         ->required();
+    command->add_option("--metrics-port", line.role_options.metrics_port,
+                        "where the process tells its figures as text; 0: nowhere");
     command->callback(
-        [&line, role] { line.chosen = [&line, role] { return serve(role, line.settings_path); }; });
+        [&line, role] { line.chosen = [&line, role] { return serve(role, line.role_options); }; });
 }
 
 void addCheck(CLI::App& app, CommandLine& line) {
--- a/apps/ambercluster/roles.cpp
+++ b/apps/ambercluster/roles.cpp
@@ -12,6 +12,7 @@
 #include "cluster/common/event_loop.hpp"
 #include "cluster/common/evhttp_client.hpp"
 #include "cluster/common/evhttp_server.hpp"
+#include "cluster/common/metrics_server.hpp"
 #include "cluster/common/tcp_transport.hpp"
 #include "cluster/control/control_node.hpp"
 #include "cluster/control/core_client.hpp"
@@ -152,7 +153,7 @@
 
 }  // namespace
 
-int runCore(const NodeSettings& settings, const std::string&) {
+int runCore(const NodeSettings& settings, const RoleOptions& options) {
     if (!settings.control) throw SettingsError("settings", "bindAddrs.control", "a core machine needs it");
     EventLoop loop;
     TcpTransport transport(loop, settings.internal(PortOffset::core));
@@ -164,6 +165,7 @@
                            [&node](const HttpRequest& request, HttpResponder respond) {
                                node.handleHttp(request, std::move(respond));
                            });
+    MetricsServer metrics(loop, {settings.ip, options.metrics_port}, [&node] { return node.metricsText(); });
     loop.onSignal(SIGHUP, [] {});
     loop.onSignal(SIGTERM, [&] {
         operators.startClosing();
@@ -174,7 +176,7 @@
     return 0;
 }
 
-int runStore(const NodeSettings& settings, const std::string& settings_path) {
+int runStore(const NodeSettings& settings, const RoleOptions& options) {
     EventLoop loop;
     TcpTransport transport(loop, settings.internal(PortOffset::store));
     RingStore disk(
@@ -191,7 +193,8 @@
     callbacks.on_servers = [&node](auto servers) { node.onServers(std::move(servers)); };
     callbacks.on_view = [&node](auto view) { node.onView(std::move(view)); };
     CoreClient client(loop, transport, self, coreAddresses(settings), callbacks);
-    SeedsReloader seeds(loop, settings_path, client);
+    SeedsReloader seeds(loop, options.settings_path, client);
+    MetricsServer metrics(loop, {settings.ip, options.metrics_port}, [&node] { return node.metricsText(); });
     node.onUsable([&client](bool usable) { client.setDiskFailed(!usable); });
     loop.onSignal(SIGTERM, [&] {
         node.leave([&loop] { loop.stop(); });
@@ -203,7 +206,7 @@
     return 0;
 }
 
-int runEdge(const NodeSettings& settings, const std::string& settings_path) {
+int runEdge(const NodeSettings& settings, const RoleOptions& options) {
     if (!settings.front || !settings.readiness)
         throw SettingsError("settings", "bindAddrs", "an edge needs front and readiness");
     EventLoop loop;
@@ -218,6 +221,8 @@
                            [&node](const HttpRequest& request, HttpResponder respond) {
                                node.handleReadiness(request, std::move(respond));
                            });
+    MetricsServer metrics(loop, {settings.ip, options.metrics_port},
+                          [&] { return node.countersText() + servers.counters().text(); });
     CoreClient::Callbacks callbacks;
     callbacks.on_configuration = [&](auto configuration) {
         front.setLimits(configuration->limits);
@@ -227,7 +232,7 @@
     callbacks.on_view = [&](auto view) { node.onView(std::move(view)); };
     CoreClient client(loop, transport, describe(settings, NodeKind::edge, PortOffset::edge, incarnation),
                       coreAddresses(settings), callbacks);
-    SeedsReloader seeds(loop, settings_path, client);
+    SeedsReloader seeds(loop, options.settings_path, client);
     EdgeCountTeller edge_count(loop, client, node);
     EdgeShutdown shutdown(loop, front, node, settings.bounds.grace);
     loop.onSignal(SIGTERM, [&] {
--- a/src/cluster/common/evhttp_client.cpp
+++ b/src/cluster/common/evhttp_client.cpp
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "cluster/common/evhttp_message.hpp"
+#include "cluster/common/metrics_text.hpp"
 #include "cluster/common/stream_flush.hpp"
 #include "cluster/common/tcp_socket.hpp"
 
@@ -69,6 +70,17 @@
 
 }  // namespace
 
+std::string HttpClientCounters::text() const {
+    MetricsText text("http_client_");
+    text.add("connections_opened", connections_opened);
+    text.add("answers_of_earlier_calls", answers_of_earlier_calls);
+    text.add("answers_of_unknown_calls", answers_of_unknown_calls);
+    text.add("answers_without_id", answers_without_id);
+    text.add("answers_without_end", answers_without_end);
+    text.add("dropped_with_more_behind", dropped_with_more_behind);
+    return text.take();
+}
+
 EvhttpClient::EvhttpClient(EventLoop& loop) : loop_(loop) {
     reap_event_.reset(event_new(loop.base(), -1, 0, &EvhttpClient::onReap, this));
     if (!reap_event_) throw std::runtime_error("HTTP client: no memory");
@@ -135,7 +147,7 @@
     evhttp_connection* handle =
         evhttp_connection_base_new(loop_.base(), nullptr, address.ip.c_str(), address.port);
     if (handle == nullptr) throw std::runtime_error("HTTP client: no memory for a connection");
-    ++connections_opened_;
+    ++counters_.connections_opened;
     auto connection = std::make_unique<Connection>(Connection{*this, address, {}});
     connection->handle.reset(handle);
     evhttp_connection_set_retries(handle, 0);
@@ -214,12 +226,10 @@
     HttpResponse answer{status, readHeaders(response), takeBody(response), false};
     const std::string& expected = connection.exchange->request_id;
     const bool is_other = !expected.empty() && headerValue(answer.headers, kRequestId) != expected;
-    if (is_other) {
-        LOG_EVERY_T(WARNING, kLogIntervalS)
-            << "an answer of " << connection.to.text() << " with status " << status
-            << " does not repeat its request's id; it counts as none";
+    if (is_other || status < kFirstFinalStatus || !hasClearEnd(answer.headers)) {
+        noteDropped(connection, answer);
+        return failed(connection);
     }
-    if (is_other || status < kFirstFinalStatus || !hasClearEnd(answer.headers)) return failed(connection);
     answer.close = bufferevent_getfd(evhttp_connection_get_bufferevent(connection.handle.get())) < 0;
     if (answer.close || connection.forgotten) {
         retire(connection);
@@ -229,6 +239,28 @@
     finish(connection, HttpOutcome{Verdict::answered, false, false, std::move(answer)});
 }
 
+void EvhttpClient::noteDropped(const Connection& connection, const HttpResponse& answer) {
+    const std::string& expected = connection.exchange->request_id;
+    const std::string id(headerValue(answer.headers, kRequestId));
+    const bool is_own = expected.empty() || id == expected;
+    const bool is_earlier = !is_own && hasCarried(connection.carried_ids, id);
+    const std::size_t behind = evbuffer_get_length(
+        bufferevent_get_input(evhttp_connection_get_bufferevent(connection.handle.get())));
+    if (behind > 0) ++counters_.dropped_with_more_behind;
+    if (is_own) {
+        ++counters_.answers_without_end;
+    } else if (id.empty()) {
+        ++counters_.answers_without_id;
+    } else {
+        ++(is_earlier ? counters_.answers_of_earlier_calls : counters_.answers_of_unknown_calls);
+    }
+    LOG_EVERY_T(WARNING, kLogIntervalS)
+        << "an answer of " << connection.to.text() << " with status " << answer.status << " and id '" << id
+        << "' is not taken for that of call '" << expected << "'"
+        << (is_earlier ? ", as an earlier call's" : "") << "; " << behind << " bytes behind it, call "
+        << connection.carried_ids.size() << " on its connection";
+}
+
 void EvhttpClient::failed(Connection& connection) {
     const bool connected = connection.connected;
     retire(connection);
--- a/src/cluster/common/evhttp_client.hpp
+++ b/src/cluster/common/evhttp_client.hpp
@@ -18,6 +18,20 @@
 
 namespace amberswitch::cluster {
 
+// What the client counts, since its start.
+struct HttpClientCounters {
+    std::uint64_t connections_opened = 0;
+    // Answers that do not repeat the Request-Id of the call that was open on their connection.
+    std::uint64_t answers_of_earlier_calls = 0;  // they repeat that of an earlier call on it
+    std::uint64_t answers_of_unknown_calls = 0;  // they repeat one that it did not carry lately
+    std::uint64_t answers_without_id = 0;
+    std::uint64_t answers_without_end = 0;       // nothing tells a whole one from one that was cut short
+    std::uint64_t dropped_with_more_behind = 0;  // of all these, those behind which more bytes were waiting
+
+    // One line for each counter, its name beginning with "http_client_".
+    std::string text() const;
+};
+
 struct HttpConnectionDeleter {
     void operator()(evhttp_connection* connection) const { evhttp_connection_free(connection); }
 };
@@ -40,8 +54,7 @@
     // Connections that are in use close after their answer.
     void forget(const NodeAddress& address) override;
 
-    // Connections that were begun since the start.
-    std::uint64_t connectionsOpened() const { return connections_opened_; }
+    const HttpClientCounters& counters() const { return counters_; }
 
 private:
     struct Exchange {
@@ -77,6 +90,8 @@
     void handOver(Connection& connection, const HttpRequest& request);
     void refuse(std::function<void(HttpOutcome)> done);
     void respond(Connection& connection, evhttp_request* response);
+    // Counts and logs an answer that is not taken for the open call's.
+    void noteDropped(const Connection& connection, const HttpResponse& answer);
     void connected(Connection& connection);
     void timedOut(Connection& connection);
     void failed(Connection& connection);
@@ -89,7 +104,7 @@
     std::map<NodeAddress, Pool> pools_;
     std::vector<std::unique_ptr<Connection>> retired_;  // freed outside evhttp's callbacks
     EventHandle reap_event_;
-    std::uint64_t connections_opened_ = 0;
+    HttpClientCounters counters_;
     bool sending_ = false;
 };
 
--- a/src/cluster/control/control_node.cpp
+++ b/src/cluster/control/control_node.cpp
@@ -49,6 +49,9 @@
     void leave(std::function<void()> done);
     void setSeeds(const std::vector<NodeAddress>& seeds) { settings_.seeds = seeds; }
     std::string statusJson() const;
+    std::string metricsText() const {
+        return metricsAsText({settings_, voter_, chosen_, election_, keeper_, membership_, distribution_});
+    }
 
 private:
     NodeAddress self() const { return settings_.internal(PortOffset::core); }
@@ -373,6 +376,10 @@
     impl_->setSeeds(seeds);
 }
 
+std::string ControlNode::metricsText() const {
+    return impl_->metricsText();
+}
+
 std::string ControlNode::statusJson() const {
     return impl_->statusJson();
 }
--- a/src/cluster/control/control_node.hpp
+++ b/src/cluster/control/control_node.hpp
@@ -31,6 +31,8 @@
     void setSeeds(const std::vector<NodeAddress>& seeds);
     // Members, leases, leader, versions, view and the state of the voter, as JSON.
     std::string statusJson() const;
+    // Its figures, one a line.
+    std::string metricsText() const;
 
 private:
     class Impl;
--- a/src/cluster/control/control_status.cpp
+++ b/src/cluster/control/control_status.cpp
@@ -5,6 +5,7 @@
 
 #include <map>
 
+#include "cluster/common/metrics_text.hpp"
 #include "cluster/control/register_messages.hpp"
 #include "cluster/control/register_values.hpp"
 
@@ -142,6 +143,23 @@
 
 }  // namespace
 
+std::string metricsAsText(const StatusSources& sources) {
+    const StoreView* const view = sources.distribution.view();
+    MetricsText text;
+    text.add("leads", sources.keeper.isActing() ? 1 : 0);
+    text.add("votes", sources.voter.votes() ? 1 : 0);
+    text.add("disk_works", sources.voter.diskWorks() ? 1 : 0);
+    text.add("majority_in_contact", sources.chosen.isFresh() ? 1 : 0);
+    text.add("voters_version", sources.voter.voterSet().version);
+    text.add("configuration", static_cast<std::uint64_t>(sources.distribution.configurationGeneration()));
+    text.add("view_epoch", view == nullptr ? 0 : view->epoch);
+    text.add("watchers", sources.distribution.watchers());
+    text.add("members_core", sources.membership.known(NodeKind::core).size());
+    text.add("members_store", sources.membership.known(NodeKind::store).size());
+    text.add("members_edge", sources.membership.known(NodeKind::edge).size());
+    return text.take();
+}
+
 std::string statusAsJson(const StatusSources& sources, SteadyTime now) {
     rapidjson::StringBuffer buffer;
     JsonWriter json(buffer);
--- a/src/cluster/control/control_status.hpp
+++ b/src/cluster/control/control_status.hpp
@@ -26,6 +26,9 @@
     const Distribution& distribution;
 };
 
+// The figures of GET /metrics.
+std::string metricsAsText(const StatusSources& sources);
+
 std::string statusAsJson(const StatusSources& sources, SteadyTime now);
 
 }  // namespace amberswitch::cluster
--- a/src/cluster/storage/edge_watch.cpp
+++ b/src/cluster/storage/edge_watch.cpp
@@ -65,6 +65,7 @@
             item->grant->missing_since = clock_.now();
         }
     }
+    book_.counters.missing_at_edge += lost.size();
     for (QueueItem* item : lost) takeBack(*item);
 }
 
@@ -82,6 +83,7 @@
 
 void EdgeWatch::takeBackAll(Edge& edge) {
     const std::vector<QueueItem*> items(edge.grants.begin(), edge.grants.end());
+    book_.counters.edge_gone += items.size();
     for (QueueItem* item : items) takeBack(*item);
     if (!items.empty()) granter_.schedule();
 }
@@ -94,6 +96,7 @@
                                *item->grant->missing_since + kMissingFor <= now;
         if (unclaimed || item->grant->expiry <= now) expired.push_back(item);
     }
+    book_.counters.expired += expired.size();
     for (QueueItem* item : expired) takeBack(*item);
     if (!expired.empty()) granter_.schedule();
 }
--- a/src/cluster/storage/grant_book.hpp
+++ b/src/cluster/storage/grant_book.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "cluster/storage/edges.hpp"
+#include "cluster/storage/grant_counters.hpp"
 #include "cluster/storage/owned_partition.hpp"
 #include "cluster/storage/rate_limiter.hpp"
 #include "cluster/storage/ready_queues.hpp"
@@ -26,6 +27,7 @@
     void adopt(OwnedPartition& owned, QueueItem& item, const std::string& edge, AttemptId id, SteadyTime now,
                Millis timeout, bool uncounted) {
         limiter.adopted(item.service);
+        ++counters.adopted;
         place(owned, item, edge, id, now, timeout);
         item.grant->uncounted = uncounted;
     }
@@ -50,6 +52,7 @@
     Edges edges;
     RateLimiter limiter;
     ReadyQueues ready;
+    GrantCounters counters;
 
 private:
     void place(OwnedPartition& owned, QueueItem& item, const std::string& edge, AttemptId id, SteadyTime now,
--- a/src/cluster/storage/granter.cpp
+++ b/src/cluster/storage/granter.cpp
@@ -34,6 +34,7 @@
         return std::nullopt;
     const AttemptId id{owned.epoch, ++last_attempt_};
     book_.give(owned, item, edge, id, now, items_.timeoutOf(item));
+    ++book_.counters.granted_at_accept;
     return id;
 }
 
@@ -105,6 +106,7 @@
     const Millis timeout = item.callback ? kCallbackTimeout : items_.timeoutOf(item);
     grant.timeout_ms = timeout.count();
     book_.give(*owned, item, edge.name, {grant.epoch, grant.attempt}, scheduler_.now(), timeout);
+    ++book_.counters.granted_by_push;
     std::vector<Push>& batches = pushes[edge.name];
     if (batches.empty() || batches.back().bytes >= kMostBytesPerPush) batches.emplace_back();
     batches.back().bytes += grant.content.body.size();
@@ -150,6 +152,7 @@
     QueueItem* const item = owned == nullptr ? nullptr : owned->queue.find(attempt.id);
     if (item == nullptr || !item->grant) return;
     if (item->grant->id != AttemptId{attempt.epoch, attempt.attempt}) return;
+    ++book_.counters.push_refused;
     outcomes_.giveBack(*owned, *item, DestinationSign::nothing);
 }
 
--- a/src/cluster/storage/outcomes.cpp
+++ b/src/cluster/storage/outcomes.cpp
@@ -31,6 +31,7 @@
     OwnedPartition* const owned = findActive(owned_, result.partition);
     if (owned == nullptr) return false;
     QueueItem* const item = owned->queue.find(result.id);
+    count(*owned, item, result);
     if (item == nullptr) return true;  // all is over, or it was never here
     if (item->callback) {
         applyToCallback(*owned, *item, result);
@@ -40,6 +41,40 @@
     return true;
 }
 
+void Outcomes::count(const OwnedPartition& owned, const QueueItem* item, const RunResult& result) {
+    GrantCounters& counters = book_.counters;
+    const bool runs = item != nullptr && !item->callback;
+    const bool current = runs && item->grant && item->grant->id == AttemptId{result.epoch, result.attempt};
+    switch (result.outcome) {
+        case RunOutcome::completed:
+            ++counters.completed;
+            if (runs && !current) ++counters.successes_of_former_attempts;
+            if (isRepeatedSuccess(owned, result)) ++counters.repeated_successes;
+            return;
+        case RunOutcome::rejected:
+            ++counters.rejected;
+            return;
+        case RunOutcome::failed:
+            ++counters.reported_failed;
+            return;
+        case RunOutcome::unknown:
+            ++counters.reported_unknown;
+            return;
+        case RunOutcome::not_run:
+            ++counters.reported_not_run;
+            return;
+        case RunOutcome::callback_taken:
+        case RunOutcome::callback_failed:
+            return;
+    }
+}
+
+bool Outcomes::isRepeatedSuccess(const OwnedPartition& owned, const RunResult& result) const {
+    const StoredMessage* const message = replica_.find(owned.id, result.id);
+    if (message == nullptr || message->phase != Phase::completed) return false;
+    return !message->stamp.empty() && message->stamp != result.stamp;
+}
+
 void Outcomes::applyToRun(OwnedPartition& owned, QueueItem& item, const std::string& edge,
                           const RunResult& result) {
     const bool current = item.grant && item.grant->id == AttemptId{result.epoch, result.attempt};
--- a/src/cluster/storage/outcomes.hpp
+++ b/src/cluster/storage/outcomes.hpp
@@ -41,6 +41,9 @@
 private:
     void applyToRun(OwnedPartition& owned, QueueItem& item, const std::string& edge, const RunResult& result);
     void applyToCallback(OwnedPartition& owned, QueueItem& item, const RunResult& result);
+    void count(const OwnedPartition& owned, const QueueItem* item, const RunResult& result);
+    // Whether another run of the message has succeeded before, as far as this store knows.
+    bool isRepeatedSuccess(const OwnedPartition& owned, const RunResult& result) const;
     // Counts an answer of 500 once; true: it was the last one, and the message has ended.
     bool countFailure(OwnedPartition& owned, QueueItem& item, const std::string& edge,
                       const RunResult& result);
--- a/src/cluster/storage/store_node.cpp
+++ b/src/cluster/storage/store_node.cpp
@@ -50,6 +50,10 @@
 void StoreNode::leave(std::function<void()> done) {
     impl_->leave(std::move(done));
 }
+std::string StoreNode::metricsText() const {
+    return impl_->metricsText();
+}
+
 std::string StoreNode::statusJson() const {
     return impl_->statusJson();
 }
--- a/src/cluster/storage/store_node.hpp
+++ b/src/cluster/storage/store_node.hpp
@@ -40,6 +40,8 @@
     void leave(std::function<void()> done);
     // For the operator's status page.
     std::string statusJson() const;
+    // Its figures, one a line.
+    std::string metricsText() const;
 
 private:
     class Impl;
--- a/src/cluster/storage/store_node_impl.hpp
+++ b/src/cluster/storage/store_node_impl.hpp
@@ -24,6 +24,7 @@
     void setEdgeCount(std::uint32_t edges) { edge_watch_.setEdgeCount(edges); }
     void leave(std::function<void()> done);
     std::string statusJson() const;
+    std::string metricsText() const;
 
 private:
     using OwnedPartition = storage::OwnedPartition;
--- a/src/cluster/storage/store_node_status.cpp
+++ b/src/cluster/storage/store_node_status.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "cluster/common/metrics_text.hpp"
 #include "cluster/storage/store_node_impl.hpp"
 
 namespace amberswitch::cluster {
@@ -60,4 +61,18 @@
     return buffer.GetString();
 }
 
+std::string StoreNode::Impl::metricsText() const {
+    const StoreUsage usage = disk_.usage();
+    MetricsText text;
+    text.add("view_epoch", placement_.epoch());
+    text.add("disk_works", disk_.healthy() ? 1 : 0);
+    text.add("partitions_owned", owned_.size());
+    text.add("partitions_peering", peering_.unfinished());
+    text.add("copies_lacking", peering_.copiesLacking());
+    text.add("messages_kept", replica_.size());
+    text.add("grants_out", book_.edges.outstanding());
+    text.add("disk_live_bytes", usage.live_bytes);
+    return text.take() + book_.counters.text();
+}
+
 }  // namespace amberswitch::cluster
--- a/tests/cluster/http_client_test.cpp
+++ b/tests/cluster/http_client_test.cpp
@@ -58,7 +58,7 @@
         REQUIRE(play.ended(outcome));
         CHECK(outcome.result.response.body == (is_head ? "" : "b"));
     }
-    CHECK(play.client.connectionsOpened() == 1);
+    CHECK(play.client.counters().connections_opened == 1);
 }
 
 TEST_CASE("a refused connection was not executed and is told later") {
--- a/tests/cluster/http_pool_test.cpp
+++ b/tests/cluster/http_pool_test.cpp
@@ -16,7 +16,7 @@
 TEST_CASE("an idle connection is used again") {
     ClientPlay play;
     for (std::size_t request = 1; request <= 4; ++request) play.exchange(0, request);
-    CHECK(play.client.connectionsOpened() == 1);
+    CHECK(play.client.counters().connections_opened == 1);
     CHECK(play.client.connectionsTo(play.server.address) == 1);
     CHECK(play.server.connections.size() == 1);
 }
@@ -70,7 +70,7 @@
         play.at(0).reset();
     }
     play.exchange(1, 1);
-    CHECK(play.client.connectionsOpened() == 2);
+    CHECK(play.client.counters().connections_opened == 2);
     CHECK(play.client.connectionsTo(play.server.address) == 1);
 }
 
@@ -182,7 +182,7 @@
     play.at(0).send(answer("4"));
     REQUIRE(play.ended(last));
     CHECK(last.result.response.body == "4");
-    CHECK(play.client.connectionsOpened() == 3);
+    CHECK(play.client.counters().connections_opened == 3);
 }
 
 TEST_CASE("a client that ends drops what is open") {
--- /dev/null
+++ b/tests/cluster/metrics_test.cpp
@@ -0,0 +1,65 @@
+// The figures that a process tells: their form, the address, and what the HTTP client counts of dropped
+// answers.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "cluster/common/metrics_server.hpp"
+#include "cluster/common/metrics_text.hpp"
+#include "tests/cluster/http_play.hpp"
+
+namespace amberswitch::cluster {
+
+using testing::answer;
+using testing::ClientPlay;
+using testing::closedAddress;
+using testing::HttpOutcomes;
+using testing::RawServer;
+using testing::runUntil;
+
+TEST_CASE("figures stand one a line, each with its prefix") {
+    MetricsText text("part_");
+    text.add("calls", 3);
+    text.add("failures", 0);
+    CHECK(text.take() == "part_calls 3\npart_failures 0\n");
+    CHECK(text.take().empty());
+}
+
+TEST_CASE("a metrics server answers with the figures of the moment") {
+    EventLoop loop;
+    const NodeAddress address = closedAddress();
+    int asked = 0;
+    const MetricsServer server(loop, address, [&asked] { return "asked " + std::to_string(++asked) + "\n"; });
+    EvhttpClient client(loop);
+    for (const std::string expected : {"asked 1\n", "asked 2\n"}) {
+        HttpOutcomes outcome;
+        HttpCall call;
+        call.to = address;
+        call.request = {"GET", "/metrics", {{"Host", "h"}}, ""};
+        client.send(call, outcome.hear());
+        REQUIRE(runUntil(loop, [&] { return outcome.times > 0; }));
+        REQUIRE(outcome.result.verdict == Verdict::answered);
+        CHECK(outcome.result.response.status == 200);
+        CHECK(outcome.result.response.body == expected);
+    }
+}
+
+TEST_CASE("an address that is taken costs the figures, not the process") {
+    EventLoop loop;
+    const RawServer other(loop);
+    CHECK_NOTHROW(MetricsServer(loop, other.address, [] { return std::string(); }));
+    CHECK_NOTHROW(MetricsServer(loop, {"127.0.0.1", 0}, [] { return std::string(); }));
+}
+
+TEST_CASE("an answer whose end cannot be told is counted") {
+    ClientPlay play;
+    HttpOutcomes outcome;
+    play.client.send(play.getWithId("mine"), outcome.hear());
+    REQUIRE(play.requested(0, 1));
+    play.at(0).send(answer("done", "Request-Id: mine\r\nContent-Length: 4\r\n"));  // two lengths
+    REQUIRE(play.ended(outcome));
+    CHECK(outcome.result.verdict == Verdict::unknown);
+    CHECK(play.client.counters().answers_without_end == 1);
+    CHECK(play.client.counters().text().find("http_client_answers_without_end 1\n") != std::string::npos);
+}
+
+}  // namespace amberswitch::cluster
