--- a/tests/cluster/http_once_test.cpp
+++ b/tests/cluster/http_once_test.cpp
@@ -108,11 +108,76 @@
     checkClosed(play, 0);
 }
 
+// Answers to other calls that a server may send before a call's own.
+const std::string kToEarlierCall = answer("old", "Response-Stamp: s.0\r\nRequest-Id: first\r\n");
+const std::string kToUnknownCall = answer("old", "Response-Stamp: s.0\r\nRequest-Id: other\r\n");
+const std::string kToNobody = answer("old", "Response-Stamp: s.0\r\n");
+const std::string kToOwnCall = answer("done", "Response-Stamp: s.1\r\n" + kOwnId);
+
+// One exchange with id `first`, then a call with id `mine` on the same connection.
+void sendOnUsedConnection(ClientPlay& play, HttpOutcomes& outcome) {
+    HttpOutcomes earlier;
+    play.client.send(play.getWithId("first"), earlier.hear());
+    REQUIRE(play.requested(0, 1));
+    play.at(0).send(kToEarlierCall);
+    REQUIRE(play.ended(earlier));
+    play.client.send(play.getWithId("mine"), outcome.hear());
+    REQUIRE(play.requested(0, 2));
+}
+
+TEST_CASE("a call's own answer counts although answers to other calls come before it") {
+    ClientPlay play;
+    HttpOutcomes outcome;
+    sendOnUsedConnection(play, outcome);
+    SUBCASE("a second answer to an earlier call, in one piece with its own") {
+        play.at(0).send(kToEarlierCall + kToOwnCall);
+    }
+    SUBCASE("a second answer to an earlier call, and its own later") {
+        play.at(0).send(kToEarlierCall);
+        letTimePass(play);
+        CHECK(outcome.times == 0);
+        play.at(0).send(kToOwnCall);
+    }
+    SUBCASE("byte by byte") {
+        for (const char byte : kToEarlierCall + kToOwnCall) {
+            play.at(0).send(std::string(1, byte));
+            play.loop.runOnce();
+        }
+    }
+    SUBCASE("an answer to a call that this connection did not carry") {
+        play.at(0).send(kToUnknownCall + kToOwnCall);
+    }
+    SUBCASE("an answer without an id") {
+        play.at(0).send(kToNobody + kToOwnCall);
+    }
+    SUBCASE("several") {
+        play.at(0).send(kToEarlierCall + kToNobody + kToUnknownCall + kToOwnCall);
+    }
+    REQUIRE(play.ended(outcome));
+    CHECK(outcome.times == 1);
+    CHECK(outcome.result.verdict == Verdict::answered);
+    CHECK(outcome.result.response.body == "done");
+    CHECK(headerValue(outcome.result.response.headers, "Response-Stamp") == "s.1");
+    CHECK(requestsReceived(play) == 1);
+    checkClosed(play, 0);
+}
+
+TEST_CASE("a status that is not final does not end a call") {
+    ClientPlay play;
+    HttpOutcomes outcome;
+    play.client.send(play.getWithId("mine"), outcome.hear());
+    REQUIRE(play.requested(0, 1));
+    play.at(0).send("HTTP/1.1 103 Early Hints\r\n" + kOwnId + "\r\n" + kToOwnCall);
+    REQUIRE(play.ended(outcome));
+    CHECK(outcome.result.verdict == Verdict::answered);
+    CHECK(outcome.result.response.body == "done");
+}
+
 TEST_CASE("a call without an id needs none in its answer") {
     ClientPlay play;
     play.exchange(0, 1);
     play.exchange(0, 2, "Request-Id: any\r\n");
-    CHECK(play.client.connectionsOpened() == 1);
+    CHECK(play.client.counters().connections_opened == 1);
 }
 
 TEST_CASE("a message that is sent again never takes a second answer to its first attempt") {
@@ -156,7 +221,7 @@
     HttpOutcomes again;
     play.client.send(play.getWithId("mine"), again.hear());
     REQUIRE(play.requested(1, 1));
-    CHECK(play.client.connectionsOpened() == 2);
+    CHECK(play.client.counters().connections_opened == 2);
 }
 
 TEST_CASE("whatever becomes of its connection, a call is sent once and ends once, never as answered") {
