Wait for a call's own answer behind answers to other calls

Cause: the HTTP client took the first answer on a connection for its call's; where it repeated another id, the connection was closed with the own answer still in its buffer, the run was reported as unknown and granted again within 200 ms. Ruled out: a success without an id (the dropped ids are earlier calls'), lost reports (times). Change: such an answer, or one whose status is not final, is dropped and the next one is read, as long as the call may take, 16 times at most (counted); its connection is closed afterwards. evhttp reads a response only for a request, so one is queued whose bytes are never sent (next_response). A call without an id takes no answer of a used connection behind which more arrived.

--- a/apps/ambercluster/roles.cpp
+++ b/apps/ambercluster/roles.cpp
@@ -12,6 +12,7 @@
 #include "cluster/common/event_loop.hpp"
 #include "cluster/common/evhttp_client.hpp"
 #include "cluster/common/evhttp_server.hpp"
+#include "cluster/common/invariant.hpp"
 #include "cluster/common/metrics_server.hpp"
 #include "cluster/common/tcp_transport.hpp"
 #include "cluster/control/control_node.hpp"
@@ -34,6 +35,12 @@
 constexpr Millis kQuietBeforeExit{60};
 constexpr Millis kExitBeforeGrace{400};
 
+std::unique_ptr<Transport> makeTransport(EventLoop& loop, const NodeAddress& self,
+                                         const RoleOptions& options) {
+    if (options.make_transport) return options.make_transport(loop, self);
+    return std::make_unique<TcpTransport>(loop, self);
+}
+
 Incarnation drawIncarnation() {
     std::random_device device;
     const auto high = static_cast<std::uint64_t>(device());
@@ -156,16 +163,18 @@
 int runCore(const NodeSettings& settings, const RoleOptions& options) {
     if (!settings.control) throw SettingsError("settings", "bindAddrs.control", "a core machine needs it");
     EventLoop loop;
-    TcpTransport transport(loop, settings.internal(PortOffset::core));
+    const std::unique_ptr<Transport> transport =
+        makeTransport(loop, settings.internal(PortOffset::core), options);
     EvhttpClient cloud(loop);
     RingStore disk(loop, settings.data_dir + "/register",
                    ringOptions(kRegisterRingBytes, kRegisterSegmentBytes, settings));
-    ControlNode node(loop, transport, cloud, disk, settings, drawIncarnation());
+    ControlNode node(loop, *transport, cloud, disk, settings, drawIncarnation());
     EvhttpServer operators(loop, *settings.control,
                            [&node](const HttpRequest& request, HttpResponder respond) {
                                node.handleHttp(request, std::move(respond));
                            });
-    MetricsServer metrics(loop, {settings.ip, options.metrics_port}, [&node] { return node.metricsText(); });
+    MetricsServer metrics(loop, {settings.ip, options.metrics_port},
+                          [&node] { return node.metricsText() + invariantsText(); });
     loop.onSignal(SIGHUP, [] {});
     loop.onSignal(SIGTERM, [&] {
         operators.startClosing();
@@ -178,23 +187,25 @@
 
 int runStore(const NodeSettings& settings, const RoleOptions& options) {
     EventLoop loop;
-    TcpTransport transport(loop, settings.internal(PortOffset::store));
+    const std::unique_ptr<Transport> transport =
+        makeTransport(loop, settings.internal(PortOffset::store), options);
     RingStore disk(
         loop, settings.data_dir + "/messages",
         ringOptions(std::uint64_t{settings.limits.disk_mb} * kMegabyte, kMessageSegmentBytes, settings));
     const Incarnation incarnation = drawIncarnation();
     Member self = describe(settings, NodeKind::store, PortOffset::store, incarnation);
     self.disk_empty = disk.wasEmpty() && !settings.bootstrap;
-    StoreNode node(loop, transport, disk, settings, incarnation);
+    StoreNode node(loop, *transport, disk, settings, incarnation);
     CoreClient::Callbacks callbacks;
     callbacks.on_configuration = [&node](auto configuration) {
         node.onConfiguration(std::move(configuration));
     };
     callbacks.on_servers = [&node](auto servers) { node.onServers(std::move(servers)); };
     callbacks.on_view = [&node](auto view) { node.onView(std::move(view)); };
-    CoreClient client(loop, transport, self, coreAddresses(settings), callbacks);
+    CoreClient client(loop, *transport, self, coreAddresses(settings), callbacks);
     SeedsReloader seeds(loop, options.settings_path, client);
-    MetricsServer metrics(loop, {settings.ip, options.metrics_port}, [&node] { return node.metricsText(); });
+    MetricsServer metrics(loop, {settings.ip, options.metrics_port},
+                          [&node] { return node.metricsText() + invariantsText(); });
     node.onUsable([&client](bool usable) { client.setDiskFailed(!usable); });
     loop.onSignal(SIGTERM, [&] {
         node.leave([&loop] { loop.stop(); });
@@ -210,10 +221,11 @@
     if (!settings.front || !settings.readiness)
         throw SettingsError("settings", "bindAddrs", "an edge needs front and readiness");
     EventLoop loop;
-    TcpTransport transport(loop, settings.internal(PortOffset::edge));
+    const std::unique_ptr<Transport> transport =
+        makeTransport(loop, settings.internal(PortOffset::edge), options);
     EvhttpClient servers(loop);
     const Incarnation incarnation = drawIncarnation();
-    EdgeNode node(loop, transport, servers, settings, incarnation);
+    EdgeNode node(loop, *transport, servers, settings, incarnation);
     EvhttpServer front(loop, *settings.front, [&node](const HttpRequest& request, HttpResponder respond) {
         node.handleFront(request, std::move(respond));
     });
@@ -222,7 +234,7 @@
                                node.handleReadiness(request, std::move(respond));
                            });
     MetricsServer metrics(loop, {settings.ip, options.metrics_port},
-                          [&] { return node.countersText() + servers.counters().text(); });
+                          [&] { return node.countersText() + servers.counters().text() + invariantsText(); });
     CoreClient::Callbacks callbacks;
     callbacks.on_configuration = [&](auto configuration) {
         front.setLimits(configuration->limits);
@@ -230,7 +242,7 @@
     };
     callbacks.on_servers = [&node](auto list) { node.onServers(std::move(list)); };
     callbacks.on_view = [&](auto view) { node.onView(std::move(view)); };
-    CoreClient client(loop, transport, describe(settings, NodeKind::edge, PortOffset::edge, incarnation),
+    CoreClient client(loop, *transport, describe(settings, NodeKind::edge, PortOffset::edge, incarnation),
                       coreAddresses(settings), callbacks);
     SeedsReloader seeds(loop, options.settings_path, client);
     EdgeCountTeller edge_count(loop, client, node);
--- a/src/cluster/common/evhttp_client.cpp
+++ b/src/cluster/common/evhttp_client.cpp
@@ -11,7 +11,9 @@
 #include <utility>
 
 #include "cluster/common/evhttp_message.hpp"
+#include "cluster/common/invariant.hpp"
 #include "cluster/common/metrics_text.hpp"
+#include "cluster/common/next_response.hpp"
 #include "cluster/common/stream_flush.hpp"
 #include "cluster/common/tcp_socket.hpp"
 
@@ -28,7 +30,8 @@
 constexpr ev_ssize_t kMaxHeaderBytes = 64 * 1024;
 constexpr ev_ssize_t kMaxBodyBytes = 64 * 1024 * 1024;
 constexpr int kFirstFinalStatus = 200;
-constexpr std::size_t kIdsKept = 16;  // of what a connection carried
+constexpr std::size_t kIdsKept = 16;             // of what a connection carried
+constexpr std::size_t kMostAnswersDropped = 16;  // for one call; a server that sends more is broken
 constexpr int kLogIntervalS = 10;
 
 // The time for which the server keeps an idle connection.
@@ -68,6 +71,17 @@
     return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
 }
 
+// What was read of the connection and is no part of the response that was handed over last.
+std::size_t bytesBehind(evhttp_connection* handle) {
+    return evbuffer_get_length(bufferevent_get_input(evhttp_connection_get_bufferevent(handle)));
+}
+
+// Whether the bytes that were read and not used hold this id, as an answer to its call would.
+bool holdsId(evhttp_connection* handle, const std::string& id) {
+    evbuffer* const input = bufferevent_get_input(evhttp_connection_get_bufferevent(handle));
+    return evbuffer_search(input, id.data(), id.size(), nullptr).pos >= 0;
+}
+
 }  // namespace
 
 std::string HttpClientCounters::text() const {
@@ -76,8 +90,12 @@
     text.add("answers_of_earlier_calls", answers_of_earlier_calls);
     text.add("answers_of_unknown_calls", answers_of_unknown_calls);
     text.add("answers_without_id", answers_without_id);
-    text.add("answers_without_end", answers_without_end);
+    text.add("answers_not_final", answers_not_final);
     text.add("dropped_with_more_behind", dropped_with_more_behind);
+    text.add("own_answers_behind_others", own_answers_behind_others);
+    text.add("answers_without_end", answers_without_end);
+    text.add("answers_ambiguous", answers_ambiguous);
+    text.add("too_many_others", too_many_others);
     return text.take();
 }
 
@@ -162,7 +180,9 @@
 void EvhttpClient::start(Connection& connection, HttpCall call, std::function<void(HttpOutcome)> done) {
     const std::string request_id(headerValue(call.request.headers, kRequestId));
     noteCarried(connection.carried_ids, request_id);
-    connection.exchange = Exchange{std::move(done), request_id, loop_.now() + call.timeout};
+    ++connection.calls;
+    connection.exchange = Exchange{std::move(done), request_id, *methodByName(call.request.method), 0,
+                                   loop_.now() + call.timeout};
     const Millis first_wait = connection.connected ? call.timeout : std::min(call.timeout, kConnectTimeout);
     connection.timer = loop_.after(first_wait, [this, &connection] { timedOut(connection); });
     sending_ = true;
@@ -185,9 +205,8 @@
         evhttp_add_header(headers, "Content-Length", std::to_string(request.body.size()).c_str());
     }
     evbuffer_add(evhttp_request_get_output_buffer(message), request.body.data(), request.body.size());
-    const evhttp_cmd_type method = *methodByName(request.method);
-    const bool taken =
-        evhttp_make_request(connection.handle.get(), message, method, request.target.c_str()) == 0;
+    const bool taken = evhttp_make_request(connection.handle.get(), message, connection.exchange->method,
+                                           request.target.c_str()) == 0;
     if (!taken && connection.exchange) return failed(connection);
     if (connection.connected) writeSoon(evhttp_connection_get_bufferevent(connection.handle.get()));
 }
@@ -208,6 +227,7 @@
 
 void EvhttpClient::timedOut(Connection& connection) {
     if (!connection.connected) return failed(connection);
+    checkNothingDropped(connection);
     retire(connection);
     finish(connection, HttpOutcome{Verdict::unknown, false, true, {}});
 }
@@ -224,14 +244,19 @@
     const int status = response == nullptr ? 0 : evhttp_request_get_response_code(response);
     if (status == 0) return failed(connection);
     HttpResponse answer{status, readHeaders(response), takeBody(response), false};
-    const std::string& expected = connection.exchange->request_id;
-    const bool is_other = !expected.empty() && headerValue(answer.headers, kRequestId) != expected;
-    if (is_other || status < kFirstFinalStatus || !hasClearEnd(answer.headers)) {
-        noteDropped(connection, answer);
+    if (!isOwn(connection, answer)) return skip(connection, answer);
+    if (!hasClearEnd(answer.headers)) {
+        ++counters_.answers_without_end;
+        return failed(connection);
+    }
+    const bool more_behind = bytesBehind(connection.handle.get()) > 0;
+    if (more_behind && connection.exchange->request_id.empty() && connection.calls > 1) {
+        ++counters_.answers_ambiguous;
         return failed(connection);
     }
+    if (connection.exchange->answers_dropped > 0) ++counters_.own_answers_behind_others;
     answer.close = bufferevent_getfd(evhttp_connection_get_bufferevent(connection.handle.get())) < 0;
-    if (answer.close || connection.forgotten) {
+    if (answer.close || connection.forgotten || more_behind) {
         retire(connection);
     } else {
         keep(connection, answer.headers);
@@ -239,30 +264,57 @@
     finish(connection, HttpOutcome{Verdict::answered, false, false, std::move(answer)});
 }
 
-void EvhttpClient::noteDropped(const Connection& connection, const HttpResponse& answer) {
+bool EvhttpClient::isOwn(const Connection& connection, const HttpResponse& answer) {
+    if (answer.status < kFirstFinalStatus) return false;
+    const std::string& expected = connection.exchange->request_id;
+    return expected.empty() || headerValue(answer.headers, kRequestId) == expected;
+}
+
+void EvhttpClient::skip(Connection& connection, const HttpResponse& answer) {
+    noteSkipped(connection, answer);
+    if (answer.status >= kFirstFinalStatus) connection.forgotten = true;
+    if (++connection.exchange->answers_dropped > kMostAnswersDropped) {
+        ++counters_.too_many_others;
+        return failed(connection);
+    }
+    evhttp_connection* const handle = connection.handle.get();
+    if (bufferevent_getfd(evhttp_connection_get_bufferevent(handle)) < 0) return failed(connection);
+    evhttp_request* const message = evhttp_request_new(&EvhttpClient::onResponse, &connection);
+    if (message == nullptr) throw std::runtime_error("HTTP client: no memory for a request");
+    if (!readNextResponse(handle, message, connection.exchange->method)) failed(connection);
+}
+
+void EvhttpClient::noteSkipped(const Connection& connection, const HttpResponse& answer) {
     const std::string& expected = connection.exchange->request_id;
     const std::string id(headerValue(answer.headers, kRequestId));
-    const bool is_own = expected.empty() || id == expected;
-    const bool is_earlier = !is_own && hasCarried(connection.carried_ids, id);
-    const std::size_t behind = evbuffer_get_length(
-        bufferevent_get_input(evhttp_connection_get_bufferevent(connection.handle.get())));
+    const bool is_earlier = id != expected && hasCarried(connection.carried_ids, id);
+    const std::size_t behind = bytesBehind(connection.handle.get());
     if (behind > 0) ++counters_.dropped_with_more_behind;
-    if (is_own) {
-        ++counters_.answers_without_end;
-    } else if (id.empty()) {
+    if (answer.status < kFirstFinalStatus) {
+        ++counters_.answers_not_final;
+        return;
+    }
+    if (id.empty()) {
         ++counters_.answers_without_id;
     } else {
         ++(is_earlier ? counters_.answers_of_earlier_calls : counters_.answers_of_unknown_calls);
     }
     LOG_EVERY_T(WARNING, kLogIntervalS)
         << "an answer of " << connection.to.text() << " with status " << answer.status << " and id '" << id
-        << "' is not taken for that of call '" << expected << "'"
-        << (is_earlier ? ", as an earlier call's" : "") << "; " << behind << " bytes behind it, call "
-        << connection.carried_ids.size() << " on its connection";
+        << "' is not that of call '" << expected << "'" << (is_earlier ? ", but an earlier call's" : "")
+        << "; " << behind << " bytes behind it, call " << connection.calls << " on its connection";
+}
+
+void EvhttpClient::checkNothingDropped(const Connection& connection) {
+    const std::string& id = connection.exchange->request_id;
+    if (id.empty()) return;
+    checkInvariant(Invariant::own_answer_is_taken, !holdsId(connection.handle.get(), id),
+                   "call " + id + " to " + connection.to.text());
 }
 
 void EvhttpClient::failed(Connection& connection) {
     const bool connected = connection.connected;
+    checkNothingDropped(connection);
     retire(connection);
     finish(connection,
            HttpOutcome{connected ? Verdict::unknown : Verdict::not_executed, !connected, false, {}});
--- a/src/cluster/common/evhttp_client.hpp
+++ b/src/cluster/common/evhttp_client.hpp
@@ -21,12 +21,17 @@
 // What the client counts, since its start.
 struct HttpClientCounters {
     std::uint64_t connections_opened = 0;
-    // Answers that do not repeat the Request-Id of the call that was open on their connection.
+    // Dropped answers that do not repeat the Request-Id of the call that was open on their connection.
     std::uint64_t answers_of_earlier_calls = 0;  // they repeat that of an earlier call on it
     std::uint64_t answers_of_unknown_calls = 0;  // they repeat one that it did not carry lately
     std::uint64_t answers_without_id = 0;
-    std::uint64_t answers_without_end = 0;       // nothing tells a whole one from one that was cut short
-    std::uint64_t dropped_with_more_behind = 0;  // of all these, those behind which more bytes were waiting
+    std::uint64_t answers_not_final = 0;          // their status is below 200
+    std::uint64_t dropped_with_more_behind = 0;   // of all these, those behind which more bytes were waiting
+    std::uint64_t own_answers_behind_others = 0;  // taken after others had been dropped
+    // Calls that ended as unknown although something was answered.
+    std::uint64_t answers_without_end = 0;  // nothing tells a whole one from one that was cut short
+    std::uint64_t answers_ambiguous = 0;    // to a call without an id, with more behind
+    std::uint64_t too_many_others = 0;      // more than are dropped for one call
 
     // One line for each counter, its name beginning with "http_client_".
     std::string text() const;
@@ -40,7 +45,10 @@
 // in `Keep-Alive: timeout=` (5 s where it gave none), when the peer closes them and when anything arrives on
 // them. Nothing is ever sent twice. A call with a Request-Id never goes out on a connection that carried one
 // with the same id lately: a second answer to that one, which came late, could not be told from its own.
-// Calls that are open when the client is destroyed never hear their end.
+// An answer that does not repeat a call's id says nothing of that call: it is dropped and the next one on the
+// connection is read, for as long as the call may take; the connection is closed after it. Where a call has
+// no id, an answer behind which more arrived may be an earlier call's: the outcome is unknown. Calls that are
+// open when the client is destroyed never hear their end.
 class EvhttpClient : public HttpClient {
 public:
     explicit EvhttpClient(EventLoop& loop);
@@ -60,6 +68,8 @@
     struct Exchange {
         std::function<void(HttpOutcome)> done;
         std::string request_id;  // empty: its answer needs none
+        evhttp_cmd_type method = EVHTTP_REQ_GET;
+        std::size_t answers_dropped = 0;
         SteadyTime deadline;
     };
     struct Connection {
@@ -69,7 +79,8 @@
         std::optional<Exchange> exchange = {};  // the request that it carries; none while idle
         bool connected = false;
         bool forgotten = false;
-        std::deque<std::string> carried_ids = {};  // of the latest requests, newest last
+        std::uint64_t calls = 0;                   // that it has carried, with the one that is open
+        std::deque<std::string> carried_ids = {};  // of the latest of them, newest last
         TimerHandle timer = {};                    // of the request, or of the idle time
     };
     struct Pool {
@@ -90,8 +101,13 @@
     void handOver(Connection& connection, const HttpRequest& request);
     void refuse(std::function<void(HttpOutcome)> done);
     void respond(Connection& connection, evhttp_request* response);
-    // Counts and logs an answer that is not taken for the open call's.
-    void noteDropped(const Connection& connection, const HttpResponse& answer);
+    // Whether the answer says what became of the open call.
+    static bool isOwn(const Connection& connection, const HttpResponse& answer);
+    // Drops an answer that is not the open call's, and reads the next one.
+    void skip(Connection& connection, const HttpResponse& answer);
+    // A call whose outcome is unknown has no answer of its own among what was read.
+    static void checkNothingDropped(const Connection& connection);
+    void noteSkipped(const Connection& connection, const HttpResponse& answer);
     void connected(Connection& connection);
     void timedOut(Connection& connection);
     void failed(Connection& connection);
--- a/src/cluster/edge/service_dispatcher.cpp
+++ b/src/cluster/edge/service_dispatcher.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "cluster/common/invariant.hpp"
+
 namespace amberswitch::cluster {
 namespace {
 
@@ -282,6 +284,7 @@
 }
 
 void ServiceDispatcher::post(RequestId id, Delivery& delivery, Worker worker) {
+    checkInvariant(Invariant::one_run_in_a_grant, !delivery.may_have_run, delivery.grant.content.id);
     Server& server = servers_[worker];
     ++server.in_flight;
     ++counters_.sends;
@@ -322,6 +325,7 @@
     delivery.in_flight = false;
     const DeliveryAnswer answer = judgeAnswer(outcome, service_.rate_per_s > 0);
     count(outcome, answer);
+    delivery.may_have_run = delivery.may_have_run || answer.may_have_run;
     delivery.all_unreachable = delivery.all_unreachable && answer.unreachable;
     const bool tried_all = delivery.sends >= servers_on_;
     const DeliveryResult result{answer.outcome, answer.stamp, tried_all && delivery.all_unreachable};
--- a/src/cluster/edge/service_dispatcher.hpp
+++ b/src/cluster/edge/service_dispatcher.hpp
@@ -64,6 +64,7 @@
         bool in_flight = false;
         bool given_up = false;  // by the module, while an attempt is out
         bool all_unreachable = true;
+        bool may_have_run = false;
         std::uint32_t sends = 0;  // that the module asked for
         SteadyTime sent_at{};
         SteadyTime queued_until{};
--- a/src/cluster/storage/granter.cpp
+++ b/src/cluster/storage/granter.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "cluster/common/codec.hpp"
+#include "cluster/common/invariant.hpp"
 
 namespace amberswitch::cluster::storage {
 
@@ -101,6 +102,7 @@
     grant.attempt = ++last_attempt_;
     grant.callback = item.callback;
     const auto& message = replica_.messages(item.partition).at(item.id);
+    checkInvariant(Invariant::grants_are_open, item.callback == (message.phase != Phase::pending), item.id);
     grant.phase = message.phase;
     grant.stamp = message.stamp;
     const Millis timeout = item.callback ? kCallbackTimeout : items_.timeoutOf(item);
--- a/tests/cluster/metrics_test.cpp
+++ b/tests/cluster/metrics_test.cpp
@@ -3,6 +3,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include "cluster/common/invariant.hpp"
 #include "cluster/common/metrics_server.hpp"
 #include "cluster/common/metrics_text.hpp"
 #include "tests/cluster/http_play.hpp"
@@ -24,6 +25,17 @@
     CHECK(text.take().empty());
 }
 
+TEST_CASE("a violated invariant is counted and told") {
+    CHECK(checkInvariant(Invariant::grants_are_open, true, "holds"));
+    CHECK(invariantViolations() == 0);
+    CHECK_FALSE(checkInvariant(Invariant::grants_are_open, false, "planted by a test"));
+    CHECK(violationsOf(Invariant::grants_are_open) == 1);
+    CHECK(violationsOf(Invariant::own_answer_is_taken) == 0);
+    CHECK(invariantsText().find("invariant_violations_grants_are_open 1\n") != std::string::npos);
+    forgetInvariantViolations();
+    CHECK(invariantViolations() == 0);
+}
+
 TEST_CASE("a metrics server answers with the figures of the moment") {
     EventLoop loop;
     const NodeAddress address = closedAddress();
