--- a/tests/cluster/http_once_test.cpp
+++ b/tests/cluster/http_once_test.cpp
@@ -152,6 +152,24 @@
     SUBCASE("an answer to a call that this connection did not carry") {
         play.at(0).send(kToUnknownCall + kToOwnCall);
     }
+    SUBCASE("and the server ends its connection behind them") {
+        play.at(0).send(kToEarlierCall + kToOwnCall);
+        REQUIRE(runUntil(play.loop, [&] { return play.at(0).sentAll(); }));
+        play.at(0).shutdownSending();
+    }
+    SUBCASE("chunked ones") {
+        const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n";
+        play.at(0).send("HTTP/1.1 200 OK\r\nRequest-Id: first\r\nResponse-Stamp: s.0\r\n" + chunked +
+                        "HTTP/1.1 200 OK\r\nResponse-Stamp: s.1\r\n" + kOwnId + chunked);
+    }
+    SUBCASE("one without a body") {
+        play.at(0).send("HTTP/1.1 204 No Content\r\nRequest-Id: first\r\n\r\n" + kToOwnCall);
+    }
+    SUBCASE("a refusal, which would let the call be sent elsewhere") {
+        play.at(0).send(
+            "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRequest-Id: first\r\nContent-Length: 0\r\n\r\n" +
+            kToOwnCall);
+    }
     SUBCASE("an answer without an id") {
         play.at(0).send(kToNobody + kToOwnCall);
     }
@@ -167,6 +185,38 @@
     checkClosed(play, 0);
 }
 
+TEST_CASE("an own answer that is cut short behind another's leaves the call unknown") {
+    ClientPlay play;
+    HttpOutcomes outcome;
+    sendOnUsedConnection(play, outcome);
+    play.at(0).send(kToEarlierCall + kToOwnCall.substr(0, kToOwnCall.size() - 2));
+    REQUIRE(runUntil(play.loop, [&] { return play.at(0).sentAll(); }));
+    SUBCASE("closed") {
+        play.at(0).close();
+    }
+    SUBCASE("reset") {
+        letTimePass(play);
+        play.at(0).reset();
+    }
+    REQUIRE(play.ended(outcome));
+    CHECK(outcome.result.verdict == Verdict::unknown);
+    CHECK(play.client.connectionsTo(play.server.address) == 0);
+}
+
+TEST_CASE("a call is sent with its own bytes alone after an answer was dropped") {
+    ClientPlay play;
+    HttpOutcomes outcome;
+    sendOnUsedConnection(play, outcome);
+    const std::size_t sent = play.at(0).received.size();
+    play.at(0).send(kToEarlierCall);
+    letTimePass(play);
+    CHECK(play.at(0).received.size() == sent);  // nothing is written to read one more
+    play.at(0).send(kToOwnCall);
+    REQUIRE(play.ended(outcome));
+    CHECK(outcome.result.response.body == "done");
+    CHECK(play.at(0).received.size() == sent);
+}
+
 TEST_CASE("a status that is not final does not end a call") {
     ClientPlay play;
     HttpOutcomes outcome;
--- a/tests/days/generate.py
+++ b/tests/days/generate.py
@@ -411,9 +411,40 @@
             write("k", label("last_word", kind, how), strikes, length_s=42.0)
 
 
+def late_answers():
+    """m: servers answer twice, late, and other troubles; then a calm in which nothing may run again."""
+    changes = [{"at": 2.0 + 2.0 * i, "kind": "config_change", "how": "timeout"} for i in range(12)]
+    for how in ("extra late", "extra", "unframed", "early", ""):
+        garble = trouble(2.0, "garble", 20.0, share=0.8, x=0.08, how=f"across {how}".strip())
+        write("m", label("garble", how or "plain"), changes + [garble], length_s=42.0)
+        lost = trouble(6.0, "answer_lost", 6.0, share=0.5, x=0.05)
+        killed = trouble(9.0, "node_kill", 2.0, share=0.2)
+        write("m", label("garble", how or "plain", "with others"), changes + [garble, lost, killed], length_s=42.0)
+
+
+def halves_and_overlaps():
+    """n: the core cut in halves, losses that overlap beyond what is borne, and all power lost at once."""
+    split = [trouble(at, "core_cut", 6.0, how="split") for at in (4.0, 17.0)]
+    split_stores = [trouble(at, "core_cut", 6.0, how="split", on="store") for at in (4.0, 17.0)]
+    race = [{**RACE, "at": at} for at in (4.5, 17.5)]
+    off = [trouble(at, "herd_kill", 1.0, how="taken power all") for at in (6.0, 19.0)]
+    core_off = [trouble(at, "herd_kill", 1.0, on="core", how="off") for at in (6.0, 19.0)]
+    power = [trouble(at, "node_kill", 2.0, on=on, count=2, how="power") for at in (5.0, 18.0) for on in ("core", "store")]
+    poison = [trouble(3.0, "srv_grey", 20.0, share=0.5, x=0.6, how="errors")]
+    cases = {
+        "split": split + [STORM], "split-race": split + race, "split-store": split_stores + [STORM],
+        "split-both": split + split_stores + [STORM], "split-herd": split + off + [STORM],
+        "split-core_off": split + core_off + race, "split-power": split + power + [STORM],
+        "power-overlap": power + core_off + [STORM], "all_off-failures": off + poison + [STORM],
+    }
+    for name, entries in cases.items():
+        write("n", name, entries + [LAST_CHANGE])
+        write("n", name + "-end", entries, closing=CLOSINGS[len(written) % len(CLOSINGS)])
+
+
 def main():
     for group in (over_then_lost, cut_off_long, same_number, second_loss, many_changes, wrong_answers, every_kind, far_out,
-                  two_losses, acknowledged_then_gone):
+                  two_losses, acknowledged_then_gone, late_answers, halves_and_overlaps):
         group()
     for path in FOLDER.glob("?-*.toml"):
         if path.stem not in written:
