Answer reads of the configuration at every dispatcher

Core machines and edges share the read and its answers (configuration_reader, operator_answers). Nothing is answered from what an edge holds, so an answer is never older than what was acknowledged before the read.

--- a/apps/ambercluster/roles.cpp
+++ b/apps/ambercluster/roles.cpp
@@ -15,6 +15,7 @@
 #include "cluster/common/invariant.hpp"
 #include "cluster/common/metrics_server.hpp"
 #include "cluster/common/tcp_transport.hpp"
+#include "cluster/control/configuration_reader.hpp"
 #include "cluster/control/control_node.hpp"
 #include "cluster/control/core_client.hpp"
 #include "cluster/edge/edge_node.hpp"
@@ -245,6 +246,10 @@
     CoreClient client(loop, *transport, describe(settings, NodeKind::edge, PortOffset::edge, incarnation),
                       coreAddresses(settings), callbacks);
     SeedsReloader seeds(loop, options.settings_path, client);
+    ConfigurationReader configuration(loop, *transport, settings.name,
+                                      [&client] { return client.coreMachines(); });
+    node.onConfigurationRead(
+        [&configuration](HttpResponder respond) { configuration.read(std::move(respond)); });
     EdgeCountTeller edge_count(loop, client, node);
     EdgeShutdown shutdown(loop, front, node, settings.bounds.grace);
     loop.onSignal(SIGTERM, [&] {
--- a/src/cluster/common/control_messages.hpp
+++ b/src/cluster/common/control_messages.hpp
@@ -302,6 +302,29 @@
     }
 };
 
+// Asks for the newest configuration as a quorum of the core has it.
+struct ReadConfigurationRequest {
+    std::string name;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(name);
+    }
+};
+enum class ConfigurationRead : std::uint8_t {
+    newest,    // `body` holds it, whole
+    none_yet,  // none has been taken
+    unreadable,
+    not_known,  // no quorum answered in time
+};
+struct ReadConfigurationReply {
+    ConfigurationRead status = ConfigurationRead::not_known;
+    std::string body;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(status, body);
+    }
+};
+
 // Held by the core until something is newer than what the caller has, or max_wait_ms has passed.
 struct WatchRequest {
     std::string name;
--- a/src/cluster/common/messages.hpp
+++ b/src/cluster/common/messages.hpp
@@ -35,6 +35,8 @@
     replica_body,  // store -> store: StateQuery, answered by any replica that holds the body
     // core -> store
     peering_progress,
+    // edge -> core
+    read_configuration,
 };
 
 }  // namespace amberswitch::cluster
--- a/src/cluster/control/control_node.cpp
+++ b/src/cluster/control/control_node.cpp
@@ -9,6 +9,7 @@
 
 #include "cluster/common/codec.hpp"
 #include "cluster/control/chosen_values.hpp"
+#include "cluster/control/configuration_reader.hpp"
 #include "cluster/control/control_status.hpp"
 #include "cluster/control/distribution.hpp"
 #include "cluster/control/leader_election.hpp"
@@ -333,6 +334,10 @@
         case MessageKind::renew_lease:
             return answerNow<RenewLeaseRequest>(
                 request, respond, [this](const RenewLeaseRequest& message) { return onRenew(message); });
+        case MessageKind::read_configuration:
+            return readConfiguration(
+                proposer_,
+                lifetime_.guard([respond](const ReadConfigurationReply& read) { respond(reply(read)); }));
         case MessageKind::watch:
             if (const auto message = decode<WatchRequest>(request.body))
                 distribution_.watch(*message, respond);
--- a/src/cluster/control/core_client.cpp
+++ b/src/cluster/control/core_client.cpp
@@ -48,6 +48,7 @@
     std::shared_ptr<const StoreView> view() const { return view_; }
     std::uint32_t edges() const;
     std::optional<SteadyTime> lastContact() const { return last_contact_; }
+    std::vector<NodeAddress> coreMachines() const;
 
 private:
     // What is known of one core machine.
@@ -192,6 +193,13 @@
     return scheduler_.now() - *found->second.last_answer <= kRecently;
 }
 
+std::vector<NodeAddress> CoreClient::Impl::coreMachines() const {
+    std::vector<NodeAddress> machines = addresses();
+    std::stable_partition(machines.begin(), machines.end(),
+                          [this](const NodeAddress& address) { return answeredLately(address); });
+    return machines;
+}
+
 // --- The lease ---------------------------------------------------------------------------------------------
 
 void CoreClient::Impl::renewAll() {
@@ -384,6 +392,10 @@
     return impl_->edges();
 }
 
+std::vector<NodeAddress> CoreClient::coreMachines() const {
+    return impl_->coreMachines();
+}
+
 std::optional<SteadyTime> CoreClient::lastContact() const {
     return impl_->lastContact();
 }
--- a/src/cluster/control/core_client.hpp
+++ b/src/cluster/control/core_client.hpp
@@ -40,6 +40,8 @@
     std::shared_ptr<const ServerList> servers() const;
     std::shared_ptr<const StoreView> view() const;
     std::uint32_t edges() const;  // dispatchers that hold a lease, at least 1
+    // The core machines that are known, with those that answered lately first.
+    std::vector<NodeAddress> coreMachines() const;
     // When a core machine last answered a renewal; nothing if none has yet.
     std::optional<SteadyTime> lastContact() const;
 
--- a/src/cluster/control/operator_api.cpp
+++ b/src/cluster/control/operator_api.cpp
@@ -12,6 +12,8 @@
 
 #include "cluster/common/codec.hpp"
 #include "cluster/common/configuration.hpp"
+#include "cluster/control/configuration_reader.hpp"
+#include "cluster/control/operator_answers.hpp"
 #include "cluster/control/register_values.hpp"
 #include "cluster/control/store_view.hpp"
 
@@ -29,28 +31,6 @@
 constexpr std::string_view kRetireReadPath = "/Retire.Read/";
 constexpr std::string_view kStatusPath = "/status";
 
-HttpResponse textAnswer(int status, const std::string& text) {
-    HttpResponse response;
-    response.status = status;
-    response.headers.push_back({"Content-Type", "text/plain"});
-    response.body = text + "\n";
-    return response;
-}
-
-HttpResponse jsonAnswer(std::string body) {
-    HttpResponse response;
-    response.headers.push_back({"Content-Type", "application/json"});
-    response.body = std::move(body);
-    return response;
-}
-
-HttpResponse unknownOutcome() {
-    HttpResponse response =
-        textAnswer(503, "no majority of the core answered in time; the outcome is not known");
-    response.headers.push_back({"Retry-After", "1"});
-    return response;
-}
-
 std::optional<std::int64_t> parseVersion(std::string_view text) {
     std::int64_t version = 0;
     const char* end = text.data() + text.size();
@@ -59,10 +39,6 @@
     return version;
 }
 
-HttpResponse unreadableValue(const char* what) {
-    return textAnswer(500, std::string("the stored ") + what + " is not readable; nothing was changed");
-}
-
 HttpResponse answerOf(ReplaceVerdict verdict) {
     switch (verdict) {
         case ReplaceVerdict::taken:
@@ -109,7 +85,7 @@
     const bool is_get = request.method == "GET";
     const bool is_post = request.method == "POST";
     if (is_post && path == kReplacePath) return replaceConfiguration(request, std::move(respond));
-    if (is_get && path == kReadPath) return readConfiguration(std::move(respond));
+    if (is_get && path == kReadPath) return readNewest(std::move(respond));
     if (is_get && path == kStatusPath) return respond(jsonAnswer(hooks_.status()));
     if (is_post && path.starts_with(kRetireStartPath)) {
         return startRetirement(path.substr(kRetireStartPath.size()), std::move(respond));
@@ -151,16 +127,11 @@
     proposer_.change(kConfigKey, decide, ChangeOptions{.timeout = kReplaceTimeout}, lifetime_.guard(done));
 }
 
-void OperatorApi::readConfiguration(HttpResponder respond) {
-    const auto keep = [](const std::string&) { return Decision::keep(); };
-    const auto done = [respond = std::move(respond)](const ChangeOutcome& outcome) {
-        if (!outcome.known) return respond(unknownOutcome());
-        std::optional<ConfigurationState> state = readConfigurationState(outcome.value);
-        if (!state) return respond(unreadableValue(kConfigurationName));
-        if (state->generation == 0) return respond(textAnswer(404, "no configuration has been taken yet"));
-        respond(jsonAnswer(std::move(state->body)));
+void OperatorApi::readNewest(HttpResponder respond) {
+    const auto done = [respond = std::move(respond)](ReadConfigurationReply reading) {
+        respond(responseOf(std::move(reading)));
     };
-    proposer_.change(kConfigKey, keep, ChangeOptions{.timeout = kReadTimeout}, lifetime_.guard(done));
+    readConfiguration(proposer_, lifetime_.guard(done));
 }
 
 void OperatorApi::startRetirement(const std::string& node, HttpResponder respond) {
--- a/src/cluster/control/operator_api.hpp
+++ b/src/cluster/control/operator_api.hpp
@@ -54,7 +54,7 @@
 private:
     void replaceConfiguration(const HttpRequest& request, HttpResponder respond);
     void proposeConfiguration(const TakenChange& change, std::string body, HttpResponder respond);
-    void readConfiguration(HttpResponder respond);
+    void readNewest(HttpResponder respond);
     // Orders through the register that the leader empties the store; a repeat is answered as the first order.
     void startRetirement(const std::string& node, HttpResponder respond);
     void readRetirement(const std::string& node, HttpResponder respond);
--- a/src/cluster/edge/edge_node.hpp
+++ b/src/cluster/edge/edge_node.hpp
@@ -32,6 +32,10 @@
     void onView(std::shared_ptr<const StoreView> view);
     void onServers(std::shared_ptr<const ServerList> servers);
     void onConfiguration(std::shared_ptr<const Configuration> configuration);
+    // Answers a client that asks for the newest configuration (Front::onConfigurationRead).
+    void onConfigurationRead(std::function<void(HttpResponder)> read) {
+        front_.onConfigurationRead(std::move(read));
+    }
     // Dispatchers that share the servers' connections; a fall counts only once it has lasted.
     void setEdgeCount(std::uint32_t edges);
 
--- a/src/cluster/edge/front.cpp
+++ b/src/cluster/edge/front.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t kMostOpenAccepts = 400;
 constexpr std::string_view kStatePrefix = "/message/";
 constexpr std::string_view kBodyPrefix = "/message-body/";
+constexpr std::string_view kConfigurationPath = "/Config.Read";
 constexpr PartitionId kWidestPartition = 9999;  // for the check that the id fits into a reference
 
 std::string_view pathOf(std::string_view target) {
@@ -84,9 +85,16 @@
         const MessageRef ref = parseMessageRef(path.substr(kBodyPrefix.size()));
         return queries_.ask(Queries::Kind::body, ref, std::move(respond));
     }
+    if (get && path == kConfigurationPath && read_configuration_ && !hasRoute(request))
+        return read_configuration_(std::move(respond));
     handleMessage(request, respond);
 }
 
+bool Front::hasRoute(const HttpRequest& request) const {
+    if (!configuration_) return false;
+    return configuration_->match(headerValue(request.headers, "Host"), pathOf(request.target)) != nullptr;
+}
+
 void Front::handleMessage(const HttpRequest& request, const HttpResponder& respond) {
     if (!configuration_) {
         ++counters_.unavailable;
--- a/src/cluster/edge/front.hpp
+++ b/src/cluster/edge/front.hpp
@@ -1,7 +1,9 @@
 // Requests of clients: messages on routes, and questions about messages.
 #pragma once
 
+#include <functional>
 #include <memory>
+#include <utility>
 
 #include "cluster/common/configuration.hpp"
 #include "cluster/common/http.hpp"
@@ -17,12 +19,18 @@
         : accepts_(accepts), queries_(queries), counters_(counters) {}
 
     void onConfiguration(std::shared_ptr<const Configuration> configuration);
+    // Answers GET /Config.Read where no route takes it; without one that is a message like any other.
+    void onConfigurationRead(std::function<void(HttpResponder)> read) {
+        read_configuration_ = std::move(read);
+    }
     // Every answer from now on asks the client to close its connection.
     void leave() { leaving_ = true; }
-    // GET /message/ID and GET /message-body/ID ask for a message; everything else is one.
+    // GET /message/ID and GET /message-body/ID ask for a message, GET /Config.Read for the configuration;
+    // everything else is a message.
     void handle(const HttpRequest& request, HttpResponder respond);
 
 private:
+    bool hasRoute(const HttpRequest& request) const;
     void handleMessage(const HttpRequest& request, const HttpResponder& respond);
     void refuse(int status, std::uint64_t& counter, const HttpResponder& respond);
 
@@ -30,6 +38,7 @@
     Queries& queries_;
     EdgeCounters& counters_;
     std::shared_ptr<const Configuration> configuration_;
+    std::function<void(HttpResponder)> read_configuration_;
     bool leaving_ = false;
 };
 
--- a/tests/cluster/edge_query_test.cpp
+++ b/tests/cluster/edge_query_test.cpp
@@ -235,3 +235,36 @@
     }
     CHECK(runs_over_budget <= 20);  // of counts that died with their owner; about one a play
 }
+
+TEST_CASE("a read of the configuration is answered as such, unless a route takes its path") {
+    EdgeWorld world;
+    world.feed();
+    int reads = 0;
+    world.edge->onConfigurationRead([&reads](const HttpResponder& respond) {
+        ++reads;
+        respond(HttpResponse{});
+    });
+    HttpRequest read{"GET", "/Config.Read", {{"Host", "10.1.0.1:8069"}}, ""};
+    CHECK(world.statusOf(read) == 200);
+    CHECK(reads == 1);
+    SUBCASE("another method is a message that no route takes") {
+        read.method = "POST";
+        CHECK(world.statusOf(read) == 404);
+    }
+    SUBCASE("another path is one too") {
+        read.target = "/Config.Reading";
+        CHECK(world.statusOf(read) == 404);
+    }
+    SUBCASE("a route of that path goes first") {
+        const auto changed = std::make_shared<Configuration>(*edge_test::configuration());
+        ++changed->generation;
+        changed->routes.front().path_prefix = "/Config.Read";
+        changed->buildIndexes();
+        world.edge->onConfiguration(changed);
+        HttpRequest message = world.request("/Config.Read", "m-1");
+        message.method = "GET";
+        world.ask(message);
+        CHECK(world.acceptsAsked() > 0);
+    }
+    CHECK(reads == 1);
+}
