Restart an edge, a store and a core machine as planned in the soak's calm

Change: in the calm three processes are told to end, one after the other, and start again; every check holds on.

--- a/tests/soak/node_process.hpp
+++ b/tests/soak/node_process.hpp
@@ -62,6 +62,19 @@
         ::kill(pid_, SIGKILL);
         waitpid(pid_, nullptr, 0);
         pid_ = 0;
+        leaving_ = false;
+    }
+    // The planned end; restartIfEnded() starts it again.
+    void terminate() {
+        signal(SIGTERM);
+        leaving_ = true;
+    }
+    bool isLeaving() const { return leaving_; }
+    void restartIfEnded() {
+        if (!leaving_ || waitpid(pid_, nullptr, WNOHANG) != pid_) return;
+        leaving_ = false;
+        pid_ = 0;
+        start();
     }
     void pause() const { signal(SIGSTOP); }
     void resume() const { signal(SIGCONT); }
@@ -75,7 +88,7 @@
     // How it ended without having been told to; empty: it runs, or was killed.
     std::string ownEnd() const {
         int status = 0;
-        if (!runs() || waitpid(pid_, &status, WNOHANG) != pid_) return "";
+        if (!runs() || leaving_ || waitpid(pid_, &status, WNOHANG) != pid_) return "";
         if (WIFSIGNALED(status)) return "signal " + std::to_string(WTERMSIG(status));
         return "exit status " + std::to_string(WEXITSTATUS(status));
     }
@@ -134,6 +147,7 @@
     std::string name_;
     std::string zone_;
     pid_t pid_ = 0;
+    bool leaving_ = false;
 };
 
 }  // namespace amberswitch::cluster::testing
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -3,6 +3,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include <array>
 #include <charconv>
 #include <cstdlib>
 
@@ -14,11 +15,12 @@
 constexpr Millis kMessageInterval{12};
 constexpr Millis kWarmUp{2000};
 constexpr Millis kTroubled{9000};  // faults begin in this time
-constexpr Millis kCalm{11'000};    // messages go on, with servers that answer twice
+constexpr Millis kCalm{17'000};    // messages go on, with servers that answer twice and planned restarts
 constexpr Millis kContact{5000};   // after the last fault of a machine, a repeat is none of its doing
 constexpr Millis kLongestEnd{40'000};
 constexpr Millis kCallbackLimit{20'000};
 constexpr Millis kShortestFault{200};
+constexpr Millis kBetweenRestarts{3000};
 constexpr int kFaults = 9;
 constexpr std::size_t kLogShown = 2000;
 
@@ -68,6 +70,7 @@
             if (now >= calm_from_) world_.faults = {.second_answer_late = 0.1, .fails = 0.05, .full = 0.05};
             for (; next_message <= now; next_message += kMessageInterval) world_.sendMessage();
             applyFaults(now);
+            restartAsPlanned(now);
             world_.collect();
             if (now >= calm_from_ && now >= next_change) {
                 CHECK(world_.configure());
@@ -147,6 +150,18 @@
         for (const auto& node : world_.nodes) node->cutFrom(cut[node.get()]);
     }
 
+    // From the time on in which nothing may run again: an edge, a store and a core machine, one after the
+    // other. A planned end is no excuse for a repeat.
+    void restartAsPlanned(SteadyTime now) {
+        for (const auto& node : world_.nodes) node->restartIfEnded();
+        constexpr std::array<const char*, 3> kRoles = {"edge", "store", "core"};
+        const bool is_time = now >= calm_from_ + kContact + kBetweenRestarts * restarts_;
+        if (!is_time || restarts_ >= static_cast<int>(kRoles.size())) return;
+        const std::string role = kRoles.at(static_cast<std::size_t>(restarts_));
+        ++restarts_;
+        world_.any(role).terminate();
+    }
+
     bool allCalledBack() {
         return std::all_of(
             world_.messages.begin(), world_.messages.end(), [this](const SentMessage& message) {
@@ -233,6 +248,7 @@
     std::vector<Fault> faults_;
     SteadyTime calm_from_{};
     std::size_t repeats_ = 0;
+    int restarts_ = 0;  // planned ones
 };
 
 struct SeedRange {
