Tell configuration, servers and term of each role; check two further invariants

Seen: from what the incidents' records hold nobody can tell which configuration and which list of servers a process has, who acts under which term, or why an order was refused. Added, without a change of logic: these figures in /metrics and /counters, a log line for each order of the operator with its answer, and the invariants delivery_follows_configuration (at each send of an edge) and leader_has_newest_term (at each list that a leader has read).

--- a/src/cluster/common/invariant.cpp
+++ b/src/cluster/common/invariant.cpp
@@ -13,7 +13,8 @@
 
 constexpr std::size_t kInvariants = static_cast<std::size_t>(Invariant::count_of_invariants);
 constexpr std::array<const char*, kInvariants> kNames = {"own_answer_is_taken", "one_run_in_a_grant",
-                                                         "grants_are_open"};
+                                                         "grants_are_open", "delivery_follows_configuration",
+                                                         "leader_has_newest_term"};
 constexpr int kLogIntervalS = 1;
 
 std::array<std::atomic<std::uint64_t>, kInvariants> violations{};
--- a/src/cluster/common/invariant.hpp
+++ b/src/cluster/common/invariant.hpp
@@ -15,6 +15,10 @@
     one_run_in_a_grant,
     // What is granted has not ended, or owes its call-back.
     grants_are_open,
+    // A delivery goes to the service to which the newest configuration that this process knows sends it.
+    delivery_follows_configuration,
+    // A machine that acts as leader has the highest term that it knows of.
+    leader_has_newest_term,
     count_of_invariants,
 };
 
--- a/src/cluster/control/control_status.cpp
+++ b/src/cluster/control/control_status.cpp
@@ -153,6 +153,12 @@
     text.add("voters_version", sources.voter.voterSet().version);
     text.add("configuration", static_cast<std::uint64_t>(sources.distribution.configurationGeneration()));
     text.add("view_epoch", view == nullptr ? 0 : view->epoch);
+    text.add("leader_term", view == nullptr ? 0 : view->leader_term);
+    if (sources.keeper.isActing()) text.add("own_term", sources.keeper.term());
+    const ServerList* const servers = sources.distribution.servers();
+    text.add("servers_term", servers == nullptr ? 0 : servers->version.term);
+    text.add("servers_count", servers == nullptr ? 0 : servers->version.count);
+    text.add("servers_listed", servers == nullptr ? 0 : servers->servers.size());
     text.add("watchers", sources.distribution.watchers());
     text.add("members_core", sources.membership.known(NodeKind::core).size());
     text.add("members_store", sources.membership.known(NodeKind::store).size());
--- a/src/cluster/control/operator_api.cpp
+++ b/src/cluster/control/operator_api.cpp
@@ -104,6 +104,7 @@
     try {
         change.generation = parseConfiguration(request.body).generation;
     } catch (const ConfigurationError& error) {
+        LOG(INFO) << "a configuration on version " << *base << " is refused: " << error.what();
         return respond(textAnswer(400, error.what()));
     }
     change.base = *base;
@@ -120,9 +121,11 @@
         *verdict = decision.verdict;
         return decision.write ? Decision::replaceBy(encode(decision.next)) : Decision::keep();
     };
-    const auto done = [this, verdict, respond = std::move(respond)](const ChangeOutcome& outcome) {
-        if (!outcome.known) return respond(unknownOutcome());
-        respond(answerOf(*verdict));
+    const auto done = [this, change, verdict, respond = std::move(respond)](const ChangeOutcome& outcome) {
+        HttpResponse answer = outcome.known ? answerOf(*verdict) : unknownOutcome();
+        LOG(INFO) << "configuration " << change.generation << " on " << change.base << ": " << answer.status
+                  << ' ' << answer.body;
+        respond(std::move(answer));
     };
     proposer_.change(kConfigKey, decide, ChangeOptions{.timeout = kReplaceTimeout}, lifetime_.guard(done));
 }
--- a/src/cluster/control/server_poller.cpp
+++ b/src/cluster/control/server_poller.cpp
@@ -10,6 +10,8 @@
 #include <tuple>
 #include <utility>
 
+#include "cluster/common/invariant.hpp"
+
 namespace amberswitch::cluster {
 namespace {
 
@@ -164,6 +166,8 @@
     backoff_ = Millis(0);
     std::sort(servers_.begin(), servers_.end());
     const ServerList* known = hooks_.published();
+    checkInvariant(Invariant::leader_has_newest_term, known == nullptr || known->version.term <= term_,
+                   "list of servers");
     if (known == nullptr || !isSameList(known->servers, servers_)) {
         ServerList list{{term_, ++count_}, std::move(servers_)};
         hooks_.publish(std::move(list));
--- a/src/cluster/edge/deliveries.cpp
+++ b/src/cluster/edge/deliveries.cpp
@@ -56,8 +56,9 @@
             const auto ended = [this](const Grant& grant, const DeliveryResult& result) {
                 finished(grant, result);
             };
+            const auto allowed = [this](const Grant& grant) { return followsConfiguration(grant); };
             dispatcher = std::make_unique<ServiceDispatcher>(scheduler_, http_, counters_, self_.name,
-                                                             self_.zone, ended);
+                                                             self_.zone, allowed, ended);
         }
         Millis schedule_target{1000};
         for (const Route& route : configuration_->routes) {
@@ -100,6 +101,13 @@
     return configuration_->route(grant.content.route) != nullptr;
 }
 
+bool Deliveries::followsConfiguration(const Grant& grant) const {
+    const MessageContent& content = grant.content;
+    if (content.config_generation > configuration_->generation) return true;
+    const Route* const route = configuration_->match(content.host, content.target);
+    return route != nullptr && route->service == content.service;
+}
+
 // --- Grants ------------------------------------------------------------------------------------------------
 
 bool Deliveries::hasRoomFor(const std::string& service) const {
--- a/src/cluster/edge/edge_node.cpp
+++ b/src/cluster/edge/edge_node.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cluster/common/codec.hpp"
+#include "cluster/common/metrics_text.hpp"
 
 namespace amberswitch::cluster {
 namespace {
@@ -45,14 +46,14 @@
 }
 
 void EdgeNode::onServers(std::shared_ptr<const ServerList> servers) {
-    has_servers_ = true;
-    deliveries_.onServers(std::move(servers));
+    servers_ = std::move(servers);
+    deliveries_.onServers(servers_);
 }
 
 void EdgeNode::onConfiguration(std::shared_ptr<const Configuration> configuration) {
-    has_configuration_ = true;
-    front_.onConfiguration(configuration);
-    deliveries_.onConfiguration(std::move(configuration));
+    configuration_ = std::move(configuration);
+    front_.onConfiguration(configuration_);
+    deliveries_.onConfiguration(configuration_);
 }
 
 void EdgeNode::setEdgeCount(std::uint32_t edges) {
@@ -94,19 +95,23 @@
 }
 
 bool EdgeNode::ready() const {
-    return has_configuration_ && has_servers_ && !leaving_ && partitions_.usable();
+    return configuration_ && servers_ && !leaving_ && partitions_.usable();
 }
 
 std::string EdgeNode::countersText() const {
-    std::string text = counters_.text();
-    text += "open_accepts " + std::to_string(accepts_.open()) + '\n';
-    text += "open_queries " + std::to_string(queries_.open()) + '\n';
-    text += "grants_held " + std::to_string(deliveries_.held()) + '\n';
-    text += "reports_pending " + std::to_string(deliveries_.reportsPending()) + '\n';
-    text += "callbacks_open " + std::to_string(deliveries_.callbacksOpen()) + '\n';
-    text += "view_epoch " + std::to_string(partitions_.epoch()) + '\n';
-    text += "edges " + std::to_string(edges_) + '\n';
-    return text;
+    MetricsText text;
+    text.add("open_accepts", accepts_.open());
+    text.add("open_queries", queries_.open());
+    text.add("grants_held", deliveries_.held());
+    text.add("reports_pending", deliveries_.reportsPending());
+    text.add("callbacks_open", deliveries_.callbacksOpen());
+    text.add("view_epoch", partitions_.epoch());
+    text.add("edges", edges_);
+    text.add("configuration", configuration_ ? static_cast<std::uint64_t>(configuration_->generation) : 0);
+    text.add("servers_term", servers_ ? servers_->version.term : 0);
+    text.add("servers_count", servers_ ? servers_->version.count : 0);
+    text.add("servers_listed", servers_ ? servers_->servers.size() : 0);
+    return counters_.text() + text.take();
 }
 
 // --- Grants of stores --------------------------------------------------------------------------------------
--- a/src/cluster/edge/edge_node.hpp
+++ b/src/cluster/edge/edge_node.hpp
@@ -70,8 +70,8 @@
     Accepts accepts_;
     Queries queries_;
     Front front_;
-    bool has_configuration_ = false;
-    bool has_servers_ = false;
+    std::shared_ptr<const Configuration> configuration_;
+    std::shared_ptr<const ServerList> servers_;
     std::uint32_t edges_ = 1;
     std::uint32_t fewer_edges_ = 0;  // the highest lower count since the fall
     TimerHandle fall_;
--- a/src/cluster/edge/service_dispatcher.cpp
+++ b/src/cluster/edge/service_dispatcher.cpp
@@ -31,12 +31,13 @@
 }  // namespace
 
 ServiceDispatcher::ServiceDispatcher(Scheduler& scheduler, HttpClient& servers, EdgeCounters& counters,
-                                     std::string edge, std::string zone, Finished finished)
+                                     std::string edge, std::string zone, Allowed allowed, Finished finished)
     : scheduler_(scheduler),
       http_(servers),
       counters_(counters),
       edge_(std::move(edge)),
       zone_(std::move(zone)),
+      allowed_(std::move(allowed)),
       finished_(std::move(finished)),
       timers_(scheduler, [this](std::uint64_t tag) { tell(heronmount::TimerFired{tag}); }) {
     zoneIndex(zone_);
@@ -285,6 +286,8 @@
 
 void ServiceDispatcher::post(RequestId id, Delivery& delivery, Worker worker) {
     checkInvariant(Invariant::one_run_in_a_grant, !delivery.may_have_run, delivery.grant.content.id);
+    checkInvariant(Invariant::delivery_follows_configuration, allowed_(delivery.grant),
+                   delivery.grant.content.id);
     Server& server = servers_[worker];
     ++server.in_flight;
     ++counters_.sends;
--- a/src/cluster/edge/service_dispatcher.hpp
+++ b/src/cluster/edge/service_dispatcher.hpp
@@ -33,9 +33,12 @@
     // Told once for each grant, possibly before begin() returns.
     using Finished = std::function<void(Grant grant, DeliveryResult result)>;
 
+    // Whether the newest configuration sends that message to this service.
+    using Allowed = std::function<bool(const Grant& grant)>;
+
     // `edge` and `zone` are those of this process.
     ServiceDispatcher(Scheduler& scheduler, HttpClient& servers, EdgeCounters& counters, std::string edge,
-                      std::string zone, Finished finished);
+                      std::string zone, Allowed allowed, Finished finished);
 
     // The service as the newest configuration has it; `schedule_target`: of a route that leads to it.
     // `edges`: how many dispatchers share its servers.
@@ -98,6 +101,7 @@
     EdgeCounters& counters_;
     std::string edge_;
     std::string zone_;
+    Allowed allowed_;
     Finished finished_;
 
     Service service_;
--- a/src/cluster/storage/store_node_status.cpp
+++ b/src/cluster/storage/store_node_status.cpp
@@ -72,6 +72,7 @@
     text.add("messages_kept", replica_.size());
     text.add("grants_out", book_.edges.outstanding());
     text.add("disk_live_bytes", usage.live_bytes);
+    text.add("configuration", configuration_ ? static_cast<std::uint64_t>(configuration_->generation) : 0);
     return text.take() + book_.counters.text();
 }
 
