--- a/tests/cluster/store_world.hpp
+++ b/tests/cluster/store_world.hpp
@@ -332,6 +332,7 @@
         made.route = route;
         made.service = configuration->route(route)->service;
         made.method = "POST";
+        made.target = configuration->route(route)->path_prefix + "x";
         made.order_key = order_key;
         made.ordered = !order_key.empty();
         made.config_generation = configuration->generation;
@@ -405,6 +406,7 @@
     Incarnation last_incarnation = 0;
     int last_message = 0;
     std::function<void(PartitionId)> on_accepted;  // a client is told that its message is stored
+    std::function<void(const Grant&)> on_run;      // an edge begins an attempt at a server
 
 private:
     std::unique_ptr<StoreMachine> makeMachine(int index) {
--- a/tests/cluster/store_world_edge.hpp
+++ b/tests/cluster/store_world_edge.hpp
@@ -134,6 +134,7 @@
         return;
     }
     play_.ledger.arrivals[grant.content.service].push_back(play_.world.now());
+    if (play_.on_run) play_.on_run(grant);
     ++message.runs;
     if (message.success_read) ++message.runs_after_read_success;
     if (message.end_read) message.late_runs.push_back(play_.world.now());
