Send waiting messages where the newest configuration leads; one leader at a time

Ruled out: edges or stores with an old configuration, limits of stores, the decision module (figures of edges and cores). Owners route what waits by its host and path in each new configuration, count a grant in the limits of the service for which it was given, and end what is dropped also where it was accepted later; a grant names the configuration it rests on; edges check it at every send and give back what waits. The voters' next change waits for a lease by the present ones; a leader that sees a higher term of another one steps down and acts no more under its own. The first one's expectation is put right: while the route leads to a service that works, running there is no fault, so both services are down until the last change. Grants for the endpoint with a ceiling in the edge's tests now have a path that leads there.

--- a/src/cluster/common/client_messages.hpp
+++ b/src/cluster/common/client_messages.hpp
@@ -16,7 +16,7 @@
 // --- Messages of clients -----------------------------------------------------------------------------------
 enum class Phase : std::uint8_t { pending, completed, dead_letter };
 
-// What is delivered, exactly as it arrived. Never changes after the accept.
+// What is delivered, exactly as it arrived. Never changes after the accept (see Grant).
 struct MessageContent {
     MessageId id;
     std::string route;    // name in the configuration
@@ -66,6 +66,8 @@
 
 // The right to one attempt of one message, or to its call-back, for one edge. Ends with its report.
 struct Grant {
+    // As accepted, but for `service` and `config_generation`: where the configuration of that generation, the
+    // newest that the owner had, sends it.
     MessageContent content;
     PartitionId partition = 0;
     Epoch epoch = 0;
--- a/src/cluster/control/control_node.cpp
+++ b/src/cluster/control/control_node.cpp
@@ -125,7 +125,10 @@
               settings.tolerated_machines),
       voter_keeper_(
           scheduler, transport, voter_, proposer_, membership_, settings.name, settings.tolerated_machines,
-          {.is_acting = [this] { return keeper_.isActing(); }, .peers = [this] { return peers(); }}),
+          {.is_acting = [this] { return keeper_.isActing(); },
+           .peers = [this] { return peers(); },
+           .holds_lease_of = [this](std::uint64_t version) { return election_.leaseVersion() == version; },
+           .renew_lease = [this] { election_.renew(); }}),
       distribution_(scheduler, {.is_fresh = [this] { return chosen_.isFresh() && unreadable_.empty(); },
                                 .is_confirmed_since =
                                     [this](SteadyTime since) { return chosen_.isConfirmedSince(since); },
@@ -160,6 +163,7 @@
     membership_.onChange([this] { keeper_.check(); });
     recovery_.onRecovered([this] { renewAtPeers(); });
     election_.onElected([this] { keeper_.onElected(); });
+    election_.onElectorsChanged([this] { voter_keeper_.onLeaseOfNewVoters(); });
     keeper_.onClaimed([this](std::uint64_t term) {
         if (poller_) poller_->start(term);
     });
@@ -269,6 +273,7 @@
         if (auto state = readConfigurationState(value->value))
             return distribution_.setConfiguration(std::move(*state));
     } else if (auto view = readStoreView(value->value)) {
+        keeper_.onView(*view);
         return distribution_.setView(std::move(*view));
     }
     LOG(ERROR) << "the value of " << key << " in the register is not readable; nothing is handed out";
--- a/src/cluster/control/leader_election.cpp
+++ b/src/cluster/control/leader_election.cpp
@@ -49,6 +49,7 @@
 
 struct LeaderElection::VoteRound {
     std::uint64_t round = 0;
+    std::uint64_t electors_version = 0;
     SteadyTime asked_at;
     std::size_t electors = 0;
     std::size_t answers = 0;
@@ -97,6 +98,7 @@
     const auto votes = std::make_shared<VoteRound>();
     const std::vector<NodeAddress> electors = hooks_.electors();
     votes->round = ++round_;
+    votes->electors_version = hooks_.electors_version();
     votes->asked_at = scheduler_.now();
     votes->electors = electors.size();
     for (const NodeAddress& elector : electors) {
@@ -124,20 +126,26 @@
     if (votes->decided || votes->round <= given_back_) return;
     if (votes->granted >= majority) {
         votes->decided = true;
-        return onMajority(votes->asked_at);
+        return onMajority(*votes);
     }
     if (votes->answers < votes->electors) return;
     votes->decided = true;
     if (!isLeader()) giveBack(votes->round);
 }
 
-void LeaderElection::onMajority(SteadyTime asked_at) {
+void LeaderElection::onMajority(const VoteRound& votes) {
     const bool from_answer = isPlanted(PlantedFault::lease_counted_from_answer);
-    const SteadyTime until = from_answer ? scheduler_.now() + kLease : asked_at + kLease - kSafetyMargin;
+    const SteadyTime until =
+        from_answer ? scheduler_.now() + kLease : votes.asked_at + kLease - kSafetyMargin;
     if (leaving_ || scheduler_.now() >= until) return;
     const bool unbroken = isLeader();
+    const bool newer_electors = votes.electors_version > lease_version_;
     acts_until_ = std::max(acts_until_, until);
-    if (unbroken) return;
+    if (!unbroken || newer_electors) lease_version_ = votes.electors_version;
+    if (unbroken) {
+        if (newer_electors && on_electors_changed_) on_electors_changed_();
+        return;
+    }
     ++reign_;
     LOG(INFO) << identity_.name << " leads";
     // From now on by the shorter rhythm of a holder.
@@ -150,6 +158,15 @@
     for (const NodeAddress& elector : hooks_.electors()) ask(elector, Millis(0), round, [](bool) {});
 }
 
+void LeaderElection::renew() {
+    if (isLeader() && !leaving_) askAll();
+}
+
+void LeaderElection::stepDown() {
+    LOG(WARNING) << identity_.name << " leads no more: another machine has a higher term";
+    resign();
+}
+
 void LeaderElection::leave() {
     leaving_ = true;
     resign();
--- a/src/cluster/control/leader_election.hpp
+++ b/src/cluster/control/leader_election.hpp
@@ -67,11 +67,19 @@
     void start();
     // Stops leading at once and gives the votes back; stands no more.
     void leave();
+    // Stops leading and gives the votes back, as a higher term has been seen; stands again like any other.
+    void stepDown();
+    // Renews the lease now rather than at its next time; does nothing where this machine doesn't lead.
+    void renew();
     // Runs when a new reign begins.
     void onElected(std::function<void()> listener) { on_elected_ = std::move(listener); }
+    // Runs when a majority of newer electors than before has granted the lease.
+    void onElectorsChanged(std::function<void()> listener) { on_electors_changed_ = std::move(listener); }
 
     // Compared with the clock at each call, so a process that was frozen finds its lease gone.
     bool isLeader() const { return scheduler_.now() < acts_until_; }
+    // The newest version of the electors of which a majority has granted the lease of this reign.
+    std::uint64_t leaseVersion() const { return lease_version_; }
     // Answers another candidate.
     LeaderLeaseReply vote(const LeaderLeaseRequest& request);
     // Counts the unbroken spans of leadership of this process.
@@ -84,7 +92,7 @@
     void tick();
     void askAll();
     void onVote(const std::shared_ptr<VoteRound>& votes, bool granted);
-    void onMajority(SteadyTime asked_at);
+    void onMajority(const VoteRound& votes);
     void giveBack(std::uint64_t round);
     void resign();
     void ask(const NodeAddress& elector, Millis duration, std::uint64_t round,
@@ -98,8 +106,10 @@
     LeaseGrantor grantor_;
     std::mt19937_64 random_;
     std::function<void()> on_elected_;
+    std::function<void()> on_electors_changed_;
     SteadyTime acts_until_{};
     std::uint64_t reign_ = 0;
+    std::uint64_t lease_version_ = 0;
     std::uint64_t round_ = 0;
     std::uint64_t given_back_ = 0;  // votes of rounds up to this one count no more
     bool leaving_ = false;
--- a/src/cluster/control/store_view_keeper.cpp
+++ b/src/cluster/control/store_view_keeper.cpp
@@ -86,6 +86,14 @@
     tick();
 }
 
+bool StoreViewKeeper::isSuperseded(const StoreView& view) const {
+    return view.leader != self_ && view.leader_term > term_;
+}
+
+void StoreViewKeeper::onView(const StoreView& view) {
+    if (isActing() && isSuperseded(view)) election_.stepDown();
+}
+
 void StoreViewKeeper::tick() {
     if (!isActing()) return;
     if (scheduler_.now() - last_tick_ > kOwnPause) listens_since_ = scheduler_.now();
@@ -177,6 +185,7 @@
     if (!outcome.known) return;  // the next look tries again
     const std::optional<StoreView> view = readStoreView(outcome.value);
     const bool own = view && view->leader == self_ && view->leader_term == term_;
+    if (view && isActing() && isSuperseded(*view)) return election_.stepDown();
     if (!own && election_.isLeader()) return claim();
     if (!outcome.wrote) return;
     last_change_ = scheduler_.now();
--- a/src/cluster/control/store_view_keeper.hpp
+++ b/src/cluster/control/store_view_keeper.hpp
@@ -29,6 +29,9 @@
     void onElected();
     // Looks whether the stores have changed; called at once at changes of members, and every 100 ms.
     void check();
+    // The register's view has changed. Under the name of another machine and a higher term it ends this
+    // reign: what was refused to a term is never tried again under that term.
+    void onView(const StoreView& view);
     // Runs when this reign's term stands in the register.
     void onClaimed(std::function<void(std::uint64_t term)> listener) { on_claimed_ = std::move(listener); }
 
@@ -45,6 +48,7 @@
     std::vector<StoreObservation> observeStores(const StoreView& view) const;
     ViewRules rulesFor(const StoreView& view) const;
     void noteAway(const StoreView& view);
+    bool isSuperseded(const StoreView& view) const;
     void propose();
     Decision decide(const std::string& current);
     void onProposed(const ChangeOutcome& outcome);
--- a/src/cluster/control/voter_set_keeper.cpp
+++ b/src/cluster/control/voter_set_keeper.cpp
@@ -110,6 +110,7 @@
 void VoterSetKeeper::lead() {
     if (changing_ || !voter_.votes()) return;
     if (settled_version_ != voter_.voterSet().version) return settle();
+    if (!hooks_.holds_lease_of(voter_.voterSet().version)) return hooks_.renew_lease();
     const std::optional<VoterSet> next = nextVoters(voter_.voterSet(), observe(), tolerated_);
     if (!next) return;
     const bool adds = next->addresses.size() > voter_.voters().size();
--- a/src/cluster/control/voter_set_keeper.hpp
+++ b/src/cluster/control/voter_set_keeper.hpp
@@ -6,6 +6,10 @@
 // of an older set can be found, since each has a voter that knows the newer set; and whatever an older one
 // chose has been accepted again by the present one, whose majorities the next set's ones meet.
 //
+// The leader lease is handed on in the same way: no further set is proposed before a majority of the present
+// one has granted the lease. A majority of the next set meets that one, so nobody else is elected by the next
+// set while the lease lasts; two sets further on, a majority need not.
+//
 // A voter that is lost is exchanged by two such changes right after each other, first its removal and then
 // the addition of a recovered machine: of 2f + 1 voters with one lost, the 2f left need as many live ones.
 // Each core machine notes who renews its lease here, so a new leader knows at once who is silent.
@@ -33,6 +37,10 @@
     std::function<bool()> is_acting;  // this machine acts as leader
     // Internal addresses of the other core machines known now.
     std::function<std::vector<NodeAddress>()> peers;
+    // Whether a majority of the voters of that version has granted this machine the leader lease.
+    std::function<bool(std::uint64_t version)> holds_lease_of = [](std::uint64_t) { return true; };
+    // Asks the present voters for the lease at once.
+    std::function<void()> renew_lease = [] {};
 };
 
 class VoterSetKeeper {
@@ -44,6 +52,8 @@
     void start();
     // The core machine of that name has renewed its lease here.
     void onRenewed(const std::string& name);
+    // A majority of newer voters than before has granted the leader lease.
+    void onLeaseOfNewVoters() { look(); }
 
 private:
     // What its renewals have told of a core machine.
--- a/src/cluster/edge/counters.cpp
+++ b/src/cluster/edge/counters.cpp
@@ -32,6 +32,7 @@
     text.add("broken_off", broken_off);
     text.add("no_free_connection", no_free_connection);
     text.add("no_server", no_server);
+    text.add("misdirected", misdirected);
     text.add("callback_posts", callback_posts);
     text.add("callbacks_taken", callbacks_taken);
     text.add("callbacks_failed", callbacks_failed);
--- a/src/cluster/edge/counters.hpp
+++ b/src/cluster/edge/counters.hpp
@@ -36,6 +36,7 @@
     std::uint64_t broken_off = 0;
     std::uint64_t no_free_connection = 0;
     std::uint64_t no_server = 0;
+    std::uint64_t misdirected = 0;  // not begun: the newest configuration sends the message elsewhere
     // Call-backs.
     std::uint64_t callback_posts = 0;
     std::uint64_t callbacks_taken = 0;
--- a/src/cluster/edge/deliveries.cpp
+++ b/src/cluster/edge/deliveries.cpp
@@ -70,6 +70,7 @@
         return !configuration_->service(entry.first) && entry.second->open() == 0;
     });
     applyServers();
+    for (auto& [name, dispatcher] : services_) dispatcher->handBackMisdirected();
 }
 
 void Deliveries::onServers(std::shared_ptr<const ServerList> servers) {
@@ -94,15 +95,9 @@
     if (configuration_) onConfiguration(configuration_);
 }
 
-bool Deliveries::allowedByConfiguration(const Grant& grant) const {
-    if (!configuration_ || !configuration_->service(grant.content.service)) return false;
-    // A grant may rest on a newer configuration than this edge has; only what a newer one dropped is stopped.
-    if (grant.content.config_generation > configuration_->generation) return true;
-    return configuration_->route(grant.content.route) != nullptr;
-}
-
 bool Deliveries::followsConfiguration(const Grant& grant) const {
     const MessageContent& content = grant.content;
+    if (!configuration_ || !configuration_->service(content.service)) return false;
     if (content.config_generation > configuration_->generation) return true;
     const Route* const route = configuration_->match(content.host, content.target);
     return route != nullptr && route->service == content.service;
@@ -139,7 +134,10 @@
 
 void Deliveries::begin(Grant grant) {
     const auto found = services_.find(grant.content.service);
-    if (found == services_.end() || !allowedByConfiguration(grant)) return notRun(grant, false);
+    if (found == services_.end() || !followsConfiguration(grant)) {
+        ++counters_.misdirected;
+        return notRun(grant, false);
+    }
     found->second->begin(std::move(grant));
 }
 
--- a/src/cluster/edge/deliveries.hpp
+++ b/src/cluster/edge/deliveries.hpp
@@ -64,7 +64,6 @@
     bool mayReport(const RunResult& result);
     void callbackEnded(const CallbackWork& work, bool taken);
     void reportTaken(const RunResult& result);
-    bool allowedByConfiguration(const Grant& grant) const;
     // The newest configuration of this edge sends the message to the service of the grant, or the grant rests
     // on a newer one.
     bool followsConfiguration(const Grant& grant) const;
--- a/src/cluster/edge/service_dispatcher.cpp
+++ b/src/cluster/edge/service_dispatcher.cpp
@@ -226,17 +226,33 @@
 }
 
 void ServiceDispatcher::handBackWaiting() {
-    const DeliveryResult result{RunOutcome::not_run, "", !hasServer()};
     std::vector<RequestId> waiting;
     for (const auto& [id, delivery] : deliveries_) {
         if (!delivery.in_flight) waiting.push_back(id);
     }
-    queued_.clear();
-    queue_timer_.reset();
+    handBack(waiting, {RunOutcome::not_run, "", !hasServer()});
+}
+
+void ServiceDispatcher::handBackMisdirected() {
+    std::vector<RequestId> waiting;
+    for (const auto& [id, delivery] : deliveries_) {
+        if (!delivery.in_flight && !allowed_(delivery.grant)) waiting.push_back(id);
+    }
+    counters_.misdirected += waiting.size();
+    handBack(waiting, {RunOutcome::not_run, "", false});
+}
+
+void ServiceDispatcher::handBack(const std::vector<RequestId>& waiting, const DeliveryResult& result) {
+    if (waiting.empty()) return;
     for (const RequestId id : waiting) {
-        if (deliveries_[id].told) tell(heronmount::ClientLeft{id});
+        // What the module is told of one may move another on.
+        const auto found = deliveries_.find(id);
+        if (found == deliveries_.end() || found->second.in_flight) continue;
+        if (found->second.told) tell(heronmount::ClientLeft{id});
         finish(id, result);
     }
+    std::erase_if(queued_, [this](const RequestId id) { return !deliveries_.contains(id); });
+    beginQueued();
 }
 
 // --- The module --------------------------------------------------------------------------------------------
@@ -274,8 +290,10 @@
     Delivery& delivery = found->second;
     const std::uint32_t attempt = delivery.sends++;
     const Server& server = servers_[action.worker];
-    if (server.on && server.in_flight < connectionsEach()) return post(action.id, delivery, action.worker);
-    if (server.on) ++counters_.no_free_connection;
+    const bool has_connection = server.in_flight < connectionsEach();
+    if (server.on && has_connection && allowed_(delivery.grant))
+        return post(action.id, delivery, action.worker);
+    if (server.on && !has_connection) ++counters_.no_free_connection;
     delivery.all_unreachable = false;  // nothing was tried
     heronmount::AttemptEnded ended;
     ended.id = action.id;
@@ -332,7 +350,8 @@
     delivery.all_unreachable = delivery.all_unreachable && answer.unreachable;
     const bool tried_all = delivery.sends >= servers_on_;
     const DeliveryResult result{answer.outcome, answer.stamp, tried_all && delivery.all_unreachable};
-    const bool goes_on = answer.try_elsewhere && !delivery.given_up && module_number == module_number_;
+    const bool goes_on = answer.try_elsewhere && !delivery.given_up && module_number == module_number_ &&
+                         allowed_(delivery.grant);
     if (module_number == module_number_) {
         heronmount::AttemptEnded ended;
         ended.id = id;
--- a/src/cluster/edge/service_dispatcher.hpp
+++ b/src/cluster/edge/service_dispatcher.hpp
@@ -49,6 +49,8 @@
     void begin(Grant grant);
     // Gives up all attempts that have not begun, as not_run.
     void handBackWaiting();
+    // The same for those of messages that the newest configuration sends to another service, or nowhere.
+    void handBackMisdirected();
     // Grants that have no result yet.
     std::size_t open() const { return deliveries_.size(); }
     bool hasServer() const { return servers_on_ > 0; }
@@ -91,6 +93,7 @@
     void answered(heronmount::RequestId id, heronmount::Worker worker, std::uint64_t module_number,
                   std::uint32_t attempt, const HttpOutcome& outcome);
     void givenUp(heronmount::RequestId id);
+    void handBack(const std::vector<heronmount::RequestId>& waiting, const DeliveryResult& result);
     void finish(heronmount::RequestId id, DeliveryResult result);
     void count(const HttpOutcome& outcome, const DeliveryAnswer& answer);
     void count(RunOutcome outcome);
--- a/src/cluster/storage/accepts.cpp
+++ b/src/cluster/storage/accepts.cpp
@@ -5,8 +5,8 @@
 namespace amberswitch::cluster::storage {
 
 Accepts::Accepts(RecordStore& disk, Replica& replica, Replicator& replicator, const Placement& placement,
-                 const StoreClock& clock, OwnedPartitions& owned, QueueItemFactory& items, Granter& granter,
-                 std::function<void(PartitionId)> on_fenced)
+                 const StoreClock& clock, OwnedPartitions& owned, QueueItemFactory& items, Outcomes& outcomes,
+                 Granter& granter, std::function<void(PartitionId)> on_fenced)
     : disk_(disk),
       replica_(replica),
       replicator_(replicator),
@@ -14,6 +14,7 @@
       clock_(clock),
       owned_(owned),
       items_(items),
+      outcomes_(outcomes),
       granter_(granter),
       on_fenced_(std::move(on_fenced)) {}
 
@@ -43,7 +44,7 @@
 
 void Accepts::noteOlder(const OwnedPartition& owned, MessageRecord& record) {
     QueueItem probe;
-    probe.route = record.content.route;
+    probe.accepted_route = record.content.route;
     probe.order_key = record.content.order_key;
     probe.position.epoch = record.epoch;
     const LinePosition last = owned.queue.lastOlder(probe);
@@ -209,7 +210,10 @@
     if (item == nullptr || item->callback) return;
     item->holders.insert(job.holders.begin(), job.holders.end());
     owned.queue.stored(*item);
-    if (job.wants_grant) {
+    if (outcomes_.applyConfiguration(owned, *item)) return;
+    // The edge would run it at the service of its own configuration.
+    const bool same_service = item->service == job.record->content.service;
+    if (job.wants_grant && same_service) {
         if (const auto attempt = granter_.grantAtAccept(owned, *item, job.edge)) {
             reply.granted = true;
             reply.epoch = attempt->epoch;
--- a/src/cluster/storage/accepts.hpp
+++ b/src/cluster/storage/accepts.hpp
@@ -21,8 +21,8 @@
     using Answer = std::function<void(const AcceptMessageReply&)>;
 
     Accepts(RecordStore& disk, Replica& replica, Replicator& replicator, const Placement& placement,
-            const StoreClock& clock, OwnedPartitions& owned, QueueItemFactory& items, Granter& granter,
-            std::function<void(PartitionId)> on_fenced);
+            const StoreClock& clock, OwnedPartitions& owned, QueueItemFactory& items, Outcomes& outcomes,
+            Granter& granter, std::function<void(PartitionId)> on_fenced);
 
     // Answers exactly once.
     void accept(AcceptMessageRequest request, Answer answer);
@@ -82,6 +82,7 @@
     const StoreClock& clock_;
     OwnedPartitions& owned_;
     QueueItemFactory& items_;
+    Outcomes& outcomes_;
     Granter& granter_;
     bool stopped_ = false;
     std::function<void(PartitionId)> on_fenced_;  // the partition has a newer owner
--- a/src/cluster/storage/grant_book.hpp
+++ b/src/cluster/storage/grant_book.hpp
@@ -34,7 +34,7 @@
     // The attempt is over or given up. The caller moves the item on in its queue at once.
     void settle(QueueItem& item, DestinationSign sign, SteadyTime now) {
         if (!item.grant) return;
-        limiter.settled(item.service, sign, now);
+        limiter.settled(item.grant->service, sign, now);
         edges.detach(item.grant->edge, item);
         item.grant.reset();
     }
@@ -57,7 +57,8 @@
 private:
     void place(OwnedPartition& owned, QueueItem& item, const std::string& edge, AttemptId id, SteadyTime now,
                Millis timeout) {
-        owned.queue.grant(item, {id, edge, now, now + timeout + kGrantExpiryMargin, std::nullopt, true});
+        owned.queue.grant(
+            item, {id, edge, item.service, now, now + timeout + kGrantExpiryMargin, std::nullopt, true});
         edges.attach(edge, item);
     }
 };
--- a/src/cluster/storage/grant_counters.cpp
+++ b/src/cluster/storage/grant_counters.cpp
@@ -18,6 +18,7 @@
     text.add("expired", expired);
     text.add("completed", completed);
     text.add("rejected", rejected);
+    text.add("moved_by_configuration", moved_by_configuration);
     text.add("successes_of_former_attempts", successes_of_former_attempts);
     text.add("repeated_successes", repeated_successes);
     return text.take();
--- a/src/cluster/storage/grant_counters.hpp
+++ b/src/cluster/storage/grant_counters.hpp
@@ -22,6 +22,8 @@
     // Ends of messages.
     std::uint64_t completed = 0;
     std::uint64_t rejected = 0;
+    // Messages that wait or run whose service another configuration has changed, once for each change.
+    std::uint64_t moved_by_configuration = 0;
     // A success of an attempt that is not the granted one: the message may have run a second time meanwhile.
     std::uint64_t successes_of_former_attempts = 0;
     // Invariant: a message succeeds once. Successes that were reported with another stamp than the first one.
--- a/src/cluster/storage/granter.cpp
+++ b/src/cluster/storage/granter.cpp
@@ -105,6 +105,10 @@
     checkInvariant(Invariant::grants_are_open, item.callback == (message.phase != Phase::pending), item.id);
     grant.phase = message.phase;
     grant.stamp = message.stamp;
+    if (!item.callback) {
+        grant.content.service = item.service;
+        grant.content.config_generation = items_.generationFor(grant.content);
+    }
     const Millis timeout = item.callback ? kCallbackTimeout : items_.timeoutOf(item);
     grant.timeout_ms = timeout.count();
     book_.give(*owned, item, edge.name, {grant.epoch, grant.attempt}, scheduler_.now(), timeout);
--- a/src/cluster/storage/outcomes.cpp
+++ b/src/cluster/storage/outcomes.cpp
@@ -205,14 +205,28 @@
     }
 }
 
-void Outcomes::endDropped(OwnedPartition& owned) {
+bool Outcomes::applyConfiguration(OwnedPartition& owned, QueueItem& item) {
+    if (item.callback) {
+        const int priority = items_.priorityOf(item.route);
+        owned.queue.update(item, [priority](QueueItem& changed) { changed.priority = priority; });
+        return false;
+    }
+    const StoredMessage* const message = replica_.find(owned.id, item.id);
+    if (message == nullptr || !message->content) return false;
+    const Routing routing = items_.routingOf(*message->content);
+    if (routing.dropped) {
+        end(owned, item, Phase::dead_letter, {});
+        return true;
+    }
+    if (routing.route == nullptr) return false;
+    if (routing.route->service != item.service) ++book_.counters.moved_by_configuration;
+    owned.queue.update(item, [&](QueueItem& changed) { items_.follow(changed, *routing.route); });
+    return false;
+}
+
+void Outcomes::applyConfiguration(OwnedPartition& owned) {
     owned.queue.forEach([this, &owned](QueueItem& item) {
-        if (item.state == ItemState::storing) return;
-        if (items_.routeDropped(item)) {
-            end(owned, item, Phase::dead_letter, {});
-        } else {
-            owned.queue.reprioritize(item, items_.priorityOf(item.route));
-        }
+        if (item.state != ItemState::storing) applyConfiguration(owned, item);
     });
 }
 
--- a/src/cluster/storage/outcomes.hpp
+++ b/src/cluster/storage/outcomes.hpp
@@ -30,9 +30,13 @@
     // The grant surely did not run, or nothing is known of it: the message may be granted again after a
     // backoff.
     void giveBack(OwnedPartition& owned, QueueItem& item, DestinationSign sign);
-    // Ends a message whose retention is over, gives a call-back up, ends messages of routes that are gone.
+    // Ends a message whose retention is over, gives a call-back up.
     void endOverdue(OwnedPartition& owned);
-    void endDropped(OwnedPartition& owned);
+    // Sends a message where the configuration in force sends it, or ends it where its route is gone. True: it
+    // has ended, and `item` may be gone.
+    bool applyConfiguration(OwnedPartition& owned, QueueItem& item);
+    // The same for all that are stored.
+    void applyConfiguration(OwnedPartition& owned);
     // Takes over what the replica learned from elsewhere: an end, a count, or a message that the queue lacks.
     void refresh(OwnedPartition& owned, const MessageId& id);
     // Puts a live message of the replica into the queue.
--- a/src/cluster/storage/partition_queue.cpp
+++ b/src/cluster/storage/partition_queue.cpp
@@ -156,10 +156,10 @@
     return free && item.due <= now && firstOfLine(item);
 }
 
-void PartitionQueue::reprioritize(QueueItem& item, int priority) {
+void PartitionQueue::update(QueueItem& item, const std::function<void(QueueItem&)>& change) {
     const bool ready = item.state == ItemState::ready;
     if (ready) ready_.remove(item);
-    item.priority = priority;
+    change(item);
     if (ready) ready_.add(item);
 }
 
--- a/src/cluster/storage/partition_queue.hpp
+++ b/src/cluster/storage/partition_queue.hpp
@@ -51,8 +51,8 @@
     void remove(QueueItem& item);
     // True where it may be granted now: first of its line, due, and not given out.
     bool grantable(const QueueItem& item, SteadyTime now) const;
-    // Changes what the configuration tells of an item.
-    void reprioritize(QueueItem& item, int priority);
+    // Applies `change` to what the configuration tells of an item: its route, service, aim and priority.
+    void update(QueueItem& item, const std::function<void(QueueItem&)>& change);
 
     std::optional<SteadyTime> nextDue() const;
     // Messages whose deadline has passed.
@@ -62,7 +62,7 @@
 
 private:
     using Line = std::map<LinePosition, QueueItem*>;
-    static std::string lineName(const QueueItem& item) { return item.route + '\n' + item.order_key; }
+    static std::string lineName(const QueueItem& item) { return item.accepted_route + '\n' + item.order_key; }
 
     bool firstOfLine(const QueueItem& item) const;
     void joinLine(QueueItem& item);
--- a/src/cluster/storage/queue_item.hpp
+++ b/src/cluster/storage/queue_item.hpp
@@ -22,6 +22,7 @@
 struct OutstandingGrant {
     AttemptId id;
     std::string edge;
+    std::string service;  // in whose limits it counts, also after the message's route has moved
     SteadyTime granted;
     SteadyTime expiry;                        // then taken as unknown
     std::optional<SteadyTime> missing_since;  // the edge's lists lack it since then
@@ -49,13 +50,15 @@
 struct QueueItem {
     PartitionId partition = 0;
     MessageId id;
+    std::string accepted_route;  // its route at the accept; names its line, together with the order key
+    // Where the newest configuration sends it. The service is the key of its limits; for call-backs that is
+    // the receiver.
     std::string route;
-    std::string service;    // the key of its limits; for call-backs that of the receiver
+    std::string service;
     std::string order_key;  // empty: unordered
     LinePosition position;
     LinePosition after;  // the last one of older epochs in its line when it was accepted
-    std::int64_t config_generation = 0;
-    Millis timeout{0};  // of one delivery, if the configuration does not tell
+    Millis timeout{0};   // of one delivery, if the configuration does not tell
     int priority = 0;
     bool callback_owed = false;  // when it ends
     bool callback = false;       // it has ended; its call-back is what waits or runs
--- a/src/cluster/storage/queue_items.cpp
+++ b/src/cluster/storage/queue_items.cpp
@@ -26,12 +26,11 @@
     QueueItem item;
     item.partition = partition;
     item.id = content.id;
-    item.route = content.route;
+    item.accepted_route = item.route = content.route;
     item.service = content.service;
     if (content.ordered) item.order_key = content.order_key;
     item.position = {message.epoch, message.sequence};
     item.after = {message.after_epoch, message.after_sequence};
-    item.config_generation = content.config_generation;
     item.timeout = kDefaultTimeout;
     item.priority = priorityOf(content.route);
     item.callback_owed = !content.callback_url.empty() && !message.callback_done;
@@ -74,10 +73,22 @@
     return route ? route->priority : 0;
 }
 
-bool QueueItemFactory::routeDropped(const QueueItem& item) const {
-    if (configuration_ == nullptr || item.callback) return false;
-    if (configuration_->generation < item.config_generation) return false;
-    return configuration_->route(item.route) == nullptr;
+Routing QueueItemFactory::routingOf(const MessageContent& content) const {
+    if (configuration_ == nullptr || configuration_->generation < content.config_generation) return {};
+    const Route* const route = configuration_->match(content.host, content.target);
+    return {route, route == nullptr};
+}
+
+void QueueItemFactory::follow(QueueItem& item, const Route& route) const {
+    item.route = route.name;
+    item.service = route.service;
+    item.priority = route.priority;
+    item.aim_until = item.wanted + aimOf(route.name);
+}
+
+std::int64_t QueueItemFactory::generationFor(const MessageContent& content) const {
+    const std::int64_t own = configuration_ == nullptr ? 0 : configuration_->generation;
+    return std::max(own, content.config_generation);
 }
 
 }  // namespace amberswitch::cluster::storage
--- a/src/cluster/storage/queue_items.hpp
+++ b/src/cluster/storage/queue_items.hpp
@@ -13,6 +13,13 @@
 // The key of the limits of a call-back's receiver: its host and port.
 std::string callbackDestination(const std::string& callback_url);
 
+// What the configuration in force says of a message. Neither: it is older than the one of the accept and says
+// nothing.
+struct Routing {
+    const Route* route = nullptr;
+    bool dropped = false;  // no route takes its host and path any more
+};
+
 class QueueItemFactory {
 public:
     QueueItemFactory(const StoreClock& clock, Millis status_kept)
@@ -30,9 +37,12 @@
     // Answers of 500 that end the item.
     std::uint32_t maxFailuresOf(const QueueItem& item) const;
     int priorityOf(const std::string& route) const;
-    // The configuration in force is as new as the one under which it was accepted, and does not have its
-    // route.
-    bool routeDropped(const QueueItem& item) const;
+    // By host and path, as for a request that came now.
+    Routing routingOf(const MessageContent& content) const;
+    // Sends the item where the route leads.
+    void follow(QueueItem& item, const Route& route) const;
+    // The newest configuration on which a grant of that message rests.
+    std::int64_t generationFor(const MessageContent& content) const;
 
 private:
     const StoreClock& clock_;
--- a/src/cluster/storage/store_node.cpp
+++ b/src/cluster/storage/store_node.cpp
@@ -74,7 +74,7 @@
       outcomes_(owned_, book_, replica_, replicator_, items_, clock_, incarnation),
       granter_(scheduler, transport, owned_, book_, outcomes_, replica_, items_, settings.name),
       edge_watch_(transport, owned_, book_, outcomes_, granter_, clock_, settings.name),
-      accepts_(disk, replica_, replicator_, placement_, clock_, owned_, items_, granter_,
+      accepts_(disk, replica_, replicator_, placement_, clock_, owned_, items_, outcomes_, granter_,
                [this](PartitionId partition) { onFenced(partition); }),
       peering_(scheduler, transport, replica_, replicator_, placement_, clock_, peeringHooks()) {}
 
@@ -291,7 +291,6 @@
         former_grants_.erase(former);
     }
     edge_watch_.onActive(*owned, granted);
-    outcomes_.endDropped(*owned);
     updateShare();
     granter_.schedule();
 }
@@ -309,7 +308,10 @@
     if (owned == nullptr) return;
     for (const MessageId& id : newestFirst(partition, touched)) {
         outcomes_.refresh(*owned, id);
-        if (QueueItem* const item = owned->queue.find(id)) setHolders(*item);
+        QueueItem* const item = owned->queue.find(id);
+        if (item == nullptr) continue;
+        setHolders(*item);
+        if (item->state != storage::ItemState::storing) outcomes_.applyConfiguration(*owned, *item);
     }
     outcomes_.endOverdue(*owned);  // before any of it is granted
     granter_.schedule();
@@ -349,7 +351,7 @@
     items_.configure(configuration_.get());
     book_.limiter.configure(*configuration_);
     for (auto& [partition, owned] : owned_) {
-        if (owned->active) outcomes_.endDropped(*owned);
+        if (owned->active) outcomes_.applyConfiguration(*owned);
     }
     granter_.schedule();
 }
--- a/tests/cluster/changed_route_test.cpp
+++ b/tests/cluster/changed_route_test.cpp
@@ -13,6 +13,9 @@
 
 using simulation::StoreWorld;
 
+// A pretended edge begins what was granted before a change and comes in after it; a real one gives it back.
+constexpr Millis kPushTakes{30};
+
 // The same configuration one generation later.
 std::shared_ptr<Configuration> next(const Configuration& current) {
     auto made = std::make_shared<Configuration>(current);
@@ -24,12 +27,40 @@
                          [&name](const Route& route) { return route.name == name; });
 }
 std::shared_ptr<Configuration> sendingTo(const Configuration& current, const std::string& route,
-                                         const std::string& service) {
+                                         const std::string& service, std::int64_t generation = 0) {
     auto made = next(current);
+    if (generation > 0) made->generation = generation;
     routeOf(*made, route).service = service;
     made->buildIndexes();
     return made;
 }
+std::shared_ptr<Configuration> without(const Configuration& current, const std::string& route) {
+    auto made = next(current);
+    std::erase_if(made->routes, [&route](const Route& each) { return each.name == route; });
+    made->buildIndexes();
+    return made;
+}
+
+// Another backend, another host, gone, or back under its old name: one of these, drawn.
+std::shared_ptr<Configuration> changedSomehow(StoreWorld& play, const Configuration& whole) {
+    const std::string name = play.world.chance() < 0.5 ? "plain" : "lines";
+    const std::string service = play.world.chance() < 0.5 ? "servers" : "board";
+    const double choice = play.world.chance();
+    if (choice < 0.6) {
+        auto made = std::make_shared<Configuration>(whole);
+        made->generation = play.configuration->generation + 1;
+        routeOf(*made, name).service = service;
+        return made;
+    }
+    if (choice < 0.8) return without(*play.configuration, name);
+    auto made = next(*play.configuration);
+    std::erase_if(made->routes, [&name](const Route& each) { return each.name == name; });
+    Route anew = *whole.route(name);
+    anew.hostname = "host-" + std::to_string(play.world.random()() % 3) + ".example";
+    anew.service = service;
+    made->routes.push_back(anew);
+    return made;
+}
 
 class ChangingStores {
 public:
@@ -57,6 +88,21 @@
         REQUIRE(state->status == QueryStatus::found);
         return state->phase;
     }
+    // A configuration without the route of a message ends it.
+    void endDropped() {
+        for (auto& [id, message] : play.ledger.messages) {
+            const bool dropped = !play.configuration->match(message.content.host, message.content.target);
+            if (message.accepted && !message.ended && dropped) message.ended = play.world.now();
+        }
+    }
+    // Accepted messages that have no end, by what their owners say.
+    std::size_t waiting() {
+        std::size_t count = 0;
+        for (const auto& [id, message] : play.ledger.messages) {
+            if (message.accepted && !message.ended && phaseOf(id) == Phase::pending) ++count;
+        }
+        return count;
+    }
     int runsOf(const MessageId& id) { return play.ledger.messages[id].runs; }
 
     StoreWorld play;
@@ -69,12 +115,14 @@
         CAPTURE(seed);
         ChangingStores stores(seed);
         stores.down("board", true);
+        stores.down("servers", true);
         stores.submit(stores.play.content("lines", "key"));
         stores.play.configure(sendingTo(*stores.play.configuration, "lines", "servers"));
         stores.submit(stores.play.content("lines", "key"));  // waits for the first one's end
         stores.play.configure(sendingTo(*stores.play.configuration, "lines", "board"));
         stores.submit(stores.play.content("lines", "key"));
         stores.down("board", false);
+        stores.down("servers", false);
         stores.play.world.run(Millis(6000));
         CHECK(stores.play.unfinished() == 0);
         CHECK(stores.arrivals("servers") == 0);
@@ -83,6 +131,118 @@
     }
 }
 
+TEST_CASE("a delayed message, and one that is retried, run where their routes lead now") {
+    ChangingStores stores(1);
+    MessageContent delayed = stores.play.content("plain");
+    delayed.delay_ms = 3000;
+    stores.submit(delayed);
+    stores.down("servers", true);
+    stores.submit(stores.play.content("plain"));
+    stores.play.world.run(Millis(1000));
+    stores.play.configure(sendingTo(*stores.play.configuration, "plain", "board"));
+    stores.down("servers", false);
+    stores.play.world.run(Millis(8000));
+    CHECK(stores.arrivals("servers") == 0);
+    CHECK(stores.arrivals("board") == 2);
+    CHECK(stores.play.unfinished() == 0);
+}
+
+TEST_CASE("what waits for a moved route keeps to the ceiling of the service where it runs") {
+    ChangingStores stores(2);
+    stores.down("servers", true);
+    for (int i = 0; i < 200; ++i) stores.play.anyEdge().submit(stores.play.content("plain"), 3);
+    stores.play.world.run(Millis(1000));
+    stores.play.configure(sendingTo(*stores.play.configuration, "plain", "partner"));
+    stores.play.world.run(Millis(15'000));
+    CHECK(stores.arrivals("partner") == 200);
+    CHECK(stores.play.mostIn("partner", Millis(5000)) <= 20 * 5 * 1.1 + 5);
+}
+
+TEST_CASE("a message of a route that is gone ends also where its store knew that before the accept") {
+    ChangingStores stores(3);
+    const MessageContent content = stores.play.content("plain");
+    stores.play.configure(without(*stores.play.configuration, "plain"));
+    for (auto& edge : stores.play.edges) edge->wants_grants = false;
+    const MessageId id = stores.submit(content);
+    stores.play.world.run(Millis(3000));
+    CHECK(stores.runsOf(id) == 0);
+    CHECK(stores.phaseOf(id) == Phase::dead_letter);
+}
+
+TEST_CASE("a message follows its host and path, whatever the route's name is now") {
+    ChangingStores stores(4);
+    MessageContent gone = stores.play.content("plain");
+    MessageContent stays = stores.play.content("lines");
+    gone.delay_ms = stays.delay_ms = 2000;
+    stores.submit(gone);
+    stores.submit(stays);
+    auto changed = next(*stores.play.configuration);
+    routeOf(*changed, "plain").path_prefix = "/elsewhere/";  // the name stays, under another path
+    routeOf(*changed, "lines").name = "renamed";
+    stores.play.configure(changed);
+    stores.play.world.run(Millis(5000));
+    CHECK(stores.runsOf(gone.id) == 0);
+    CHECK(stores.phaseOf(gone.id) == Phase::dead_letter);
+    CHECK(stores.runsOf(stays.id) == 1);
+    CHECK(stores.phaseOf(stays.id) == Phase::completed);
+}
+
+TEST_CASE("a new owner takes waiting messages over to where their routes lead now") {
+    ChangingStores stores(5);
+    MessageContent content = stores.play.content("plain");
+    content.delay_ms = 4000;
+    for (int i = 0; i < 12; ++i) {
+        content.id = "delayed-" + std::to_string(i);
+        stores.submit(content);
+    }
+    stores.play.configure(sendingTo(*stores.play.configuration, "plain", "board"));
+    stores.play.stop(*stores.play.machines[0]);
+    stores.play.changeView();
+    stores.play.world.run(Millis(8000));
+    CHECK(stores.arrivals("servers") == 0);
+    CHECK(stores.arrivals("board") == 12);
+}
+
+TEST_CASE(
+    "hundreds of changes while messages wait: each run begins where the newest configuration sends it") {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        ChangingStores stores(seed);
+        StoreWorld& play = stores.play;
+        const Configuration whole = *play.configuration;
+        std::size_t misdirected = 0;
+        SteadyTime changed = play.world.now();
+        play.on_run = [&](const Grant& grant) {
+            const bool under_way = play.world.now() - changed < kPushTakes;
+            const Route* const route = play.configuration->match(grant.content.host, grant.content.target);
+            if (!under_way && (!route || route->service != grant.content.service)) ++misdirected;
+        };
+        for (int change = 0; change < 300; ++change) {
+            play.configure(changedSomehow(play, whole));
+            changed = play.world.now();
+            stores.endDropped();
+            if (change % 20 == 5) stores.down("servers", true);
+            if (change % 20 == 15) stores.down("servers", false);
+            for (int i = 0; i < 4; ++i) {
+                const std::string key = play.world.chance() < 0.5 ? "" : "key-" + std::to_string(i);
+                const std::string name = key.empty() ? "plain" : "lines";
+                if (!play.configuration->route(name)) continue;
+                MessageContent content = play.content(name, key);
+                content.host = play.configuration->route(name)->hostname;
+                if (play.world.chance() < 0.3) content.delay_ms = 700;
+                play.anyEdge().submit(content, 3);
+            }
+            play.world.run(Millis(100));
+        }
+        stores.down("servers", false);
+        play.configure(sendingTo(whole, "plain", "servers", play.configuration->generation + 1));
+        play.world.run(Millis(15'000));
+        CHECK(misdirected == 0);
+        CHECK(stores.waiting() == 0);
+        CHECK(play.faultText() == "");
+    }
+}
+
 // --- An edge -----------------------------------------------------------------------------------------------
 
 namespace {
@@ -102,3 +262,45 @@
     CHECK(world.stores[0]->results[0].outcome == RunOutcome::not_run);
     CHECK_FALSE(world.stores[0]->results[0].destination_down);
 }
+
+TEST_CASE("a route's name under another path does not allow a message of the old path") {
+    EdgeWorld world;
+    world.feed();
+    auto changed = next(*edge_test::configuration());
+    routeOf(*changed, "plain").path_prefix = "/elsewhere/";
+    changed->buildIndexes();
+    world.edge->onConfiguration(changed);
+    world.push(0, {world.grant("id-1")});
+    CHECK(world.http.sent.empty());
+}
+
+TEST_CASE("what waits inside an edge goes back when its route leads elsewhere") {
+    EdgeWorld world(1, 3, 1);
+    world.feed();
+    world.edge->setEdgeCount(43);  // two connections to the only server
+    world.http.play = [](const HttpCall&) { return std::nullopt; };
+    for (int i = 0; i < 6; ++i) world.push(0, {world.grant("id-" + std::to_string(i))});
+    const std::size_t sent = world.http.sent.size();
+    REQUIRE(sent < 6);
+    world.edge->onConfiguration(sendingTo(*edge_test::configuration(), "plain", "partner"));
+    world.world.run(Millis(20));
+    CHECK(world.stores[0]->results.size() == 6 - sent);
+    while (world.http.held() > 0) world.http.release(edge_test::notExecuted(503));
+    world.world.run(Millis(5000));
+    CHECK(world.http.sent.size() == sent);
+    CHECK(world.stores[0]->results.size() == 6);
+}
+
+TEST_CASE("an attempt that did not run is not sent on to a service that the route has left") {
+    EdgeWorld world;
+    world.feed();
+    world.http.play = [](const HttpCall&) { return std::nullopt; };
+    world.push(0, {world.grant("id-1")});
+    REQUIRE(world.http.sent.size() == 1);
+    world.edge->onConfiguration(sendingTo(*edge_test::configuration(), "plain", "partner"));
+    world.http.release(edge_test::notExecuted(503));
+    world.world.run(Millis(2000));
+    CHECK(world.http.sent.size() == 1);
+    REQUIRE(world.stores[0]->results.size() == 1);
+    CHECK(world.stores[0]->results[0].outcome == RunOutcome::not_run);
+}
--- a/tests/cluster/edge_callback_test.cpp
+++ b/tests/cluster/edge_callback_test.cpp
@@ -191,10 +191,8 @@
     world.feed();
     world.edge->setEdgeCount(4);
     world.http.play = [](const HttpCall&) { return std::nullopt; };
-    Grant first = world.grant("id-1");
-    first.content.service = "partner";
-    Grant second = world.grant("id-2");
-    second.content.service = "partner";
+    Grant first = world.cappedGrant("id-1");
+    Grant second = world.cappedGrant("id-2");
     world.push(0, {first, second});
     world.edge->leave([] {});
     world.world.run(Millis(20));
--- a/tests/cluster/edge_delivery_test.cpp
+++ b/tests/cluster/edge_delivery_test.cpp
@@ -155,9 +155,7 @@
     EdgeWorld world;
     world.feed();
     world.http.play = [](const HttpCall&) { return notExecuted(429); };
-    Grant grant = world.grant("id-1");
-    grant.content.route = "capped";
-    grant.content.service = "partner";
+    Grant grant = world.cappedGrant("id-1");
     world.push(0, {grant});
     world.world.run(Millis(3000));
     REQUIRE(world.http.sent.size() == 1);
@@ -172,9 +170,7 @@
     EdgeWorld world;
     world.feed();
     world.http.play = [](const HttpCall&) { return unreachable(); };
-    Grant grant = world.grant("id-1");
-    grant.content.route = "capped";
-    grant.content.service = "partner";
+    Grant grant = world.cappedGrant("id-1");
     world.push(0, {grant});
     world.world.run(Millis(3000));
     REQUIRE(world.stores[0]->results.size() == 1);
@@ -188,9 +184,7 @@
     world.edge->setEdgeCount(2);  // 4 connections for all: 1 for each of two edges
     std::vector<Grant> grants;
     for (std::uint64_t i = 0; i < 5; ++i) {
-        Grant grant = world.grant("id-" + std::to_string(i));
-        grant.content.route = "capped";
-        grant.content.service = "partner";
+        Grant grant = world.cappedGrant("id-" + std::to_string(i));
         grants.push_back(grant);
     }
     world.push(0, grants);
@@ -205,10 +199,8 @@
     world.feed();
     world.edge->setEdgeCount(4);
     world.http.play = [](const HttpCall&) { return std::nullopt; };
-    Grant first = world.grant("id-1");
-    first.content.service = "partner";
-    Grant second = world.grant("id-2");
-    second.content.service = "partner";
+    Grant first = world.cappedGrant("id-1");
+    Grant second = world.cappedGrant("id-2");
     world.push(0, {first, second});
     world.world.run(Millis(1100));
     REQUIRE(world.stores[0]->results.size() == 1);
--- a/tests/cluster/edge_world.hpp
+++ b/tests/cluster/edge_world.hpp
@@ -336,6 +336,14 @@
         made.timeout_ms = 2000;
         return made;
     }
+    // Of a message on the route to the endpoint with a ceiling.
+    Grant cappedGrant(const std::string& id) const {
+        Grant made = grant(id);
+        made.content.route = "capped";
+        made.content.service = "partner";
+        made.content.target = "/capped/x";
+        return made;
+    }
     // `process`: whom the store believes to run at the edge's address; 0: it does not know.
     std::vector<bool> push(std::size_t store, std::vector<Grant> grants, Incarnation process = 0) {
         return stores[store]->push(world, edge_address,
