--- a/tests/cluster/control_one_leader_test.cpp
+++ b/tests/cluster/control_one_leader_test.cpp
@@ -64,7 +64,7 @@
 }  // namespace
 
 TEST_CASE("at a first start one machine leads at a time, and everybody gets the whole list of servers") {
-    for (std::uint64_t seed = 1; seed <= 80; ++seed) {
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
         CAPTURE(seed);
         GrowingWorld play(seed);
         play.startAll();
@@ -89,3 +89,118 @@
         CHECK(everybodyKnows(play, kServers));
     }
 }
+
+namespace {
+
+// One of a core machine's figures; 0 where it doesn't tell it.
+std::uint64_t figureOf(const CoreMachine& machine, const std::string& name) {
+    const std::string text = '\n' + const_cast<CoreMachine&>(machine).node().metricsText();
+    const std::size_t found = text.find('\n' + name + ' ');
+    return found == std::string::npos ? 0 : std::stoull(text.substr(found + name.size() + 2));
+}
+
+// Watches who acts under which term.
+class TermWatch {
+public:
+    void look(const ControlWorld& play) {
+        for (const auto& machine : play.core) {
+            if (!machine->runs() || !machine->leads()) continue;
+            const std::uint64_t term = figureOf(*machine, "own_term");
+            const std::string& holder = holders_.try_emplace(term, machine->ip()).first->second;
+            if (holder != machine->ip()) ++shared_terms;
+            if (figureOf(*machine, "leader_term") > term) ++superseded_that_act;
+        }
+    }
+    std::size_t terms() const { return holders_.size(); }
+
+    std::size_t shared_terms = 0;         // looks at a term that another machine has used
+    std::size_t superseded_that_act = 0;  // looks at a machine that knows of a higher term and acts
+
+private:
+    std::map<std::uint64_t, std::string> holders_;
+};
+
+void watch(ControlWorld& play, TermWatch& terms, Millis span) {
+    for (const SteadyTime end = play.world.now() + span; play.world.now() < end;) {
+        play.world.run(kStep);
+        terms.look(play);
+    }
+}
+
+// The processor's quota: a machine runs for a part of each tenth of a second, and then stands still.
+void limitByQuota(ControlWorld& play, Millis stands_still, SteadyTime until) {
+    if (play.world.now() >= until) return;
+    for (auto& machine : play.core) {
+        if (machine->runs()) machine->freeze(stands_still);
+    }
+    play.world.at(play.world.now() + Millis(100),
+                  [&play, stands_still, until] { limitByQuota(play, stands_still, until); });
+}
+
+}  // namespace
+
+TEST_CASE("a leader that has seen a higher term never acts under its own again") {
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        CAPTURE(seed);
+        GrowingWorld play(seed);
+        TermWatch terms;
+        play.startAll();
+        watch(play, terms, Millis(2500));
+        for (int round = 0; round < 4; ++round) {
+            CoreMachine* const leader = play.leader();
+            if (leader && round % 2 == 0) leader->freeze(Millis(1600));
+            if (leader && round % 2 == 1) {
+                for (auto& other : play.core) {
+                    if (other.get() != leader) play.network.cutBoth(leader->ip(), other->ip());
+                }
+            }
+            watch(play, terms, Millis(2500));
+            play.network.healAll();
+            watch(play, terms, Millis(500));
+        }
+        CHECK(terms.terms() >= 4);
+        CHECK(terms.shared_terms == 0);
+        CHECK(terms.superseded_that_act == 0);
+        CHECK(everybodyKnows(play, kServers));
+    }
+}
+
+TEST_CASE("all core machines are gone at once and come back: one leads, and lists go on reaching everybody") {
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        CAPTURE(seed);
+        GrowingWorld play(seed);
+        TermWatch terms;
+        play.startAll();
+        watch(play, terms, Millis(3000));
+        for (auto& machine : play.core) machine->kill();
+        play.world.run(Millis(700));
+        for (auto& machine : play.core) machine->start();
+        watch(play, terms, Millis(6000));
+        CHECK(leadersOf(play) == 1);
+        CHECK(terms.shared_terms == 0);
+        CHECK(everybodyKnows(play, kServers));
+    }
+}
+
+TEST_CASE("core machines whose processor is a quota have one leader and acknowledge changes in time") {
+    constexpr Millis kAcknowledged{5000};
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        GrowingWorld play(seed);
+        TermWatch terms;
+        play.startAll();
+        limitByQuota(play, Millis(75), play.world.now() + Millis(12'000));
+        watch(play, terms, Millis(4000));
+        for (std::int64_t generation = 1; generation <= 5; ++generation) {
+            CHECK(play.world.runUntil([&] { return play.leader() != nullptr; }, Millis(2000)));
+            const SteadyTime sent = play.world.now();
+            CHECK(play.replace(play.anyRunning(), generation - 1, configurationJson(generation)) == 200);
+            CHECK(play.world.now() - sent <= kAcknowledged);
+            watch(play, terms, Millis(700));
+        }
+        CHECK(terms.shared_terms == 0);
+        CHECK(terms.superseded_that_act == 0);
+        CHECK(play.clientsHave(5));
+        CHECK(everybodyKnows(play, kServers));
+    }
+}
--- a/tests/days/generate.py
+++ b/tests/days/generate.py
@@ -383,6 +383,31 @@
               retire + [trouble(at, "node_kill", 2.0, on="core", count=2, how="power leader") for at in (7.5, 18.5)], closing=CLOSINGS[1])
 
 
+def changes_while_messages_wait():
+    """p: hundreds of changes of every sort while services are away and messages wait, with troubles at any hour."""
+    changes = [{"at": 1.0, "kind": "config_storm", "gap_s": 0.2, "for_s": 30.0, "how": "route"}]
+    changes += [{"at": 2.0 + 3.0 * place, "kind": "config_change", "how": how}
+                for place, how in enumerate(("route", "timeout", "weights", "route", "idle", "route", "timeout", "route"))]
+    waits = [trouble(at, "srv_crash", 6.0, share=1.0, how="dark all") for at in (3.0, 12.0, 21.0)]
+    waits += [{"at": 2.0, "kind": "poison", "for_s": 24.0}]
+    sets = {
+        "alone": [],
+        "edges_killed": [trouble(at, "node_kill", 1.5, share=0.4) for at in (2.5, 8.5, 13.5, 19.5, 25.5)],
+        "stores_killed": [trouble(at, "node_kill", 1.5, on="store", count=1) for at in (5.0, 14.0, 23.0)],
+        "leader_killed": [trouble(at, "node_kill", 1.5, on="core", count=1, how="power leader") for at in (4.0, 11.0, 18.0, 25.0)],
+        "all_killed": [trouble(at, "herd_kill", 0.8, how="taken power all") for at in (7.0, 17.0, 27.0)],
+        "edges_roll": [{"at": 4.0, "kind": "roll_term", "share": 1.0, "x": 1.0, "gap_s": 1.0, "how": "busy"}],
+        "stores_roll": [{"at": 4.0, "kind": "roll_term", "on": "store", "count": 3, "gap_s": 2.0}],
+        "answers_lost": [trouble(3.0, "answer_lost", 24.0, share=0.6, x=0.05)],
+        "core_cut": [trouble(4.0, "core_cut", 10.0, count=1, how="leader"), trouble(20.0, "core_cut", 5.0, count=1)],
+        "edges_cut": [trouble(4.0, "node_cut", 10.0, share=0.4)],
+        "races": [{"at": 3.0, "kind": "config_race", "count": 12, "gap_s": 2.1}, {"at": 2.0, "kind": "ack_lost", "for_s": 26.0, "x": 0.6}],
+        "late_answers": [trouble(3.0, "garble", 24.0, share=0.6, x=0.03, how="extra late")],
+    }
+    for name, entries in sets.items():
+        write("p", name, changes + waits + entries)
+
+
 def acknowledged_then_gone():
     """k: one change, and the machine that acknowledged it is cut off, killed or frozen within milliseconds, for 8 s."""
     starts = (3.0, 16.0, 29.0)
@@ -444,7 +469,7 @@
 
 def main():
     for group in (over_then_lost, cut_off_long, same_number, second_loss, many_changes, wrong_answers, every_kind, far_out,
-                  two_losses, acknowledged_then_gone, late_answers, halves_and_overlaps):
+                  two_losses, acknowledged_then_gone, late_answers, halves_and_overlaps, changes_while_messages_wait):
         group()
     for path in FOLDER.glob("?-*.toml"):
         if path.stem not in written:
--- a/tests/soak/faulty_server.hpp
+++ b/tests/soak/faulty_server.hpp
@@ -15,6 +15,7 @@
 
 struct Run {
     SteadyTime begun;
+    std::string service;  // of the server
     SteadyTime ended{};
     bool is_over = false;
     bool succeeded = false;
@@ -36,9 +37,14 @@
 
 class FaultyServer {
 public:
-    FaultyServer(EventLoop& loop, const NodeAddress& at, std::string uid, Runs& runs,
+    FaultyServer(EventLoop& loop, const NodeAddress& at, std::string service, std::string uid, Runs& runs,
                  const ServerFaults& faults, std::uint64_t seed)
-        : loop_(loop), uid_(std::move(uid)), runs_(runs), faults_(faults), random_(seed) {
+        : loop_(loop),
+          service_(std::move(service)),
+          uid_(std::move(uid)),
+          runs_(runs),
+          faults_(faults),
+          random_(seed) {
         const evutil_socket_t socket = listenOn(at).release();
         listener_.reset(evconnlistener_new(loop.base(), &FaultyServer::onAccept, this, LEV_OPT_CLOSE_ON_FREE,
                                            -1, socket));
@@ -109,7 +115,9 @@
         if (draw(faults_.full)) return refuse(connection, request, "503 Full");
         std::vector<Run>& runs = runs_[request.id];
         const std::size_t index = runs.size();
-        runs.emplace_back().begun = loop_.now();
+        Run& run = runs.emplace_back();
+        run.begun = loop_.now();
+        run.service = service_;
         const Millis work(std::uniform_int_distribution<int>(2, 40)(random_));
         const std::uint64_t timer = ++last_timer_;
         timers_[timer] = loop_.after(work, [this, timer, number = connection.number, request, index] {
@@ -151,6 +159,7 @@
     }
 
     EventLoop& loop_;
+    std::string service_;
     std::string uid_;
     Runs& runs_;
     const ServerFaults& faults_;
--- a/tests/soak/node_process.hpp
+++ b/tests/soak/node_process.hpp
@@ -69,6 +69,8 @@
         signal(SIGTERM);
         leaving_ = true;
     }
+    // Its settings file may have changed.
+    void hangUp() const { signal(SIGHUP); }
     bool isLeaving() const { return leaving_; }
     void restartIfEnded() {
         if (!leaving_ || waitpid(pid_, nullptr, WNOHANG) != pid_) return;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -1,5 +1,6 @@
-// Plays a small deployment of real processes under kills, pauses, cuts and faulty servers that overlap, and
-// checks what each message went through. AMBERSWITCH_SOAK_SEEDS=FIRST-LAST plays other seeds than that of CI.
+// Plays a deployment of real processes under kills, pauses, cuts, signals, changes of the configuration and
+// faulty servers that overlap, and checks what each message went through. AMBERSWITCH_SOAK_SEEDS=FIRST-LAST
+// plays other seeds than that of CI, AMBERSWITCH_SOAK_SCALE=N with N times as many stores and edges.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
@@ -21,7 +22,12 @@
 constexpr Millis kCallbackLimit{20'000};
 constexpr Millis kShortestFault{200};
 constexpr Millis kBetweenRestarts{3000};
-constexpr int kFaults = 9;
+constexpr int kFaults = 12;
+constexpr Millis kConfigurationApplies{3000};
+constexpr Millis kBetweenChangesInTrouble{300};
+constexpr Millis kBetweenChangesInCalm{6000};
+constexpr Millis kFirstChangeInCalm{2000};
+constexpr Millis kLossSlack{500};  // between the last byte of a request and the close that leaves it unread
 constexpr std::size_t kLogShown = 2000;
 
 class TemporaryFolder {
@@ -37,7 +43,7 @@
 
 // One machine's fault, from `begins` to `ends`. Faults overlap as they are drawn.
 struct Fault {
-    enum class Kind { kill, pause, cut, cut_one_way };
+    enum class Kind { kill, pause, cut, cut_one_way, terminate, hang_up, kill_many };
     Kind kind = Kind::kill;
     NodeProcess* node = nullptr;
     SteadyTime begins;
@@ -48,7 +54,8 @@
 
 class Soak {
 public:
-    Soak(std::uint64_t seed, const std::string& folder) : world_(seed, folder) {}
+    Soak(std::uint64_t seed, const std::string& folder, int scale)
+        : world_(seed, folder, scale), scale_(scale) {}
 
     void play() {
         REQUIRE(world_.configure());
@@ -64,18 +71,16 @@
                          .fails = 0.05,
                          .full = 0.05};
         SteadyTime next_message = start;
-        SteadyTime next_change = start + kWarmUp;
+        next_change_ = start + kWarmUp;
         while (world_.loop.now() < end) {
             const SteadyTime now = world_.loop.now();
             if (now >= calm_from_) world_.faults = {.second_answer_late = 0.1, .fails = 0.05, .full = 0.05};
             for (; next_message <= now; next_message += kMessageInterval) world_.sendMessage();
             applyFaults(now);
             restartAsPlanned(now);
+            changeConfiguration(now);
             world_.collect();
-            if (now >= calm_from_ && now >= next_change) {
-                CHECK(world_.configure());
-                next_change = world_.loop.now() + kContact / 2;
-            }
+            for (const auto& client : world_.kept) client->step();
             runUntil(
                 world_.loop, [] { return false; }, Millis(5));
         }
@@ -96,6 +101,8 @@
             checkRepeats(message);
         }
         checkOrder();
+        checkServices();
+        checkKeptConnections();
         checkProcesses();
         MESSAGE(accepted << " of " << world_.messages.size() << " messages accepted, " << repeats_
                          << " successes run again under faults");
@@ -109,9 +116,9 @@
 
     void drawFaults(SteadyTime from) {
         constexpr Millis kLongestFault{1800};
-        for (int i = 0; i < kFaults; ++i) {
+        for (int i = 0; i < kFaults * scale_; ++i) {
             Fault& fault = faults_.emplace_back();
-            fault.kind = static_cast<Fault::Kind>(world_.random()() % 4);
+            fault.kind = static_cast<Fault::Kind>(world_.random()() % 7);
             fault.node = &world_.any("");
             fault.begins = draw(from, kTroubled - kLongestFault - kShortestFault);
             fault.ends = draw(fault.begins + kShortestFault, kLongestFault);
@@ -125,16 +132,41 @@
                 fault.begun = changed = true;
                 if (fault.kind == Fault::Kind::kill) fault.node->kill();
                 if (fault.kind == Fault::Kind::pause) fault.node->pause();
+                if (fault.kind == Fault::Kind::terminate) fault.node->terminate();
+                if (fault.kind == Fault::Kind::hang_up) fault.node->hangUp();
+                if (fault.kind == Fault::Kind::kill_many) killMany();
             }
             if (fault.begun && !fault.over && now >= fault.ends) {
                 fault.over = changed = true;
                 fault.node->start();
                 fault.node->resume();
+                if (fault.kind == Fault::Kind::kill_many) startAll();
             }
         }
         if (changed) applyCuts();
     }
 
+    // Two processes of three, whatever their roles.
+    void killMany() {
+        for (const auto& node : world_.nodes) {
+            if (world_.random()() % 3 != 0) node->kill();
+        }
+    }
+    void startAll() {
+        for (const auto& node : world_.nodes) node->start();
+    }
+
+    // In series, the next one once the last is acknowledged; in the calm with time to take effect.
+    void changeConfiguration(SteadyTime now) {
+        world_.changes.step();
+        world_.changes.retryIfDue();
+        if (!world_.changes.idle() || now < next_change_) return;
+        const bool calm_comes = now + kBetweenChangesInTrouble >= calm_from_;
+        world_.changes.change();
+        next_change_ = now + (calm_comes ? kBetweenChangesInCalm : kBetweenChangesInTrouble);
+        if (calm_comes && now < calm_from_) next_change_ = calm_from_ + kFirstChangeInCalm;
+    }
+
     void applyCuts() {
         std::map<const NodeProcess*, std::set<std::string>> cut;
         for (const Fault& fault : faults_) {
@@ -234,6 +266,31 @@
         }
     }
 
+    // In the calm, no plain message runs at a service to which its route leads no more.
+    void checkServices() {
+        for (const SentMessage& message : world_.messages) {
+            if (!message.order_key.empty()) continue;
+            for (const Run& run : world_.runs[message.id]) {
+                if (run.begun < calm_from_ + kContact) continue;
+                INFO("message " << message.id << " ran at " << run.service);
+                CHECK(world_.changes.allows(run.service, run.begun, kConfigurationApplies));
+            }
+        }
+    }
+
+    // In the calm, a dispatcher that ends by a signal leaves no request without an answer that it had read.
+    void checkKeptConnections() {
+        for (const auto& client : world_.kept) {
+            CHECK(client->answered > 0);
+            for (const CutMessage& message : client->cut) {
+                if (message.sent < calm_from_ + kContact) continue;
+                INFO("message " << message.id << " was cut");
+                CHECK(message.closed - message.sent <= kLossSlack);
+                CHECK(world_.runs[message.id].empty());
+            }
+        }
+    }
+
     void checkProcesses() {
         for (const auto& node : world_.nodes) {
             const std::string log = node->log();
@@ -246,11 +303,18 @@
 
     SoakWorld world_;
     std::vector<Fault> faults_;
+    int scale_;
+    SteadyTime next_change_{};
     SteadyTime calm_from_{};
     std::size_t repeats_ = 0;
     int restarts_ = 0;  // planned ones
 };
 
+int scaleToPlay() {
+    const char* const text = std::getenv("AMBERSWITCH_SOAK_SCALE");
+    return text == nullptr ? 1 : std::max(1, std::atoi(text));
+}
+
 struct SeedRange {
     std::uint64_t first = 1;
     std::uint64_t last = 1;
@@ -276,7 +340,7 @@
     for (std::uint64_t seed = seeds.first; seed <= seeds.last; ++seed) {
         INFO("seed " << seed);
         const TemporaryFolder folder;
-        Soak soak(seed, folder.path);
+        Soak soak(seed, folder.path, scaleToPlay());
         soak.play();
         soak.check();
     }
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -1,8 +1,10 @@
-// A small deployment of real processes on loopback (three core machines, three stores, three edges), with the
-// platform's list, application servers, a receiver of call-backs, clients and an operator in this process.
+// A deployment of real processes on loopback (three core machines, and three stores and edges or a multiple
+// of that), with the platform's list, application servers, a receiver of call-backs, clients and an operator
+// in this process.
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <map>
 #include <memory>
@@ -12,12 +14,15 @@
 
 #include "cluster/common/evhttp_server.hpp"
 #include "tests/soak/faulty_server.hpp"
+#include "tests/soak/kept_connection.hpp"
 #include "tests/soak/node_process.hpp"
 #include "tests/soak/raw_call.hpp"
+#include "tests/soak/soak_operator.hpp"
 
 namespace amberswitch::cluster::testing {
 
-inline constexpr int kNodesOfARole = 3;
+inline constexpr int kCoreMachines = 3;
+inline constexpr int kKeptConnections = 6;
 inline constexpr int kServersOfAService = 4;
 inline constexpr int kOrderKeys = 12;
 inline constexpr std::uint16_t kServerPort = 8080;
@@ -25,6 +30,7 @@
 struct SentMessage {
     std::string id;
     std::string order_key;
+    bool delayed = false;
     SteadyTime sent;
     std::optional<SteadyTime> accepted;
     std::string reference;  // where accepted
@@ -34,7 +40,12 @@
 
 class SoakWorld {
 public:
-    SoakWorld(std::uint64_t seed, const std::string& folder) : random_(seed) {
+    SoakWorld(std::uint64_t seed, const std::string& folder, int scale = 1)
+        : changes(loop, seed,
+                  [this] {
+                      return NodeAddress{any("core").ip(), kControlPort};
+                  }),
+          random_(seed) {
         plan_.folder = folder;
         const int net = 1 + static_cast<int>(getpid() % 250);
         const auto ip = [net](int role, int number) {
@@ -43,7 +54,7 @@
         };
         plan_.platform = {ip(9, 0), kServerPort};
         receiver_address_ = {ip(9, 1), kServerPort};
-        for (int i = 0; i < kNodesOfARole; ++i) plan_.core_ips.push_back(ip(1, i));
+        for (int i = 0; i < kCoreMachines; ++i) plan_.core_ips.push_back(ip(1, i));
         for (int service = 0; service < 2; ++service) {
             for (int i = 0; i < kServersOfAService; ++i) addServer(service, ip(4 + service, i), seed);
         }
@@ -55,11 +66,17 @@
                 callbacks[textIn(request.body, "uid")].push_back(textIn(request.body, "stamp"));
                 respond(HttpResponse{});
             });
-        for (int i = 0; i < kNodesOfARole; ++i) {
-            for (int role = 1; role <= 3; ++role) {
-                const std::string name = role == 1 ? "core" : role == 2 ? "store" : "edge";
+        constexpr std::array<const char*, 3> kRoles = {"core", "store", "edge"};
+        for (int role = 1; role <= 3; ++role) {
+            const int count = role == 1 ? kCoreMachines : kCoreMachines * scale;
+            const std::string name = kRoles.at(static_cast<std::size_t>(role - 1));
+            for (int i = 0; i < count; ++i)
                 nodes.push_back(std::make_unique<NodeProcess>(plan_, name, ip(role, i), i));
-            }
+        }
+        for (int i = 0; i < kKeptConnections; ++i) {
+            kept.push_back(std::make_unique<KeptConnection>(loop, "kept" + std::to_string(i), [this] {
+                return NodeAddress{any("edge").ip(), kFrontPort};
+            }));
         }
     }
 
@@ -69,6 +86,8 @@
     std::map<std::string, std::vector<std::string>> callbacks;  // stamps by message
     std::deque<SentMessage> messages;
     std::vector<std::unique_ptr<NodeProcess>> nodes;
+    std::vector<std::unique_ptr<KeptConnection>> kept;
+    SoakOperator changes;
 
     // Asks again and again until the answer has this status; what came last.
     std::unique_ptr<RawCall> ask(const std::string& role, std::uint16_t port, const std::string& request,
@@ -85,13 +104,17 @@
         }
         return call;
     }
+    // The first configuration, before anything is sent.
     bool configure() {
-        ++generation_;
-        const std::string headers = "Host: operator\r\nContent-Type: application/json\r\nBase-Version: " +
-                                    std::to_string(generation_ - 1) + "\r\n";
-        const auto answer =
-            ask("core", kControlPort, httpRequest("POST", "/Config.Replace", headers, configuration()), 200);
-        return answer->status() == 200;
+        changes.change();
+        return runUntil(
+            loop,
+            [this] {
+                changes.step();
+                changes.retryIfDue();
+                return changes.sent.back().acknowledged.has_value();
+            },
+            Millis(15'000));
     }
     bool ready() {
         for (const auto& node : nodes) {
@@ -119,6 +142,8 @@
             headers += "Order-Key: " + message.order_key + "\r\n";
         } else {
             headers += "Callback-Url: http://" + receiver_address_.text() + "/done\r\n";
+            message.delayed = random_() % 4 == 0;
+            if (message.delayed) headers += "Delay-Ms: " + std::to_string(random_() % 5000) + "\r\n";
         }
         message.sent = loop.now();
         const std::string target = ordered ? "/ordered/x" : "/plain/x";
@@ -184,7 +209,8 @@
     void addServer(int service, const std::string& ip, std::uint64_t seed) {
         const std::string uid = "i-" + std::to_string(listed_.size());
         listed_.push_back({service == 0 ? "plain" : "ordered", uid, {ip, kServerPort}});
-        servers_.push_back(std::make_unique<FaultyServer>(loop, listed_.back().address, uid, runs, faults,
+        servers_.push_back(std::make_unique<FaultyServer>(loop, listed_.back().address,
+                                                          listed_.back().service, uid, runs, faults,
                                                           seed * 100 + listed_.size()));
     }
     HttpResponse listOfServers() const {
@@ -199,26 +225,6 @@
         response.body += R"(],"nextPageToken":null})";
         return response;
     }
-    std::string configuration() const {
-        const auto route = [this](const std::string& name, bool ordered) {
-            return R"({"name":"r-)" + name + R"(","hostname":"soak","pathPrefix":"/)" + name +
-                   R"(/","type":"deferred","timeoutMs":)" + std::to_string(1000 + generation_) +
-                   R"(,"targetLatencyMs":200,"priority":1,"backend":")" + name +
-                   R"(","maxRetries":4,"ordered":)" + (ordered ? "true" : "false") +
-                   R"(,"retentionS":90.0,"callbackUrl":)" + (ordered ? "false" : "true") +
-                   R"(,"scheduleTargetMs":1000})";
-        };
-        const auto service = [](const std::string& name) {
-            return R"({"name":")" + name +
-                   R"(","healthCheck":"/healthz","maxConnections":96,"protocol":"h1",)" +
-                   R"("tls":false,"ratePerS":0.0,"idempotent":false,"pull":false,"static":null})";
-        };
-        return R"({"generation":)" + std::to_string(generation_) + R"(,"routes":[)" + route("plain", false) +
-               "," + route("ordered", true) + R"(],"services":[)" + service("plain") + "," +
-               service("ordered") + R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,)" +
-               R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
-    }
-
     std::mt19937_64 random_;
     SoakPlan plan_;
     NodeAddress receiver_address_;
@@ -227,7 +233,6 @@
     std::unique_ptr<EvhttpServer> platform_;
     std::unique_ptr<EvhttpServer> receiver_;
     std::deque<OpenMessage> open_;
-    std::int64_t generation_ = 0;
 };
 
 }  // namespace amberswitch::cluster::testing
