Give the queue's test a grant with its service

The test builds a grant by hand; a grant names the service in whose limits it counts since the waiting messages follow their routes. No assertion is changed.

--- a/tests/cluster/store_queue_test.cpp
+++ b/tests/cluster/store_queue_test.cpp
@@ -44,7 +44,7 @@
     QueueItem& grantHead(SteadyTime now = kNow) {
         queue.collectReady(now);
         QueueItem& first = *ready.head("service", now);
-        queue.grant(first, {{1, 1}, "edge", now, now + Millis(1000), std::nullopt, true});
+        queue.grant(first, {{1, 1}, "edge", "service", now, now + Millis(1000), std::nullopt, true});
         return first;
     }
     void end(const MessageId& id) {
