--- a/bench/cluster_edge_bench.cpp
+++ b/bench/cluster_edge_bench.cpp
@@ -80,7 +80,10 @@
 // A dispatcher of one service, as an edge has it.
 class Target {
 public:
-    Target() : http_(loop_), dispatcher_(loop_, http_, counters_, "edge-0", "hall-trakia", {}) {
+    Target()
+        : http_(loop_),
+          dispatcher_(
+              loop_, http_, counters_, "edge-0", "hall-trakia", [](const Grant&) { return true; }, {}) {
         Service service;
         service.name = "booking-desk";
         service.max_connections = 96;
