--- a/bench/cluster_edge_bench.cpp
+++ b/bench/cluster_edge_bench.cpp
@@ -82,8 +82,8 @@
 public:
     Target()
         : http_(loop_),
-          dispatcher_(
-              loop_, http_, counters_, "edge-0", "hall-trakia", [](const Grant&) { return true; }, {}) {
+          dispatcher_(loop_, http_, counters_, "edge-0", "hall-trakia", [](const Grant&) { return true; },
+                      {}) {
         Service service;
         service.name = "booking-desk";
         service.max_connections = 96;
