Take a grant back on evidence from after it was given, never on an old silence

An idle edge tells a store of another region every 2 s what it runs; the store called 1.5 s silence. It granted to an edge last heard up to 1.5 s ago, and its next tick took that grant back without having asked while the edge ran it.

Ruled out: a constant alone (the next slower sender would bring it back). Changed: an edge promises in each edge_sync when the next one comes, and the store counts silence from that promise (edge_heartbeat.hpp); an edge that holds grants is asked when it is late, and loses only what it was given before the question, if neither an answer nor anything else came since; the question names its process; an answered push counts as heard; nothing is given to an edge in doubt.

--- a/src/cluster/common/client_messages.hpp
+++ b/src/cluster/common/client_messages.hpp
@@ -175,7 +175,8 @@
     }
 };
 
-// An edge tells each owner of a new view what it is running there; sent also every second as a heartbeat.
+// An edge tells each owner of a new view what it is running there; sent also as a heartbeat
+// (edge_heartbeat.hpp).
 struct RunningAttempt {
     PartitionId partition = 0;
     MessageId id;
@@ -195,9 +196,10 @@
     Epoch view_epoch = 0;
     bool leaving = false;  // grant nothing more to it
     std::vector<RunningAttempt> running;
+    std::int64_t next_within_ms = 0;  // the sender's promise of its next one to this store
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(edge, zone, edge_address, incarnation, view_epoch, leaving, running);
+        archive(edge, zone, edge_address, incarnation, view_epoch, leaving, running, next_within_ms);
     }
 };
 struct EdgeSyncReply {
--- a/src/cluster/control/control_node.cpp
+++ b/src/cluster/control/control_node.cpp
@@ -14,6 +14,7 @@
 #include "cluster/control/control_status.hpp"
 #include "cluster/control/distribution.hpp"
 #include "cluster/control/leader_election.hpp"
+#include "cluster/control/lease_times.hpp"
 #include "cluster/control/lifetime.hpp"
 #include "cluster/control/membership.hpp"
 #include "cluster/control/operator_api.hpp"
@@ -30,7 +31,6 @@
 namespace amberswitch::cluster {
 namespace {
 
-constexpr Millis kCoreRenewInterval{500};
 constexpr Millis kRenewTimeout{400};
 constexpr Millis kListenFirst{1000};  // before the count of edges is told
 constexpr Millis kLeaveTime{100};     // for the leave of a leader to reach the others
--- a/src/cluster/control/core_client.cpp
+++ b/src/cluster/control/core_client.cpp
@@ -8,23 +8,20 @@
 #include <set>
 #include <utility>
 
+#include "cluster/control/lease_times.hpp"
 #include "cluster/control/lifetime.hpp"
 #include "cluster/control/typed_call.hpp"
 
 namespace amberswitch::cluster {
 namespace {
 
-constexpr Millis kStoreRenewInterval{300};
-constexpr Millis kEdgeRenewInterval{500};
 constexpr Millis kLeaveRenewInterval{100};
-constexpr std::uint64_t kFarRenewals = 2;
 constexpr Millis kRenewTimeout{400};
 constexpr Millis kWatchWait{1000};
 constexpr Millis kWatchTimeout{1600};
 constexpr Millis kNextWatchPause{5};        // bounds the rate, whatever is answered
 constexpr std::int64_t kAllFailedMs = 100;  // shortest pause after all core machines failed in turn; doubles
 constexpr int kAllFailedDoublings = 2;
-constexpr Millis kRecently{1500};         // an answer that makes a core machine preferred
 constexpr Millis kEdgeCountKept{2000};    // a count of edges that counts
 constexpr Millis kWatchTellsWithin{200};  // what is newer than what the caller has
 constexpr int kMissesToMove = 2;          // renewals missed in a row by the machine that is being watched
@@ -198,7 +195,7 @@
 bool CoreClient::Impl::answeredLately(const NodeAddress& address) const {
     const auto found = machines_.find(address);
     if (found == machines_.end() || !found->second.last_answer) return false;
-    return scheduler_.now() - *found->second.last_answer <= kRecently;
+    return scheduler_.now() - *found->second.last_answer <= kAnsweredLately;
 }
 
 std::vector<NodeAddress> CoreClient::Impl::coreMachines() const {
--- a/src/cluster/control/membership.cpp
+++ b/src/cluster/control/membership.cpp
@@ -4,10 +4,11 @@
 #include <tuple>
 #include <utility>
 
+#include "cluster/control/lease_times.hpp"
+
 namespace amberswitch::cluster {
 namespace {
 
-constexpr Millis kMemberLease{2000};
 constexpr Millis kForgetAfter{60000};
 constexpr Millis kPlaceKept{10000};  // of a dispatcher that is silent, among the others
 constexpr std::size_t kFormerKept = 8;
--- a/src/cluster/control/store_view_keeper.cpp
+++ b/src/cluster/control/store_view_keeper.cpp
@@ -7,13 +7,13 @@
 #include <utility>
 
 #include "cluster/common/codec.hpp"
+#include "cluster/control/lease_times.hpp"
 #include "cluster/control/register_values.hpp"
 
 namespace amberswitch::cluster {
 namespace {
 
 constexpr Millis kCheckInterval{100};
-constexpr Millis kSilence{1000};         // of a store that counts as gone
 constexpr Millis kListenFirst{1200};     // of a new leader, before it counts anyone as gone
 constexpr Millis kFirstViewQuiet{1000};  // without a new store, before the first view is made
 constexpr Millis kOwnPause{500};         // between two looks: this process stood still itself
@@ -151,7 +151,7 @@
     std::vector<StoreObservation> observed;
     std::vector<MemberEntry> known = membership_.known(NodeKind::store);
     for (const MemberEntry& entry : known) {
-        const bool silent = scheduler_.now() - entry.last_seen > kSilence;
+        const bool silent = scheduler_.now() - entry.last_seen > kStoreSilence;
         // Before it has listened for long enough, a leader neither drops a silent store nor takes it back.
         if (!silent || hasListened()) observed.push_back({entry.member, silent});
     }
--- a/src/cluster/control/voter_set_keeper.cpp
+++ b/src/cluster/control/voter_set_keeper.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "cluster/common/codec.hpp"
+#include "cluster/control/lease_times.hpp"
 #include "cluster/control/register_values.hpp"
 #include "cluster/control/typed_call.hpp"
 
@@ -17,8 +18,6 @@
 constexpr Millis kAskInterval{1000};
 constexpr Millis kAskTimeout{400};
 constexpr Millis kRoundTimeout{1500};
-constexpr Millis kLive{1200};     // since the last renewal; they come every 0.5 s
-constexpr Millis kSilence{3000};  // of a voter that counts as gone in any case; restarts mostly take less
 constexpr Millis kOwnPause{600};  // between two looks: this process stood still itself
 const std::array<std::string, 3> kSettledKeys{kVotersKey, kConfigKey, kViewKey};
 
@@ -93,7 +92,7 @@
     for (const NodeAddress& voter : voters) machines_.try_emplace(voter, CoreRecord{.last_ready = now});
     std::erase_if(machines_, [&](const auto& entry) {
         const bool is_voter = std::find(voters.begin(), voters.end(), entry.first) != voters.end();
-        return !is_voter && now - entry.second.last_ready > kSilence;
+        return !is_voter && now - entry.second.last_ready > kVoterSilence;
     });
 }
 
@@ -134,14 +133,14 @@
     const CoreRecord& record = found->second;
     const Millis silence =
         std::chrono::duration_cast<Millis>(scheduler_.now() - std::max(record.last_ready, listens_since_));
-    const bool live = !record.leaving && silence <= kLive;
-    return {address, live, silence > kSilence, live && record.has_data};
+    const bool live = !record.leaving && silence <= kVoterLive;
+    return {address, live, silence > kVoterSilence, live && record.has_data};
 }
 
 bool VoterSetKeeper::isStandby(const NodeAddress& address, const CoreRecord& record) const {
     const std::vector<NodeAddress>& voters = voter_.voters();
     if (std::find(voters.begin(), voters.end(), address) != voters.end()) return false;
-    return record.has_data && !record.leaving && scheduler_.now() - record.last_ready <= kLive;
+    return record.has_data && !record.leaving && scheduler_.now() - record.last_ready <= kVoterLive;
 }
 
 struct VoterSetKeeper::SettleRound {
--- a/src/cluster/edge/owner_links.cpp
+++ b/src/cluster/edge/owner_links.cpp
@@ -4,12 +4,11 @@
 #include <utility>
 
 #include "cluster/common/codec.hpp"
+#include "cluster/common/edge_heartbeat.hpp"
 
 namespace amberswitch::cluster {
 namespace {
 
-constexpr Millis kHeartbeat{1000};
-constexpr std::uint64_t kFarHeartbeats = 2;  // every second one goes to stores of other regions
 constexpr Millis kProbe{100};
 constexpr Millis kCallTimeout{500};
 
@@ -47,24 +46,37 @@
     sync.view_epoch = partitions_.epoch();
     sync.leaving = leaving_;
     sync.running = deliveries_.attempts();
+    sync.next_within_ms = kEdgeHeartbeat.count();
     return sync;
 }
 
 void OwnerLinks::syncAll() {
-    heartbeat_ = scheduler_.after(kHeartbeat, [this] { syncAll(); });
+    heartbeat_ = scheduler_.after(kEdgeHeartbeat, [this] { syncAll(); });
     const EdgeSync sync = describe();
-    const Envelope request = envelope(MessageKind::edge_sync, sync);
+    const Envelope to_near = envelope(MessageKind::edge_sync, sync);
     for (const StoreMember* const store : partitions_.aliveStores()) {
         if (restsNow(*store) && !runsFor(*store, sync)) continue;
-        send(store->member.address, request);
+        send(store->member.address, isFar(*store) ? syncFor(*store, sync) : to_near);
     }
     ++heartbeats_;
 }
 
+Envelope OwnerLinks::syncFor(const StoreMember& store, EdgeSync sync) const {
+    sync.next_within_ms = nextWithin(store).count();
+    return envelope(MessageKind::edge_sync, sync);
+}
+
+bool OwnerLinks::isFar(const StoreMember& store) const {
+    return partitions_.distanceTo(store) == Distance::other_region;
+}
+
 // Stores of other regions give their runs to nearer dispatchers while there are any.
 bool OwnerLinks::restsNow(const StoreMember& store) const {
-    const bool is_far = partitions_.distanceTo(store) == Distance::other_region;
-    return is_far && !leaving_ && heartbeats_ % kFarHeartbeats != 0;
+    return isFar(store) && !leaving_ && heartbeats_ % kHeartbeatsWhileIdle != 0;
+}
+
+Millis OwnerLinks::nextWithin(const StoreMember& store) const {
+    return isFar(store) ? kHeartbeatsWhileIdle * kEdgeHeartbeat : kEdgeHeartbeat;
 }
 
 bool OwnerLinks::runsFor(const StoreMember& store, const EdgeSync& sync) const {
@@ -77,7 +89,7 @@
     probe_ = scheduler_.after(kProbe, [this] { syncSuspected(); });
     for (const StoreMember* const store : partitions_.aliveStores()) {
         const NodeAddress& address = store->member.address;
-        if (partitions_.suspected(address)) send(address, envelope(MessageKind::edge_sync, describe()));
+        if (partitions_.suspected(address)) send(address, syncFor(*store, describe()));
     }
 }
 
--- a/src/cluster/edge/owner_links.hpp
+++ b/src/cluster/edge/owner_links.hpp
@@ -1,4 +1,5 @@
-// Tells every live store what this edge runs: at once for each new view, and every second as a heartbeat.
+// Tells every live store what this edge runs: at once for each new view, and as a heartbeat
+// (edge_heartbeat.hpp).
 #pragma once
 
 #include <functional>
@@ -26,7 +27,11 @@
     // Asks the stores that did not answer lately whether they are back.
     void syncSuspected();
     EdgeSync describe() const;
+    Envelope syncFor(const StoreMember& store, EdgeSync sync) const;
+    bool isFar(const StoreMember& store) const;
     bool restsNow(const StoreMember& store) const;
+    // Until the next sync that this store surely gets.
+    Millis nextWithin(const StoreMember& store) const;
     // Whether something of a partition of that store runs here.
     bool runsFor(const StoreMember& store, const EdgeSync& sync) const;
     void send(const NodeAddress& store, const Envelope& request);
@@ -37,7 +42,7 @@
     const Deliveries& deliveries_;
     EdgeIdentity self_;
     bool leaving_ = false;
-    std::uint64_t heartbeats_ = 0;
+    std::int64_t heartbeats_ = 0;
     TimerHandle heartbeat_;
     TimerHandle probe_;
 };
--- a/src/cluster/storage/edge_watch.cpp
+++ b/src/cluster/storage/edge_watch.cpp
@@ -2,6 +2,7 @@
 
 #include <set>
 #include <tuple>
+#include <utility>
 
 #include "cluster/common/codec.hpp"
 
@@ -9,7 +10,9 @@
 
 namespace {
 
-constexpr Millis kPingTimeout{400};
+constexpr Millis kAskTimeout{400};
+// An edge that holds grants sends a heartbeat each kEdgeHeartbeat; this much later it is asked.
+constexpr Millis kAskSlack{200};
 // An attempt younger than this may not be in the edge's list yet.
 constexpr Millis kListedAfter{300};
 // A report may still be under way for this long after an edge's list first lacked the attempt.
@@ -42,6 +45,7 @@
     edge.incarnation = sync.incarnation;
     edge.zone = sync.zone;
     edge.leaving = sync.leaving;
+    if (sync.next_within_ms > 0) edge.heartbeat = Millis(sync.next_within_ms);
     edge.synced_epoch = sync.view_epoch;
     edge.running = sync.running;
     for (const RunningAttempt& running : sync.running) granter_.adoptRunning(sync.edge, running, false);
@@ -81,10 +85,13 @@
     }
 }
 
-void EdgeWatch::takeBackAll(Edge& edge) {
-    const std::vector<QueueItem*> items(edge.grants.begin(), edge.grants.end());
+void EdgeWatch::takeBackUnanswered(Edge& edge, SteadyTime asked) {
+    std::vector<QueueItem*> items;
+    for (QueueItem* const item : edge.grants) {
+        if (item->grant->granted <= asked) items.push_back(item);
+    }
     book_.counters.edge_gone += items.size();
-    for (QueueItem* item : items) takeBack(*item);
+    for (QueueItem* const item : items) takeBack(*item);
     if (!items.empty()) granter_.schedule();
 }
 
@@ -138,31 +145,34 @@
 void EdgeWatch::checkEdge(Edge& edge) {
     takeBackExpired(edge);
     if (edge.name == kUnknownEdge || edge.grants.empty()) return;
-    const SteadyTime now = clock_.now();
-    if (edge.heard + kEdgeSilentAfter < now && !edge.ping_pending) {
-        edge.usable = false;
-        takeBackAll(edge);
-    } else if (edge.heard + kEdgePingAfter < now && !edge.ping_pending) {
-        ping(edge);
-    }
+    if (edge.asked) return;
+    const bool kept_promise = edge.heard + kEdgeHeartbeat + kAskSlack >= clock_.now();
+    if (edge.usable && kept_promise) return;
+    ask(edge);
 }
 
-void EdgeWatch::ping(Edge& edge) {
-    edge.ping_pending = true;
+void EdgeWatch::ask(Edge& edge) {
+    edge.asked = clock_.now();
     GrantPush nothing;
     nothing.store = self_;
-    transport_.call(edge.address, envelope(MessageKind::grant_push, nothing), kPingTimeout,
-                    [this, name = edge.name, address = edge.address](const CallResult& result) {
-                        Edge* const pinged = book_.edges.find(name);
-                        if (pinged == nullptr) return;
-                        pinged->ping_pending = false;
-                        if (result.verdict == Verdict::answered) {
-                            heard(name, address);
-                        } else if (result.verdict == Verdict::not_executed) {
-                            pinged->usable = false;
-                            takeBackAll(*pinged);
-                        }
-                    });
+    nothing.edge_incarnation = edge.incarnation;
+    transport_.call(edge.address, envelope(MessageKind::grant_push, nothing), kAskTimeout,
+                    [this, name = edge.name](const CallResult& result) { onAnswer(name, result); });
+}
+
+void EdgeWatch::onAnswer(const std::string& name, const CallResult& result) {
+    Edge* const edge = book_.edges.find(name);
+    if (edge == nullptr || !edge->asked) return;
+    const SteadyTime asked = *std::exchange(edge->asked, std::nullopt);
+    if (result.verdict == Verdict::answered) {
+        const auto reply = decode<GrantPushReply>(result.reply.body);
+        // A new process tells itself, with its first edge_sync, what it does not run.
+        if (reply && !reply->other_process) heard(name, edge->address);
+    } else if (edge->heard <= asked) {
+        edge->usable = false;
+        takeBackUnanswered(*edge, asked);
+    }
+    granter_.schedule();
 }
 
 }  // namespace amberswitch::cluster::storage
--- a/src/cluster/storage/edge_watch.hpp
+++ b/src/cluster/storage/edge_watch.hpp
@@ -20,17 +20,19 @@
     void onSync(const EdgeSync& sync);
     // The partition has just become active: takes over what the edges have told already.
     void onActive(OwnedPartition& owned, const std::vector<RunningAttempt>& running);
-    // Gives back what has expired and what silent edges had. Call every 100 ms or so.
+    // Gives back what has expired, and asks silent edges that hold grants. Call every 100 ms or so.
     void tick();
 
 private:
     void takeBackMissing(Edge& edge, const EdgeSync& sync, bool restarted);
     bool lostAt(const QueueItem& item, bool restarted) const;
-    void takeBackAll(Edge& edge);
+    // What was granted to the edge before it was asked whether it is there, and it did not answer.
+    void takeBackUnanswered(Edge& edge, SteadyTime asked);
     void takeBack(QueueItem& item);
     void checkEdge(Edge& edge);
     void takeBackExpired(Edge& edge);
-    void ping(Edge& edge);
+    void ask(Edge& edge);
+    void onAnswer(const std::string& name, const CallResult& result);
     void settleWherePossible();
 
     Transport& transport_;
--- a/src/cluster/storage/edges.cpp
+++ b/src/cluster/storage/edges.cpp
@@ -40,7 +40,7 @@
     Distance least = Distance::other_region;
     for (auto& [name, edge] : edges_) {
         const bool connected = edge.usable && !edge.leaving && edge.synced_epoch > 0;
-        if (!connected || edge.heard + kEdgeSilentAfter < now) continue;
+        if (!connected || edge.isInDoubt() || edge.isSilent(now)) continue;
         if (edge.grants.size() >= kMaxGrantsPerEdge) continue;
         const Distance distance = topology_.between(own_zone_, edge.zone);
         if (distance > least) continue;
@@ -84,7 +84,7 @@
 bool Edges::allSynced(Epoch epoch, std::size_t expected, SteadyTime now) const {
     std::size_t synced = 0;
     for (const auto& [name, edge] : edges_) {
-        if (edge.heard + kEdgeAliveFor < now) continue;
+        if (edge.isGone(now)) continue;
         if (edge.synced_epoch < epoch) return false;
         ++synced;
     }
--- a/src/cluster/storage/edges.hpp
+++ b/src/cluster/storage/edges.hpp
@@ -3,21 +3,20 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
 #include <unordered_set>
 #include <vector>
 
+#include "cluster/common/edge_heartbeat.hpp"
 #include "cluster/common/messages.hpp"
 #include "cluster/common/topology.hpp"
 #include "cluster/storage/queue_item.hpp"
 
 namespace amberswitch::cluster::storage {
 
-constexpr Millis kEdgeAliveFor{2500};     // heard within this: it counts as connected
-constexpr Millis kEdgeSilentAfter{1500};  // its grants are given again
-constexpr Millis kEdgePingAfter{1200};    // it is asked whether it is there
 constexpr std::size_t kMaxGrantsPerEdge = 256;
 // Holds the grants of which a previous owner told without naming the edge.
 inline const std::string kUnknownEdge;
@@ -28,12 +27,20 @@
     NodeAddress address;
     Incarnation incarnation = 0;
     SteadyTime heard;
-    Epoch synced_epoch = 0;  // of the newest view for which it told what it runs
-    bool usable = true;      // false after a push that failed, until heard again
+    Millis heartbeat = kEdgeHeartbeat;  // that it promised in its last edge_sync
+    Epoch synced_epoch = 0;             // of the newest view for which it told what it runs
+    bool usable = true;                 // false after a push that failed, until heard again
     bool leaving = false;
-    bool ping_pending = false;
+    std::optional<SteadyTime> asked;      // whether it is there, and there is no answer yet
     std::vector<RunningAttempt> running;  // as of its last edge_sync
     std::unordered_set<QueueItem*> grants;
+
+    // It was asked whether it is there, and nothing came from it since.
+    bool isInDoubt() const { return asked && heard <= *asked; }
+    // It has not kept its promise: nothing is granted to it before it is heard again.
+    bool isSilent(SteadyTime now) const { return heard + heartbeat + kHeartbeatSlack < now; }
+    // Nothing is expected of it any more.
+    bool isGone(SteadyTime now) const { return heard + heartbeat + kHeartbeatGone < now; }
 };
 
 class Edges {
--- a/src/cluster/storage/granter.cpp
+++ b/src/cluster/storage/granter.cpp
@@ -139,9 +139,11 @@
     if (result.verdict == Verdict::answered) {
         const auto reply = decode<GrantPushReply>(result.reply.body);
         if (!reply || reply->taken.size() != sent.size()) return;
-        // Nothing more until the new process is heard.
-        if (Edge* const pushed = book_.edges.find(edge); pushed && reply->other_process)
-            pushed->usable = false;
+        if (Edge* const pushed = book_.edges.find(edge)) {
+            // Nothing more until the new process is heard.
+            if (reply->other_process) pushed->usable = false;
+            if (!reply->other_process) pushed->heard = scheduler_.now();
+        }
         for (std::size_t i = 0; i < sent.size(); ++i) {
             if (!reply->taken[i]) giveBack(sent[i]);
         }
--- a/tests/cluster/store_limits_test.cpp
+++ b/tests/cluster/store_limits_test.cpp
@@ -164,7 +164,9 @@
     CHECK(edges.choose(kStart)->name == "far");
     edges.heard("near", {"10.2.0.2", 1}, kStart);
     CHECK(edges.choose(kStart)->name == "near");
-    CHECK(edges.choose(kStart + kEdgeSilentAfter + Millis(1)) == nullptr);
+    const Millis silent = kEdgeHeartbeat + kHeartbeatSlack;
+    CHECK(edges.choose(kStart + silent)->name == "near");
+    CHECK(edges.choose(kStart + silent + Millis(1)) == nullptr);
     std::vector<QueueItem> items(kMaxGrantsPerEdge);
     for (QueueItem& item : items) edges.attach("near", item);
     CHECK(edges.choose(kStart)->name == "far");
@@ -218,8 +220,28 @@
     edges.find("b")->synced_epoch = 4;
     CHECK(edges.allSynced(4, 2, kStart));
     edges.find("b")->synced_epoch = 3;
-    edges.heard("a", {"10.2.0.1", 1}, kStart + kEdgeAliveFor + Millis(1));
-    CHECK(edges.allSynced(4, 1, kStart + kEdgeAliveFor + Millis(1)));  // b is gone
+    const SteadyTime b_is_gone = kStart + kEdgeHeartbeat + kHeartbeatGone + Millis(1);
+    edges.heard("a", {"10.2.0.1", 1}, b_is_gone);
+    CHECK(edges.allSynced(4, 1, b_is_gone));
+}
+
+TEST_CASE("an edge counts as silent by the heartbeat that it promised itself") {
+    Edges edges("here", {}, 1);
+    Edge& rests = edges.heard("rests", {"10.2.0.1", 1}, kStart);
+    rests.synced_epoch = 1;
+    rests.heartbeat = kHeartbeatsWhileIdle * kEdgeHeartbeat;
+    CHECK(edges.choose(kStart + kEdgeHeartbeat + kHeartbeatSlack + Millis(1))->name == "rests");
+    CHECK(edges.choose(kStart + rests.heartbeat + kHeartbeatSlack + Millis(1)) == nullptr);
+}
+
+TEST_CASE("an edge that is asked whether it is there gets nothing until it is heard") {
+    Edges edges("here", {}, 1);
+    Edge& edge = edges.heard("edge", {"10.2.0.1", 1}, kStart);
+    edge.synced_epoch = 1;
+    edge.asked = kStart + Millis(10);
+    CHECK(edges.choose(kStart + Millis(20)) == nullptr);
+    edges.heard("edge", {"10.2.0.1", 1}, kStart + Millis(30));
+    CHECK(edges.choose(kStart + Millis(40))->name == "edge");
 }
 
 TEST_CASE("a listed service gets no more at once than twice its slots, by the partitions that are owned") {
--- a/tests/cluster/store_world.hpp
+++ b/tests/cluster/store_world.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "cluster/common/codec.hpp"
+#include "cluster/common/edge_heartbeat.hpp"
 #include "cluster/storage/store_node.hpp"
 #include "tests/cluster/store_world_disk.hpp"
 
@@ -75,6 +76,8 @@
     double failures = 0;      // share of runs answered with 500
     bool duplicate_reports = false;
     bool leader_sees_disks = true;
+    // Edges stand in another region: they tell a store for which they run nothing only every second time.
+    bool far_edges = false;
 };
 
 class StoreWorld;
@@ -117,6 +120,7 @@
     void report(RunResult result, int tries);
     void sync();
     void syncTo(const NodeAddress& store);
+    bool runsFor(const NodeAddress& store) const;
 
     StoreWorld& play_;
     std::string name_;
@@ -125,6 +129,7 @@
     Incarnation incarnation_ = 0;
     std::unique_ptr<Process> process_;
     std::shared_ptr<const StoreView> view_;
+    std::int64_t heartbeats_ = 0;
     std::map<AttemptName, RunningAttempt> running_;
 };
 
--- a/tests/cluster/store_world_edge.hpp
+++ b/tests/cluster/store_world_edge.hpp
@@ -42,19 +42,29 @@
 inline void FakeEdge::onView(std::shared_ptr<const StoreView> view) {
     if (view_ && view->epoch <= view_->epoch) return;
     view_ = std::move(view);
+    heartbeats_ = 0;
     sync();
 }
 
 inline void FakeEdge::sync() {
     process_->sync_timer = process_->scheduler->after(Millis(1000), [this] { sync(); });
     if (!view_) return;
+    const bool rests = play_.options.far_edges && heartbeats_++ % kHeartbeatsWhileIdle != 0;
     for (const StoreMember& store : view_->stores) {
-        if (store.alive) syncTo(store.member.address);
+        const bool spared = rests && !leaving && !runsFor(store.member.address);
+        if (store.alive && !spared) syncTo(store.member.address);
     }
 }
 
+inline bool FakeEdge::runsFor(const NodeAddress& store) const {
+    return std::any_of(running_.begin(), running_.end(),
+                       [&](const auto& entry) { return ownerOf(entry.second.partition) == store; });
+}
+
 inline void FakeEdge::syncTo(const NodeAddress& store) {
-    EdgeSync message{name_, zone_, address_, incarnation_, view_->epoch, leaving, {}};
+    EdgeSync message{name_, zone_, address_, incarnation_, view_->epoch, leaving, {}, 0};
+    message.next_within_ms =
+        (play_.options.far_edges ? kHeartbeatsWhileIdle * kEdgeHeartbeat : kEdgeHeartbeat).count();
     for (const auto& [name, attempt] : running_) message.running.push_back(attempt);
     process_->transport->call(store, envelope(MessageKind::edge_sync, message), Millis(500),
                               [](CallResult) {});
