Spread an endpoint's runs over its edges; leave far accepts to near edges

A trace of grants showed why: the owners of all zones chose the same edge for an endpoint, which has one connection to it; messages waited there for a second and went back.

Changed: the order of edges for an endpoint differs by the store's zone; a store's second run for an endpoint goes to another of its first three edges.

--- a/src/cluster/storage/edges.cpp
+++ b/src/cluster/storage/edges.cpp
@@ -2,6 +2,9 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace amberswitch::cluster::storage {
 
 namespace {
@@ -10,6 +13,19 @@
 // Of the grants of an edge that is chosen for a destination: times the mean of the candidates, and beyond.
 constexpr double kMostOverMean = 1.25;
 constexpr double kSlack = 2;
+constexpr Millis kNearKnownFor{100};  // asked for each accept of a far edge
+// Edges of a destination's order that are looked at for one without a grant for it.
+constexpr std::size_t kFirstFew = 3;
+
+std::uint64_t hashOf(std::string_view text, std::uint64_t seed) {
+    return XXH64(text.data(), text.size(), seed);
+}
+
+bool holdsGrantFor(const Edge& edge, std::string_view destination) {
+    return std::any_of(edge.grants.begin(), edge.grants.end(), [&](const QueueItem* item) {
+        return item->grant && item->grant->service == destination;
+    });
+}
 
 }  // namespace
 
@@ -35,13 +51,30 @@
     if (Edge* const edge = find(name)) edge->grants.erase(&item);
 }
 
+bool Edges::mayTake(const Edge& edge, SteadyTime now) {
+    const bool connected = edge.usable && !edge.leaving && edge.synced_epoch > 0;
+    if (!connected || edge.isInDoubt() || edge.isSilent(now)) return false;
+    return edge.grants.size() < kMaxGrantsPerEdge;
+}
+
+bool Edges::hasNearerThan(const Edge& edge, SteadyTime now) {
+    return isFar(edge) && hasNear(now);
+}
+
+bool Edges::hasNear(SteadyTime now) {
+    if (now < near_known_until_) return has_near_;
+    near_known_until_ = now + kNearKnownFor;
+    has_near_ = std::any_of(edges_.begin(), edges_.end(), [&](const auto& entry) {
+        return !isFar(entry.second) && mayTake(entry.second, now);
+    });
+    return has_near_;
+}
+
 std::vector<Edge*> Edges::nearestFree(SteadyTime now) {
     std::vector<Edge*> nearest;
     Distance least = Distance::other_region;
     for (auto& [name, edge] : edges_) {
-        const bool connected = edge.usable && !edge.leaving && edge.synced_epoch > 0;
-        if (!connected || edge.isInDoubt() || edge.isSilent(now)) continue;
-        if (edge.grants.size() >= kMaxGrantsPerEdge) continue;
+        if (!mayTake(edge, now)) continue;
         const Distance distance = topology_.between(own_zone_, edge.zone);
         if (distance > least) continue;
         if (distance < least) nearest.clear();
@@ -67,18 +100,21 @@
     const double mean =
         candidates.empty() ? 0 : static_cast<double>(grants) / static_cast<double>(candidates.size());
     const double most = kMostOverMean * mean + kSlack;
-    Edge* best = nullptr;
-    std::uint64_t best_weight = 0;
+    // Stores of one zone choose alike, those of others differently: an edge has few connections to an
+    // endpoint.
+    const std::uint64_t seed = hashOf(own_zone_, 0);
+    std::vector<std::pair<std::uint64_t, Edge*>> order;
     for (Edge* const edge : candidates) {
         if (static_cast<double>(edge->grants.size()) > most) continue;
-        const std::uint64_t weight =
-            XXH64(destination.data(), destination.size(), XXH64(edge->name.data(), edge->name.size(), 0));
-        if (best == nullptr || weight > best_weight) {
-            best = edge;
-            best_weight = weight;
-        }
+        order.emplace_back(hashOf(destination, hashOf(edge->name, seed)), edge);
     }
-    return best;
+    if (order.empty()) return nullptr;
+    const auto few_end = order.begin() + static_cast<std::ptrdiff_t>(std::min(kFirstFew, order.size()));
+    std::partial_sort(order.begin(), few_end, order.end(), std::greater<>());
+    const auto unused = std::find_if(order.begin(), few_end, [&](const auto& entry) {
+        return !holdsGrantFor(*entry.second, destination);
+    });
+    return unused == few_end ? order.front().second : unused->second;
 }
 
 bool Edges::allSynced(Epoch epoch, std::size_t expected, SteadyTime now) const {
--- a/src/cluster/storage/edges.hpp
+++ b/src/cluster/storage/edges.hpp
@@ -53,11 +53,14 @@
     Edge* find(const std::string& name);
     void attach(const std::string& name, QueueItem& item);
     void detach(const std::string& name, QueueItem& item);
+    // Whether the edge stands in another region, and one that may take a grant in the own one.
+    bool hasNearerThan(const Edge& edge, SteadyTime now);
     // Whom to give the next grant: among the nearest that may take one, the less busy of two drawn at random.
     // Null if nobody may take one.
     Edge* choose(SteadyTime now);
     // The same for what should go to the same few edges, which have connections to `destination`: the first
-    // of the nearest in an order of its own that has not clearly more to do than the mean.
+    // of the nearest in an order of its own that has not clearly more to do than the mean. It holds no grant
+    // of this store for `destination` already, if one of the first few does not: its connection is taken.
     Edge* chooseFor(std::string_view destination, SteadyTime now);
     // Whether all edges that are connected, and at least `expected`, have told what they run in that view.
     bool allSynced(Epoch epoch, std::size_t expected, SteadyTime now) const;
@@ -67,12 +70,20 @@
     void forgetSilent(SteadyTime now);
 
 private:
+    bool isFar(const Edge& edge) const {
+        return topology_.between(own_zone_, edge.zone) == Distance::other_region;
+    }
+    // It may be given one more grant.
+    static bool mayTake(const Edge& edge, SteadyTime now);
     std::vector<Edge*> nearestFree(SteadyTime now);
+    bool hasNear(SteadyTime now);
 
     std::string own_zone_;
     Topology topology_;
     std::mt19937_64 random_;
     std::map<std::string, Edge> edges_;
+    bool has_near_ = false;
+    SteadyTime near_known_until_{};
 };
 
 }  // namespace amberswitch::cluster::storage
--- a/src/cluster/storage/granter.cpp
+++ b/src/cluster/storage/granter.cpp
@@ -31,6 +31,8 @@
                                                 const std::string& edge) {
     const SteadyTime now = scheduler_.now();
     if (stopped_ || !owned.queue.grantable(item, now)) return std::nullopt;
+    const Edge* const asker = book_.edges.find(edge);
+    if (asker != nullptr && book_.edges.hasNearerThan(*asker, now)) return std::nullopt;
     if (book_.ready.hasInTime(item.service, now) || !book_.limiter.mayGrant(item.service, now))
         return std::nullopt;
     const AttemptId id{owned.epoch, ++last_attempt_};
--- a/tests/cluster/store_limits_test.cpp
+++ b/tests/cluster/store_limits_test.cpp
@@ -209,6 +209,58 @@
     CHECK(edges.chooseFor("partner", kStart)->name != *first.begin());
 }
 
+TEST_CASE("a second run for a destination goes to another of its few edges, whose connection is free") {
+    Edges edges("here", {}, 1);
+    for (int i = 0; i < 8; ++i) {
+        Edge& edge = edges.heard("edge-" + std::to_string(i), {"10.2.0.1", 1}, kStart);
+        edge.synced_epoch = 1;
+        edge.zone = "here";
+    }
+    std::vector<QueueItem> items(4);
+    std::vector<std::string> chosen;
+    for (QueueItem& item : items) {
+        item.grant = OutstandingGrant{};
+        item.grant->service = "partner";
+        chosen.push_back(edges.chooseFor("partner", kStart)->name);
+        edges.attach(chosen.back(), item);
+    }
+    const std::set<std::string> first_three(chosen.begin(), chosen.begin() + 3);
+    CHECK(first_three.size() == 3);
+    CHECK(first_three.contains(chosen.back()));
+    CHECK(edges.chooseFor("other", kStart) != nullptr);
+}
+
+TEST_CASE("stores of several zones choose several edges for one destination") {
+    std::set<std::string> chosen;
+    for (int zone = 0; zone < 6; ++zone) {
+        const std::string store_zone = "zone-" + std::to_string(zone);
+        Edges edges(store_zone, Topology({{store_zone, "stores"}, {"there", "edges"}}), 1);
+        for (int i = 0; i < 40; ++i) {
+            Edge& edge = edges.heard("edge-" + std::to_string(i), {"10.2.0.1", 1}, kStart);
+            edge.synced_epoch = 1;
+            edge.zone = "there";
+        }
+        chosen.insert(edges.chooseFor("partner", kStart)->name);
+    }
+    CHECK(chosen.size() >= 4);
+}
+
+TEST_CASE("an edge of another region leaves a run to a near one, if one may take it") {
+    Edges edges("here", Topology({{"here", "east"}, {"beside", "east"}, {"there", "west"}}), 1);
+    Edge& far = edges.heard("far", {"10.2.0.1", 1}, kStart);
+    far.synced_epoch = 1;
+    far.zone = "there";
+    CHECK_FALSE(edges.hasNearerThan(far, kStart));
+    Edge& near = edges.heard("near", {"10.2.0.2", 1}, kStart);
+    near.synced_epoch = 1;
+    near.zone = "beside";
+    const SteadyTime later = kStart + Millis(200);
+    CHECK(edges.hasNearerThan(far, later));
+    CHECK_FALSE(edges.hasNearerThan(near, later));
+    near.leaving = true;
+    CHECK_FALSE(edges.hasNearerThan(far, later + Millis(200)));
+}
+
 TEST_CASE("all have told once each connected edge, and as many as there should be, named the view") {
     Edges edges("here", {}, 1);
     CHECK(edges.allSynced(1, 0, kStart));
