Keep an order across another name of its route

Partition and line of an ordered message were named by its route's name, so that messages accepted under a new name of the same host and path did not wait for those before.

Changed: both are named by host and path prefix (Route::orderScope), kept in the record in place of the name; the route's name, priority and aim come from the configuration in force.

Records written before keep the route's name as their scope: an order is cut once, at the change of program.

--- a/src/cluster/common/client_messages.hpp
+++ b/src/cluster/common/client_messages.hpp
@@ -19,8 +19,8 @@
 // What is delivered, exactly as it arrived. Never changes after the accept (see Grant).
 struct MessageContent {
     MessageId id;
-    std::string route;    // name in the configuration
-    std::string service;  // backend of the route at the accept
+    std::string order_scope;  // Route::orderScope() at the accept
+    std::string service;      // backend of the route at the accept
     std::string method;
     std::string host;
     std::string target;  // path and query
@@ -33,8 +33,8 @@
     std::string body;
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(id, route, service, method, host, target, content_type, order_key, ordered, callback_url,
-                delay_ms, config_generation, body);
+        archive(id, order_scope, service, method, host, target, content_type, order_key, ordered,
+                callback_url, delay_ms, config_generation, body);
     }
 };
 
--- a/src/cluster/common/configuration.hpp
+++ b/src/cluster/common/configuration.hpp
@@ -36,6 +36,9 @@
     bool ordered = false;
     Millis retention{0};
     bool callback = false;
+
+    // What an order belongs to beside its key: a route may get another name without its order being cut.
+    std::string orderScope() const { return hostname + path_prefix; }
 };
 
 struct Service {
--- a/src/cluster/edge/accepts.cpp
+++ b/src/cluster/edge/accepts.cpp
@@ -83,7 +83,7 @@
         if (partition) offer.partition = *partition;
         return partition.has_value();
     }
-    offer.partition = partitions_.partitionOfKey(offer.content.route, offer.content.order_key);
+    offer.partition = partitions_.partitionOfKey(offer.content.order_scope, offer.content.order_key);
     const StoreMember* const owner = partitions_.owner(offer.partition);
     if (!owner || partitions_.suspected(owner->member.address)) return false;
     return offer.epoch == 0 || owner->member.address != offer.owner;
--- a/src/cluster/edge/front.cpp
+++ b/src/cluster/edge/front.cpp
@@ -40,7 +40,7 @@
                                         const Configuration& configuration) {
     MessageContent content;
     content.id = headerValue(request.headers, "Request-Id");
-    content.route = route.name;
+    content.order_scope = route.orderScope();
     content.service = route.service;
     content.method = request.method;
     content.host = headerValue(request.headers, "Host");
--- a/src/cluster/edge/partition_map.cpp
+++ b/src/cluster/edge/partition_map.cpp
@@ -29,8 +29,8 @@
     return alive;
 }
 
-PartitionId PartitionMap::partitionOfKey(std::string_view route, std::string_view order_key) const {
-    std::string bytes(route);
+PartitionId PartitionMap::partitionOfKey(std::string_view order_scope, std::string_view order_key) const {
+    std::string bytes(order_scope);
     bytes += '\0';
     bytes += order_key;
     return static_cast<PartitionId>(XXH64(bytes.data(), bytes.size(), 0) % partitions());
--- a/src/cluster/edge/partition_map.hpp
+++ b/src/cluster/edge/partition_map.hpp
@@ -35,7 +35,7 @@
     }
 
     // The partition of everything with this order key on this route. Needs partitions() above 0.
-    PartitionId partitionOfKey(std::string_view route, std::string_view order_key) const;
+    PartitionId partitionOfKey(std::string_view order_scope, std::string_view order_key) const;
     // A random partition among those with the nearest owners that are neither suspected nor among `tried`.
     // Nothing where there is none.
     std::optional<PartitionId> pick(std::mt19937_64& random, const std::set<NodeAddress>& tried) const;
--- a/src/cluster/storage/accepts.cpp
+++ b/src/cluster/storage/accepts.cpp
@@ -44,7 +44,7 @@
 
 void Accepts::noteOlder(const OwnedPartition& owned, MessageRecord& record) {
     QueueItem probe;
-    probe.accepted_route = record.content.route;
+    probe.order_scope = record.content.order_scope;
     probe.order_key = record.content.order_key;
     probe.position.epoch = record.epoch;
     const LinePosition last = owned.queue.lastOlder(probe);
@@ -221,7 +221,8 @@
     if (item == nullptr || item->callback) return;
     item->holders.insert(job.holders.begin(), job.holders.end());
     owned.queue.stored(*item);
-    if (outcomes_.applyConfiguration(owned, *item)) return;
+    if (outcomes_.applyConfiguration(owned, *item))
+        return granter_.schedule();  // the next of its order may run
     // The edge would run it at the service of its own configuration.
     const bool same_service = item->service == job.record->content.service;
     if (job.wants_grant && same_service) {
--- a/src/cluster/storage/partition_queue.hpp
+++ b/src/cluster/storage/partition_queue.hpp
@@ -62,7 +62,7 @@
 
 private:
     using Line = std::map<LinePosition, QueueItem*>;
-    static std::string lineName(const QueueItem& item) { return item.accepted_route + '\n' + item.order_key; }
+    static std::string lineName(const QueueItem& item) { return item.order_scope + '\n' + item.order_key; }
 
     bool firstOfLine(const QueueItem& item) const;
     void joinLine(QueueItem& item);
--- a/src/cluster/storage/queue_item.hpp
+++ b/src/cluster/storage/queue_item.hpp
@@ -50,7 +50,8 @@
 struct QueueItem {
     PartitionId partition = 0;
     MessageId id;
-    std::string accepted_route;  // its route at the accept; names its line, together with the order key
+    std::string
+        order_scope;  // Route::orderScope() at the accept; names its line, together with the order key
     // Where the newest configuration sends it. The service is the key of its limits; for call-backs that is
     // the receiver.
     std::string route;
--- a/tests/cluster/changed_route_test.cpp
+++ b/tests/cluster/changed_route_test.cpp
@@ -187,6 +187,46 @@
     CHECK(stores.phaseOf(stays.id) == Phase::completed);
 }
 
+TEST_CASE("an order holds across another name of its route") {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        ChangingStores stores(seed);
+        for (auto& edge : stores.play.edges) edge->run_time = Millis(400);
+        const MessageId first = stores.submit(stores.play.content("lines", "key"));
+        auto changed = next(*stores.play.configuration);
+        routeOf(*changed, "lines").name = "renamed";
+        stores.play.configure(changed);
+        const MessageId second = stores.submit(stores.play.content("renamed", "key"));
+        stores.play.world.run(Millis(3000));
+        CHECK(stores.runsOf(first) == 1);
+        CHECK(stores.runsOf(second) == 1);
+        CHECK_MESSAGE(stores.play.ledger.faults.empty(), stores.play.faultText());
+    }
+}
+
+TEST_CASE("a key's messages go to one partition, whatever the name of their route") {
+    edge_test::EdgeWorld world;
+    world.feed();
+    const auto accepted = [&world](const std::string& id) {
+        world.statusOf(world.request("/ordered/x", id, {{"Order-Key", "key"}}));
+        for (const auto& store : world.stores) {
+            if (!store->accepts.empty() && store->accepts.back().content.id == id)
+                return store->accepts.back();
+        }
+        return AcceptMessageRequest{};
+    };
+    const AcceptMessageRequest before = accepted("id-1");
+    auto changed = next(*edge_test::configuration());
+    routeOf(*changed, "ordered").name = "renamed";
+    changed->buildIndexes();
+    world.edge->onConfiguration(changed);
+    const AcceptMessageRequest after = accepted("id-2");
+    CHECK(before.content.id == "id-1");
+    CHECK(after.content.id == "id-2");
+    CHECK(before.partition == after.partition);
+    CHECK(before.content.order_scope == after.content.order_scope);
+}
+
 TEST_CASE("a new owner takes waiting messages over to where their routes lead now") {
     ChangingStores stores(5);
     MessageContent content = stores.play.content("plain");
--- a/tests/cluster/edge_delivery_test.cpp
+++ b/tests/cluster/edge_delivery_test.cpp
@@ -382,7 +382,7 @@
     // A grant that rests on a newer configuration than this edge has is delivered.
     Grant newer = world.grant("id-2");
     newer.content.config_generation = 3;
-    newer.content.route = "brand-new";
+    newer.content.order_scope = "host.example/brand-new/";
     world.push(0, {newer});
     CHECK(world.http.sent.size() == 1);
 }
--- a/tests/cluster/edge_world.hpp
+++ b/tests/cluster/edge_world.hpp
@@ -327,7 +327,7 @@
     Grant grant(const std::string& id, PartitionId partition = 0, std::uint64_t attempt = 1) const {
         Grant made;
         made.content.id = id;
-        made.content.route = "plain";
+        made.content.order_scope = "host.example/plain/";
         made.content.service = "desk";
         made.content.method = "POST";
         made.content.host = "host.example";
@@ -343,7 +343,7 @@
     // Of a message on the route to the endpoint with a ceiling.
     Grant cappedGrant(const std::string& id) const {
         Grant made = grant(id);
-        made.content.route = "capped";
+        made.content.order_scope = "host.example/capped/";
         made.content.service = "partner";
         made.content.target = "/capped/x";
         return made;
--- a/tests/cluster/store_world.hpp
+++ b/tests/cluster/store_world.hpp
@@ -336,7 +336,7 @@
     MessageContent content(const std::string& route, const std::string& order_key = {}) {
         MessageContent made;
         made.id = "m" + std::to_string(++last_message);
-        made.route = route;
+        made.order_scope = configuration->route(route)->orderScope();
         made.service = configuration->route(route)->service;
         made.method = "POST";
         made.target = configuration->route(route)->path_prefix + "x";
