Choose the register's voters by zone and region as faultTolerance asks

Every ready core machine became a voter, so that a majority might stand in one zone whose loss the settings ask to bear.

Changed: nextVoters() takes how many zones and regions may be lost at once. A machine of a place that would have too many does not become a voter; while all voters are live, one of such a place is removed, down to 2f + 1 and 3.

--- a/src/cluster/control/control_node.cpp
+++ b/src/cluster/control/control_node.cpp
@@ -131,7 +131,8 @@
           {.is_acting = [this] { return keeper_.isActing(); },
            .peers = [this] { return peers(); },
            .holds_lease_of = [this](std::uint64_t version) { return election_.leaseVersion() == version; },
-           .renew_lease = [this] { election_.renew(); }}),
+           .renew_lease = [this] { election_.renew(); }},
+          {settings.zone, settings.topology, {settings.tolerance.zones, settings.tolerance.regions}}),
       distribution_(scheduler, {.is_fresh = [this] { return chosen_.isFresh() && unreadable_.empty(); },
                                 .is_confirmed_since =
                                     [this](SteadyTime since) { return chosen_.isConfirmedSince(since); },
--- a/src/cluster/control/voter_set_keeper.cpp
+++ b/src/cluster/control/voter_set_keeper.cpp
@@ -37,7 +37,7 @@
 
 VoterSetKeeper::VoterSetKeeper(Scheduler& scheduler, Transport& transport, RegisterVoter& voter,
                                RegisterProposer& proposer, Membership& membership, std::string name,
-                               std::size_t tolerated, VoterSetHooks hooks)
+                               std::size_t tolerated, VoterSetHooks hooks, VoterPlaces places)
     : scheduler_(scheduler),
       transport_(transport),
       voter_(voter),
@@ -45,7 +45,8 @@
       membership_(membership),
       name_(std::move(name)),
       tolerated_(tolerated),
-      hooks_(std::move(hooks)) {}
+      hooks_(std::move(hooks)),
+      places_(std::move(places)) {}
 
 void VoterSetKeeper::start() {
     last_look_ = scheduler_.now();
@@ -81,6 +82,7 @@
     const bool changed = record.has_data == member.disk_empty || record.leaving != member.leaving;
     record.has_data = !member.disk_empty;
     record.leaving = member.leaving;
+    record.zone = member.zone;
     if (record.has_data) record.last_ready = entry->last_seen;
     if (changed) look();
 }
@@ -110,7 +112,7 @@
     if (changing_ || !voter_.votes()) return;
     if (settled_version_ != voter_.voterSet().version) return settle();
     if (!hooks_.holds_lease_of(voter_.voterSet().version)) return hooks_.renew_lease();
-    const std::optional<VoterSet> next = nextVoters(voter_.voterSet(), observe(), tolerated_);
+    const std::optional<VoterSet> next = nextVoters(voter_.voterSet(), observe(), tolerated_, places_.spread);
     if (!next) return;
     const bool adds = next->addresses.size() > voter_.voters().size();
     if (adds) return proposeOnceAnswered(*next, next->addresses.back());
@@ -121,20 +123,33 @@
     std::vector<CoreObservation> observed;
     for (const NodeAddress& address : voter_.voters()) observed.push_back(observeVoter(address));
     for (const auto& [address, record] : machines_) {
-        if (isStandby(address, record)) observed.push_back({address, true, false, true});
+        if (isStandby(address, record)) observed.push_back(observeStandby(address, record));
     }
     return observed;
 }
 
+CoreObservation VoterSetKeeper::observeStandby(const NodeAddress& address, const CoreRecord& record) const {
+    return {address, true, false, true, record.zone, places_.topology.regionOf(record.zone)};
+}
+
 CoreObservation VoterSetKeeper::observeVoter(const NodeAddress& address) const {
+    if (address == voter_.self()) {
+        const std::string& zone = places_.own_zone;
+        return {address, true, false, true, zone, places_.topology.regionOf(zone)};
+    }
     const auto found = machines_.find(address);
     // Where it has only just become known, its silence is not known either.
-    if (address == voter_.self() || found == machines_.end()) return {address, true, false, true};
+    if (found == machines_.end()) return {address, true, false, true, {}, {}};
     const CoreRecord& record = found->second;
     const Millis silence =
         std::chrono::duration_cast<Millis>(scheduler_.now() - std::max(record.last_ready, listens_since_));
     const bool live = !record.leaving && silence <= kVoterLive;
-    return {address, live, silence > kVoterSilence, live && record.has_data};
+    return {address,
+            live,
+            silence > kVoterSilence,
+            live && record.has_data,
+            record.zone,
+            places_.topology.regionOf(record.zone)};
 }
 
 bool VoterSetKeeper::isStandby(const NodeAddress& address, const CoreRecord& record) const {
--- a/src/cluster/control/voter_set_keeper.hpp
+++ b/src/cluster/control/voter_set_keeper.hpp
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "cluster/common/scheduler.hpp"
+#include "cluster/common/topology.hpp"
 #include "cluster/common/transport.hpp"
 #include "cluster/control/lifetime.hpp"
 #include "cluster/control/membership.hpp"
@@ -43,11 +44,18 @@
     std::function<void()> renew_lease = [] {};
 };
 
+// Where core machines stand, and what of it may be lost at once.
+struct VoterPlaces {
+    std::string own_zone;
+    Topology topology;
+    VoterSpread spread;
+};
+
 class VoterSetKeeper {
 public:
     VoterSetKeeper(Scheduler& scheduler, Transport& transport, RegisterVoter& voter,
                    RegisterProposer& proposer, Membership& membership, std::string name,
-                   std::size_t tolerated, VoterSetHooks hooks);
+                   std::size_t tolerated, VoterSetHooks hooks, VoterPlaces places = {});
 
     void start();
     // The core machine of that name has renewed its lease here.
@@ -61,6 +69,7 @@
         SteadyTime last_ready;  // renewed and had its data; at first, when it became known here
         bool has_data = false;  // these two as of its last renewal
         bool leaving = false;
+        std::string zone = {};
     };
     struct SettleRound;
 
@@ -70,6 +79,7 @@
     void look();
     void lead();
     std::vector<CoreObservation> observe() const;
+    CoreObservation observeStandby(const NodeAddress& address, const CoreRecord& record) const;
     CoreObservation observeVoter(const NodeAddress& address) const;
     bool isStandby(const NodeAddress& address, const CoreRecord& record) const;
 
@@ -89,6 +99,7 @@
     std::string name_;
     std::size_t tolerated_;
     VoterSetHooks hooks_;
+    VoterPlaces places_;
     // By address: the machine that replaces another one may have its name.
     std::map<NodeAddress, CoreRecord> machines_;
     bool acting_ = false;
--- a/tests/cluster/control_voters_test.cpp
+++ b/tests/cluster/control_voters_test.cpp
@@ -181,3 +181,69 @@
     const CoreObservation sixth{address(6), true, false, true};
     CHECK(nextVoters(five, {one, two, third_absent, newcomer, fifth, sixth}, 2)->addresses.size() == 4);
 }
+
+namespace {
+
+CoreObservation standing(int index, const std::string& zone, const std::string& region = "r") {
+    return {address(index), true, false, true, zone, region};
+}
+
+// Repeats nextVoters() until nothing changes.
+VoterSet settled(VoterSet voters, const std::vector<CoreObservation>& machines, std::size_t tolerated,
+                 const VoterSpread& spread) {
+    for (int changes = 0; changes < 20; ++changes) {
+        const auto next = nextVoters(voters, machines, tolerated, spread);
+        if (!next) return voters;
+        voters = *next;
+    }
+    FAIL("voters never settle");
+    return voters;
+}
+
+bool holds(const VoterSet& voters, int index) {
+    return std::find(voters.addresses.begin(), voters.addresses.end(), address(index)) !=
+           voters.addresses.end();
+}
+
+}  // namespace
+
+TEST_CASE("voters are spread so that any one zone may be lost") {
+    const std::vector<CoreObservation> machines = {standing(1, "a"), standing(2, "a"), standing(3, "a"),
+                                                   standing(4, "b"), standing(5, "c")};
+    const VoterSet first{0, {address(1), address(2), address(3)}};
+    const VoterSet anywhere = settled(first, machines, 1, {});
+    CHECK(anywhere.addresses.size() == 5);
+    const VoterSet spread = settled(first, machines, 1, {1, 0});
+    CHECK(spread.addresses.size() == 3);
+    CHECK(holds(spread, 4));
+    CHECK(holds(spread, 5));
+}
+
+TEST_CASE("voters are spread so that any one region may be lost, and keep what machines may be lost") {
+    const std::vector<CoreObservation> machines = {standing(1, "a", "x"), standing(2, "b", "x"),
+                                                   standing(3, "c", "y"), standing(4, "d", "y"),
+                                                   standing(5, "e", "z"), standing(6, "f", "x")};
+    const VoterSet first{0, {address(1), address(2), address(6)}};
+    const VoterSet spread = settled(first, machines, 2, {0, 1});
+    CHECK(spread.addresses.size() == 5);
+    CHECK(holds(spread, 1));
+    CHECK(holds(spread, 2));
+    CHECK_FALSE(holds(spread, 6));
+}
+
+TEST_CASE("where no choice of machines bears the loss of a zone, all become voters") {
+    const std::vector<CoreObservation> machines = {standing(1, "a"), standing(2, "a"), standing(3, "b")};
+    CHECK(settled({0, {address(1)}}, machines, 1, {1, 0}).addresses.size() == 3);
+}
+
+TEST_CASE("no voter goes while one is absent, or the zone of one is not known") {
+    std::vector<CoreObservation> machines = {standing(1, "a"), standing(2, "a"), standing(3, "b"),
+                                             standing(4, "c"), standing(5, "a")};
+    const VoterSet all{3, {address(1), address(2), address(3), address(4), address(5)}};
+    CHECK(nextVoters(all, machines, 1, {1, 0}).has_value());
+    machines[2].zone.clear();
+    CHECK_FALSE(nextVoters(all, machines, 1, {1, 0}).has_value());
+    machines[2].zone = "b";
+    machines[3].live = machines[3].ready = false;
+    CHECK_FALSE(nextVoters(all, machines, 1, {1, 0}).has_value());
+}
