Count a stalled disk as failed; open a ring again and again while its disk refuses

A sync that never returns was no evidence: a voter or owner with such a disk went on being asked, and a read error while a ring was opened ended the process.

Changed: while somebody waits for the disk, the scheduler's thread looks seven times within 700 ms whether the pass of writes under way is still the same; then all who wait are told false and the disk counts as failed, as after a failed write. What the pass was for is written again once it has returned; the disk works again only after an attempt of under 350 ms. Looks count instead of time, so that a process that stood still blames no disk. openRing() tries again after 0.1 to 1 s.

Damage at the oldest segment, or at the end of a life, is still not seen as a gap (docs/ROADMAP.md).

--- a/apps/ambercluster/roles.cpp
+++ b/apps/ambercluster/roles.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <memory>
 #include <random>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -20,7 +21,7 @@
 #include "cluster/control/control_node.hpp"
 #include "cluster/control/core_client.hpp"
 #include "cluster/edge/edge_node.hpp"
-#include "cluster/storage/ring_store.hpp"
+#include "cluster/storage/open_ring.hpp"
 #include "cluster/storage/store_node.hpp"
 
 namespace amberswitch::cluster {
@@ -171,6 +172,10 @@
     TimerHandle timer_;
 };
 
+void pauseFor(Millis pause) {
+    std::this_thread::sleep_for(pause);
+}
+
 }  // namespace
 
 int runCore(const NodeSettings& settings, const RoleOptions& options) {
@@ -178,9 +183,9 @@
     EventLoop loop;
     Exchange exchange(loop, settings, PortOffset::core, options);
     EvhttpClient cloud(loop);
-    RingStore disk(loop, settings.data_dir + "/register",
-                   ringOptions(kRegisterRingBytes, kRegisterSegmentBytes, settings));
-    ControlNode node(loop, exchange.transport, cloud, disk, settings, drawIncarnation());
+    const auto disk = openRing(loop, settings.data_dir + "/register",
+                               ringOptions(kRegisterRingBytes, kRegisterSegmentBytes, settings), pauseFor);
+    ControlNode node(loop, exchange.transport, cloud, *disk, settings, drawIncarnation());
     EvhttpServer operators(loop, *settings.control,
                            [&node](const HttpRequest& request, HttpResponder respond) {
                                node.handleHttp(request, std::move(respond));
@@ -200,13 +205,14 @@
 int runStore(const NodeSettings& settings, const RoleOptions& options) {
     EventLoop loop;
     Exchange exchange(loop, settings, PortOffset::store, options);
-    RingStore disk(
+    const auto disk = openRing(
         loop, settings.data_dir + "/messages",
-        ringOptions(std::uint64_t{settings.limits.disk_mb} * kMegabyte, kMessageSegmentBytes, settings));
+        ringOptions(std::uint64_t{settings.limits.disk_mb} * kMegabyte, kMessageSegmentBytes, settings),
+        pauseFor);
     const Incarnation incarnation = drawIncarnation();
     Member self = describe(settings, NodeKind::store, PortOffset::store, incarnation);
-    self.disk_empty = disk.wasEmpty() && !settings.bootstrap;
-    StoreNode node(loop, exchange.transport, disk, settings, incarnation);
+    self.disk_empty = disk->wasEmpty() && !settings.bootstrap;
+    StoreNode node(loop, exchange.transport, *disk, settings, incarnation);
     CoreClient::Callbacks callbacks;
     callbacks.on_configuration = [&node](auto configuration) {
         node.onConfiguration(std::move(configuration));
--- a/src/cluster/storage/sync_thread.cpp
+++ b/src/cluster/storage/sync_thread.cpp
@@ -17,6 +17,9 @@
 constexpr std::uint64_t kSyncBehindBytes = 4 * 1024 * 1024;
 // The pause between attempts doubles this often at most, so that a disk that takes writes again is used soon.
 constexpr int kMostDoublings = 2;
+// The watch looks this often within the stall limit. Looks count, not time: where the whole process stood
+// still, the disk is not to blame.
+constexpr int kLooksPerStall = 7;
 // A disk that fails again within this time is not tried sooner than at its last failure.
 constexpr std::chrono::seconds kWorksForGood{10};
 
@@ -46,12 +49,40 @@
 }
 
 void SyncThread::sync(SyncCallback done) {
-    const std::lock_guard lock(mutex_);
-    if (failed_) return finish({std::move(done)}, false);
-    const bool all_durable = queued_.empty() && kept_.empty() && !busy_;
-    if (all_durable) return finish({std::move(done)}, true);
-    waiting_.push_back(std::move(done));
-    wake();
+    {
+        const std::lock_guard lock(mutex_);
+        if (failed_) return finish({std::move(done)}, false);
+        const bool all_durable = queued_.empty() && kept_.empty() && !busy_;
+        if (all_durable) return finish({std::move(done)}, true);
+        waiting_.push_back(std::move(done));
+        wake();
+    }
+    watch();
+}
+
+void SyncThread::watch() {
+    if (watch_timer_) return;
+    watch_timer_ = scheduler_.after(options_.stall_limit / kLooksPerStall, [this] {
+        watch_timer_.reset();
+        checkStall();
+    });
+}
+
+void SyncThread::checkStall() {
+    {
+        const std::lock_guard lock(mutex_);
+        if (failed_ || !isAwaited()) return;
+        const bool same_pass = busy_ && pass_ == watched_pass_;
+        stalled_looks_ = same_pass ? stalled_looks_ + 1 : 0;
+        watched_pass_ = pass_;
+        if (stalled_looks_ >= kLooksPerStall) {
+            stalled_looks_ = 0;
+            beginFailure("a write or sync does not return");
+            finish(std::exchange(serving_, {}), false);
+            return finish(std::exchange(waiting_, {}), false);
+        }
+    }
+    watch();
 }
 
 std::optional<std::string> SyncThread::readFromMemory(const Place& place, std::size_t size) const {
@@ -97,18 +128,21 @@
         retries_ = failed_;
         if (retries_) startOver();
         takeQueued();
-        std::vector<SyncCallback> served = std::exchange(waiting_, {});
-        const bool sync_wanted = retries_ || !served.empty() || bytes_in_memory_ >= kSyncBehindBytes;
+        serving_ = std::exchange(waiting_, {});
+        const bool sync_wanted = retries_ || !serving_.empty() || bytes_in_memory_ >= kSyncBehindBytes;
         busy_ = true;
+        ++pass_;
         lock.unlock();
+        const auto began = std::chrono::steady_clock::now();
         const bool done = writeAndSync(sync_wanted);
+        const bool quick = std::chrono::steady_clock::now() - began < options_.stall_limit / 2;
         lock.lock();
         busy_ = false;
         dropDurable();
         if (!done) beginFailure(failure_);
-        if (done && retries_) endFailure();
+        if (done && retries_ && quick) endFailure();
         if (stopping_) return;
-        finish(std::move(served), !failed_);
+        finish(std::exchange(serving_, {}), !failed_);
         if (failed_) finish(std::exchange(waiting_, {}), false);
     }
 }
--- a/src/cluster/storage/sync_thread.hpp
+++ b/src/cluster/storage/sync_thread.hpp
@@ -9,6 +9,10 @@
 // that is not known to be durable is trusted to be on the disk: all waiters are told so, and the thread
 // reopens the files and writes all of it again at the same places, followed by a sync, until that succeeds.
 // What a failed write left there is a part of what is then written over it.
+//
+// A disk that stalls: a write or sync that does not return within Options::stall_limit, while somebody waits,
+// counts as failed from then on. What it was for is written again once it has returned, and the disk works
+// again only after an attempt that took less than half of that.
 #pragma once
 
 #include <chrono>
@@ -42,6 +46,7 @@
     struct Options {
         std::uint64_t segment_bytes = 0;  // of each segment, given to it as it is begun
         Millis retry_interval{250};       // between attempts while the disk fails; doubles a few times
+        Millis stall_limit{700};          // of one pass of writes and a sync
     };
 
     // `on_health` runs on the scheduler's thread when the disk begins to fail, and when it works again.
@@ -72,6 +77,10 @@
     };
 
     void wake();
+    // Looks, while somebody waits, whether the pass under way has stalled. On the scheduler's thread.
+    void watch();
+    void checkStall();
+    bool isAwaited() const { return !waiting_.empty() || !serving_.empty(); }
     void run();
     bool awaitWork(std::unique_lock<std::mutex>& lock);
     void startOver();
@@ -97,12 +106,19 @@
     // Taken from `queued_`, and not known to be durable. Changed by the worker only, under the mutex.
     std::deque<Chunk> kept_;
     std::vector<SyncCallback> waiting_;
+    std::vector<SyncCallback> serving_;  // by the pass under way
     std::uint64_t bytes_in_memory_ = 0;
     std::uint64_t queued_bytes_ = 0;
     bool work_wanted_ = false;
     bool busy_ = false;
     bool stopping_ = false;
     bool failed_ = false;
+    std::uint64_t pass_ = 0;  // counts passes
+
+    // Of the scheduler's thread only:
+    std::uint64_t watched_pass_ = 0;
+    int stalled_looks_ = 0;
+    TimerHandle watch_timer_;
 
     // Of the worker only:
     std::size_t written_chunks_ = 0;  // of `kept_`, from its beginning
--- a/tests/cluster/posting_scheduler.hpp
+++ b/tests/cluster/posting_scheduler.hpp
@@ -1,14 +1,15 @@
-// A scheduler for tests of parts that have a thread of their own: it collects what is posted and runs it when
-// asked.
+// A scheduler for tests of parts that have a thread of their own: it collects what is posted, and timers, and
+// runs them when asked.
 #pragma once
 
 #include <chrono>
 #include <condition_variable>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <mutex>
-#include <stdexcept>
 #include <utility>
+#include <vector>
 
 #include "cluster/common/scheduler.hpp"
 
@@ -18,8 +19,17 @@
 public:
     SteadyTime now() const override { return SteadyTime(std::chrono::seconds(1000)); }
     std::int64_t wallMillis() const override { return 1'700'000'000'000; }
-    TimerHandle after(Millis, std::function<void()>) override {
-        throw std::logic_error("no timers in this scheduler");
+    TimerHandle after(Millis, std::function<void()> work) override {
+        auto pending = std::make_shared<std::function<void()>>(std::move(work));
+        timers_.push_back(pending);
+        return std::make_unique<CollectedTimer>(std::move(pending));
+    }
+    // Lets the time of all timers come that are set now.
+    void fireTimers() {
+        for (const auto& timer : std::exchange(timers_, {})) {
+            const auto pending = timer.lock();
+            if (pending) std::exchange(*pending, nullptr)();
+        }
     }
     void post(std::function<void()> work) override {
         {
@@ -52,6 +62,15 @@
     }
 
 private:
+    class CollectedTimer : public Timer {
+    public:
+        explicit CollectedTimer(std::shared_ptr<std::function<void()>> pending)
+            : pending_(std::move(pending)) {}
+
+    private:
+        std::shared_ptr<std::function<void()>> pending_;
+    };
+
     static constexpr std::chrono::seconds kLongestWait{20};
 
     std::function<void()> next() {
@@ -62,6 +81,7 @@
         return work;
     }
 
+    std::vector<std::weak_ptr<std::function<void()>>> timers_;  // those that ended are gone
     std::mutex mutex_;
     std::condition_variable arrived_;
     std::deque<std::function<void()>> posted_;
--- a/tests/cluster/ring_failure_test.cpp
+++ b/tests/cluster/ring_failure_test.cpp
@@ -2,8 +2,13 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include <functional>
+#include <optional>
 #include <string>
+#include <thread>
+#include <vector>
 
+#include "cluster/storage/open_ring.hpp"
 #include "cluster/storage/storage_error.hpp"
 #include "tests/cluster/ring_harness.hpp"
 
@@ -26,8 +31,74 @@
     harness.store().onHealthChange([](bool) {});
 }
 
+// Lets the watch of the disk look again and again, until `holds` or many looks are over.
+bool lookUntil(RingHarness& harness, const std::function<bool()>& holds) {
+    constexpr int kMostLooks = 1'000'000;
+    for (int look = 0; look < kMostLooks && !holds(); ++look) {
+        harness.fireTimers();
+        harness.runPending();
+        std::this_thread::yield();
+    }
+    return holds();
+}
+
 }  // namespace
 
+TEST_CASE("A sync that does not return counts as failed, and all is durable once it has returned") {
+    RingHarness harness(21);
+    listen(harness);
+    REQUIRE(harness.store().put("before", "1"));
+    REQUIRE(harness.syncAndWait());
+    harness.disk().hold();
+    std::optional<bool> durable;
+    REQUIRE(harness.store().put("during", "2"));
+    harness.store().sync([&durable](bool told) { durable = told; });
+    REQUIRE(lookUntil(harness, [&durable] { return durable.has_value(); }));
+    CHECK(durable == false);
+    CHECK_FALSE(harness.store().healthy());
+    CHECK_FALSE(harness.store().put("refused", "3"));
+    CHECK(harness.store().read("during") == "2");
+    harness.disk().release();
+    REQUIRE(comesBack(harness));
+    REQUIRE(harness.store().put("after", "4"));
+    REQUIRE(harness.syncAndWait());
+    harness.losePower();
+    CHECK(harness.store().read("before") == "1");
+    CHECK(harness.store().read("during") == "2");
+    CHECK(harness.store().read("after") == "4");
+}
+
+TEST_CASE("A ring whose disk refuses to be read while it is opened is opened once it can be") {
+    RingHarness harness(23);
+    REQUIRE(harness.store().put("a", "1"));
+    REQUIRE(harness.syncAndWait());
+    harness.close();
+    harness.disk().read_error = EIO;
+    PostingScheduler scheduler;
+    std::vector<Millis> pauses;
+    const auto wait = [&](Millis pause) {
+        pauses.push_back(pause);
+        if (pauses.size() == 6) harness.disk().read_error = 0;
+    };
+    const auto ring = openRing(scheduler, harness.directory(), smallRing(), wait);
+    CHECK(ring->read("a") == "1");
+    CHECK(pauses.size() == 6);
+    CHECK(pauses.front() < pauses.back());
+    CHECK(pauses.back() == Millis(1000));
+}
+
+TEST_CASE("A disk that nobody waits for, or that goes on from pass to pass, has not stalled") {
+    RingHarness harness(22);
+    listen(harness);
+    for (int i = 0; i < 100; ++i) {
+        REQUIRE(harness.store().put(keyOf(i), "v"));
+        REQUIRE(harness.syncAndWait());
+        harness.fireTimers();
+    }
+    for (int i = 0; i < 50; ++i) harness.fireTimers();
+    CHECK(harness.store().healthy());
+}
+
 TEST_CASE("A write that is cut in the middle leaves a beginning, and is written over when there is room") {
     for (int before = 1; before <= 3; ++before) {
         CAPTURE(before);
--- a/tests/cluster/ring_harness.hpp
+++ b/tests/cluster/ring_harness.hpp
@@ -66,6 +66,7 @@
     void failBySyncs(bool by_syncs) { disk_fails_by_syncs_ = by_syncs; }
     bool runUntil(const std::function<bool()>& holds) override { return scheduler_.runUntil(holds); }
     void runPending() override { scheduler_.runPosted(); }
+    void fireTimers() { scheduler_.fireTimers(); }
 
     void close() { store_.reset(); }
     void open() { store_ = std::make_unique<RingStore>(scheduler_, directory_, options_); }
