--- a/src/cluster/storage/outcomes.cpp
+++ b/src/cluster/storage/outcomes.cpp
@@ -7,8 +7,7 @@
 namespace {
 
 constexpr Millis kMinBackoff{20};
-constexpr Millis kFirstBackoff{60};  // most failures are single ones, and others of its order wait
-constexpr Millis kSecondBackoff{400};
+constexpr Millis kFirstBackoff{200};
 constexpr Millis kLastBackoff{1000};
 constexpr Millis kLastBackoffWhileDown{2000};
 constexpr std::uint32_t kBackoffDoublings = 4;
@@ -189,10 +188,9 @@
 }
 
 Millis Outcomes::backoff(QueueItem& item, bool destination_down) {
-    const std::uint32_t retries = std::min(item.retries++, kBackoffDoublings);
+    const std::uint32_t doublings = std::min(item.retries++, kBackoffDoublings);
     const Millis most = destination_down ? kLastBackoffWhileDown : kLastBackoff;
-    const Millis wanted = retries == 0 ? kFirstBackoff : kSecondBackoff * (1u << (retries - 1));
-    const Millis upper = std::min(wanted, most);
+    const Millis upper = std::min(kFirstBackoff * (1u << doublings), most);
     std::uniform_int_distribution<std::int64_t> draw(kMinBackoff.count(), upper.count());
     return Millis(draw(random_));
 }
--- a/tests/cluster/edge_store_test.cpp
+++ b/tests/cluster/edge_store_test.cpp
@@ -213,3 +213,49 @@
         CHECK_MESSAGE(play.faults.empty(), play.faultText());
     }
 }
+
+namespace {
+
+constexpr Millis kQuotaPeriod{100};
+
+// A share of a core as a quota: each process runs for a part of each tenth of a second, from a moment of its
+// own on, and stands still for the rest.
+void limitByQuota(Play& play, Millis standing, SteadyTime until) {
+    const auto stop = [&play, standing](SimulatedScheduler* scheduler, MemoryTransport* transport) {
+        scheduler->freeze(standing);
+        transport->freeze(play.world().now() + standing);
+    };
+    for (SteadyTime at = play.world().now(); at < until; at += kQuotaPeriod) {
+        for (std::size_t index = 0; index < play.edges.size() + play.stores.machines.size(); ++index) {
+            const Millis offset(static_cast<std::int64_t>(play.world().chance() * 25));
+            play.world().at(at + offset, [&play, stop, index] {
+                if (index < play.edges.size()) {
+                    EdgeProcess& edge = play.edges[index];
+                    return stop(edge.scheduler.get(), edge.transport.get());
+                }
+                auto& process = play.stores.machines[index - play.edges.size()]->process;
+                stop(process->scheduler.get(), process->transport.get());
+            });
+        }
+    }
+}
+
+}  // namespace
+
+TEST_CASE("edges and stores whose processor is a quota keep the rules, and nothing waits for good") {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        INFO("seed " << seed);
+        Play play(seed, 3);
+        play.servers.failures = 0.05;
+        play.servers.rejections = 0.02;
+        play.servers.full = 0.05;
+        limitByQuota(play, Millis(75), play.world().now() + Millis(30'000));
+        traffic(play, 300);
+        play.world().run(Millis(40'000));
+        play.check();
+        CHECK(play.accepted() > 250);
+        CHECK(play.unfinished() == 0);
+        CHECK(rerunsOfReadSuccesses(play) == 0);
+        CHECK_MESSAGE(play.faults.empty(), play.faultText());
+    }
+}
