Send configurations as differences in pages, within half of the core's link

Cause: a core machine sent the whole configuration (some 300 KB of JSON) to each of its 59 watchers at every change and at the start. That is 1.6 s of a link of 86 Mbit/s. Watchers gave up after 1.6 s and were sent the whole again by another core machine; leases, votes and register rounds waited behind it. The load grew with machines times configuration, and with each timeout.

Evidence: cluster.control_narrow_link_test (five core machines on links of 86 Mbit/s, 295 dispatchers, 600 services, changes) on the program before: control_narrow_link_test.cpp:97: ERROR: CHECK( play.inForceWithin(version, kInForceWithin) ) is NOT correct! logged: version := 5; the same for 8 control_narrow_link_test.cpp:96: FATAL ERROR: REQUIRE( play.replace(...) ) version := 9 On links without a bound nothing of it was seen.

Change: a dispatcher names the configuration that it has, and gets the routes and services that differ, decoded without JSON, compressed. Who has none, or one that is not kept any more, gets the whole in pages of 32 KB, which go on at any core machine after a lost connection. All answers to watches together take half of the link that the settings name. Core machines count what they send and how long a watcher waited. Messages between members have changed.

--- a/bench/cluster_core_bench.cpp
+++ b/bench/cluster_core_bench.cpp
@@ -184,6 +184,18 @@
     return list;
 }
 
+// A configuration of about so many bytes, whose first service differs by version.
+std::string configurationOf(std::int64_t version, std::size_t bytes) {
+    std::string services;
+    for (std::size_t i = 0; services.size() < bytes; ++i) {
+        const std::size_t name = i == 0 ? static_cast<std::size_t>(version) : i;
+        services += std::string(i == 0 ? "" : ",") + R"({"name":"service-)" +
+                    std::to_string(std::hash<std::size_t>{}(name)*2654435761U) + "-" + std::to_string(i) +
+                    R"(","healthCheck":"/healthz","maxConnections":96,"ratePerS":0.0,"static":null})";
+    }
+    return R"({"generation":)" + std::to_string(version) + R"(,"routes":[],"services":[)" + services + "]}";
+}
+
 // Only the long polls of a core machine, with values that the parent commands.
 void playDistribution(std::uint16_t port) {
     EventLoop loop;
@@ -200,10 +212,7 @@
         ++version;
         const std::size_t size = std::stoul(request.body);
         if (request.kind == kSetConfiguration) {
-            ConfigurationState state;
-            state.generation = version;
-            state.body.assign(size, 'x');
-            distribution.setConfiguration(std::move(state));
+            distribution.setConfiguration({version, configurationOf(version, size), {}});
         }
         if (request.kind == kSetServers) {
             distribution.setServers(serverList(static_cast<std::uint64_t>(version), size));
@@ -246,7 +255,7 @@
         bytes += static_cast<double>(result.reply.body.size());
         const auto reply = decode<WatchReply>(result.reply.body);
         if (!reply) return;
-        if (reply->config) versions_[index].generation = reply->config->generation;
+        if (reply->config) versions_[index].generation = reply->config->configuration.generation;
         if (reply->servers) versions_[index].servers = reply->servers->version;
     }
     NodeAddress core_;
--- a/bench/cluster_edge_bench.cpp
+++ b/bench/cluster_edge_bench.cpp
@@ -6,7 +6,7 @@
 
 #include "bench/cluster_bench_support.hpp"
 #include "cluster/common/codec.hpp"
-#include "cluster/common/configuration.hpp"
+#include "cluster/common/configuration_update.hpp"
 #include "cluster/common/evhttp_client.hpp"
 #include "cluster/edge/service_dispatcher.hpp"
 #include "heronmount/dispatcher.hpp"
@@ -45,20 +45,17 @@
 }
 
 void measureConfiguration(int runs, int routes) {
-    WatchReply change;
-    change.config.emplace();
-    change.config->generation = 1;
-    change.config->body = configurationJson(routes);
-    const std::string bytes = encode(change);
+    const std::string body = configurationJson(routes);
+    const std::string bytes = encodeUpdate(updateFrom(nullptr, parseConfiguration(body)));
     Series micros;
     for (int run = 0; run < runs; ++run) {
         const double start = ownMicros();
-        const auto reply = decode<WatchReply>(bytes);
-        const Configuration read = parseConfiguration(reply->config->body);
+        const Configuration read = applyUpdate(nullptr, *decodeUpdate(bytes));
         micros.add(ownMicros() - start);
     }
     const std::string what = "edge: configuration of " + std::to_string(routes) + " routes and services, " +
-                             std::to_string(bytes.size()) + " bytes";
+                             std::to_string(body.size()) + " bytes, " + std::to_string(bytes.size()) +
+                             " sent";
     micros.print(what, "us");
 }
 
--- a/src/cluster/common/configuration.cpp
+++ b/src/cluster/common/configuration.cpp
@@ -51,6 +51,14 @@
     indexRoutes();
 }
 
+void Configuration::checkServicesExist() const {
+    for (std::size_t i = 0; i < routes.size(); ++i) {
+        if (service(routes[i].service) != nullptr) continue;
+        throw ConfigurationError(fieldOf("routes", i, "backend"),
+                                 "there is no service '" + routes[i].service + "'");
+    }
+}
+
 void Configuration::indexServices() {
     service_by_name_.clear();
     for (std::size_t i = 0; i < services.size(); ++i) {
--- a/src/cluster/common/configuration.hpp
+++ b/src/cluster/common/configuration.hpp
@@ -37,6 +37,8 @@
     Millis retention{0};
     bool callback = false;
 
+    bool operator==(const Route&) const = default;
+
     // What an order belongs to beside its key: a route may get another name without its order being cut.
     std::string orderScope() const { return hostname + path_prefix; }
 };
@@ -48,6 +50,8 @@
     double rate_per_s = 0;              // 0: no ceiling
     bool idempotent = false;
     std::optional<NodeAddress> endpoint;  // `static`: a single server that is on no list
+
+    bool operator==(const Service&) const = default;
 };
 
 struct HttpLimits {
@@ -55,6 +59,8 @@
     std::uint32_t max_body_bytes = 262144;
     Millis header_timeout{3000};
     Millis idle_timeout{15000};
+
+    bool operator==(const HttpLimits&) const = default;
 };
 
 // Read-only once parsed, so that one copy can be shared (std::shared_ptr<const Configuration>).
@@ -74,6 +80,8 @@
     // `routes` or `services` by hand. Throws ConfigurationError for a name, or a host and prefix, that occurs
     // twice.
     void buildIndexes();
+    // Throws ConfigurationError for a route whose service is not among `services`.
+    void checkServicesExist() const;
 
 private:
     // Lets the maps be searched with a std::string_view.
--- a/src/cluster/common/configuration_parser.cpp
+++ b/src/cluster/common/configuration_parser.cpp
@@ -191,15 +191,6 @@
     return limits;
 }
 
-void checkServicesExist(const Configuration& configuration) {
-    for (std::size_t i = 0; i < configuration.routes.size(); ++i) {
-        const std::string& name = configuration.routes[i].service;
-        if (configuration.service(name) != nullptr) continue;
-        throw ConfigurationError("routes[" + std::to_string(i) + "].backend",
-                                 "there is no service '" + name + "'");
-    }
-}
-
 }  // namespace
 
 Configuration parseConfiguration(const std::string& json) {
@@ -217,7 +208,7 @@
     configuration.services = readServices(document["services"]);
     configuration.limits = readLimits(member(document, "limits"));
     configuration.buildIndexes();
-    checkServicesExist(configuration);
+    configuration.checkServicesExist();
     return configuration;
 }
 
--- a/src/cluster/common/control_messages.hpp
+++ b/src/cluster/common/control_messages.hpp
@@ -328,20 +328,55 @@
     }
 };
 
+// The configuration that a dispatcher has in force; generation 0: none.
+struct KnownConfiguration {
+    std::int64_t generation = 0;
+    std::uint64_t digest = 0;  // xxhash64 of the operator's body
+    auto operator<=>(const KnownConfiguration&) const = default;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(generation, digest);
+    }
+};
+// How much of an update a dispatcher has received so far.
+struct UpdateProgress {
+    std::uint64_t update_digest = 0;  // 0: nothing
+    std::uint64_t received_bytes = 0;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(update_digest, received_bytes);
+    }
+};
+// A part of the update (configuration_update.hpp) that leads from the base to `configuration`.
+struct ConfigurationPage {
+    std::int64_t base_generation = 0;  // 0: the whole configuration
+    KnownConfiguration configuration;
+    std::uint64_t update_digest = 0;  // xxhash64 of all pages' bytes
+    std::uint64_t total_bytes = 0;    // of all pages
+    std::uint64_t offset = 0;
+    std::string bytes;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(base_generation, configuration, update_digest, total_bytes, offset, bytes);
+    }
+};
+
 // Held by the core until something is newer than what the caller has, or max_wait_ms has passed.
 struct WatchRequest {
     std::string name;
-    std::int64_t config_generation = 0;
+    std::int64_t config_generation = 0;  // the newest seen, usable or not
     ServerListVersion servers;
     Epoch view_epoch = 0;
     std::int64_t max_wait_ms = 0;
+    KnownConfiguration config_base{};  // what an update may rest on
+    UpdateProgress config_progress{};
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(name, config_generation, servers, view_epoch, max_wait_ms);
+        archive(name, config_generation, servers, view_epoch, max_wait_ms, config_base, config_progress);
     }
 };
 struct WatchReply {
-    std::optional<ConfigurationState> config;  // without `taken`
+    std::optional<ConfigurationPage> config;
     std::optional<ServerList> servers;
     std::optional<StoreView> view;
     template <class Archive>
--- a/src/cluster/common/settings.cpp
+++ b/src/cluster/common/settings.cpp
@@ -12,6 +12,7 @@
 constexpr NumberRange kCount{0, kMostUint32};
 constexpr NumberRange kPositiveCount{1, kMostUint32};
 constexpr NumberRange kPositive{1e-6, 1e9};
+constexpr NumberRange kNotNegative{0, 1e9};
 constexpr std::uint16_t kPortsNeeded = static_cast<std::uint16_t>(PortOffset::store) + 1;
 
 std::optional<NodeAddress> addressIfAny(const SettingsField& field) {
@@ -48,6 +49,7 @@
     limits.cpu_share = field.child("cpuShare").numberOr(limits.cpu_share, kPositive);
     limits.memory_mb = field.child("memoryMb").wholeOr(limits.memory_mb, kPositiveCount);
     limits.max_fds = field.child("maxFds").wholeOr(limits.max_fds, kPositiveCount);
+    limits.link_mbps = field.child("linkMbps").numberOr(limits.link_mbps, kNotNegative);
     limits.disk_mb = field.child("diskMb").wholeOr(limits.disk_mb, kCount);
     return limits;
 }
--- a/src/cluster/common/settings.hpp
+++ b/src/cluster/common/settings.hpp
@@ -24,6 +24,7 @@
     double cpu_share = 1;
     std::uint32_t memory_mb = 256;
     std::uint32_t max_fds = 1024;
+    double link_mbps = 0;  // 0: not told
     std::uint32_t disk_mb = 0;
 };
 
--- a/src/cluster/control/control_node.cpp
+++ b/src/cluster/control/control_node.cpp
@@ -133,10 +133,12 @@
            .holds_lease_of = [this](std::uint64_t version) { return election_.leaseVersion() == version; },
            .renew_lease = [this] { election_.renew(); }},
           {settings.zone, settings.topology, {settings.tolerance.zones, settings.tolerance.regions}}),
-      distribution_(scheduler, {.is_fresh = [this] { return chosen_.isFresh() && unreadable_.empty(); },
-                                .is_confirmed_since =
-                                    [this](SteadyTime since) { return chosen_.isConfirmedSince(since); },
-                                .confirm = [this] { chosen_.confirm(); }}),
+      distribution_(
+          scheduler,
+          {.is_fresh = [this] { return chosen_.isFresh() && unreadable_.empty(); },
+           .is_confirmed_since = [this](SteadyTime since) { return chosen_.isConfirmedSince(since); },
+           .confirm = [this] { chosen_.confirm(); }},
+          settings.limits.link_mbps),
       relay_(scheduler, transport, settings.name,
              {.leader = [this] { return leaderAddress(); },
               .known =
@@ -288,8 +290,8 @@
     if (value == nullptr) return;
     unreadable_.erase(key);
     if (key == kConfigKey) {
-        if (auto state = readConfigurationState(value->value))
-            return distribution_.setConfiguration(std::move(*state));
+        if (const auto state = readConfigurationState(value->value))
+            return distribution_.setConfiguration(*state);
     } else if (auto view = readStoreView(value->value)) {
         keeper_.onView(*view);
         return distribution_.setView(std::move(*view));
--- a/src/cluster/control/control_status.cpp
+++ b/src/cluster/control/control_status.cpp
@@ -141,6 +141,15 @@
     json.EndObject();
 }
 
+void addDistribution(MetricsText& text, const DistributionCounters& counters) {
+    text.add("configurations_sent_whole", counters.whole_configurations);
+    text.add("configurations_sent_as_difference", counters.configuration_differences);
+    text.add("configuration_bytes_sent", counters.configuration_bytes);
+    text.add("other_watch_bytes_sent", counters.other_bytes);
+    text.add("watch_waits_for_link", counters.waits_for_link);
+    text.add("watch_longest_wait_ms", static_cast<std::uint64_t>(counters.longest_wait.count()));
+}
+
 }  // namespace
 
 std::string metricsAsText(const StatusSources& sources) {
@@ -160,6 +169,7 @@
     text.add("servers_count", servers == nullptr ? 0 : servers->version.count);
     text.add("servers_listed", servers == nullptr ? 0 : servers->servers.size());
     text.add("watchers", sources.distribution.watchers());
+    addDistribution(text, sources.distribution.counters());
     text.add("members_core", sources.membership.known(NodeKind::core).size());
     text.add("members_store", sources.membership.known(NodeKind::store).size());
     text.add("members_edge", sources.membership.known(NodeKind::edge).size());
--- a/src/cluster/control/core_client.cpp
+++ b/src/cluster/control/core_client.cpp
@@ -8,6 +8,8 @@
 #include <set>
 #include <utility>
 
+#include "cluster/common/configuration_update.hpp"
+#include "cluster/control/configuration_assembler.hpp"
 #include "cluster/control/lease_times.hpp"
 #include "cluster/control/lifetime.hpp"
 #include "cluster/control/typed_call.hpp"
@@ -81,7 +83,8 @@
     void planRoundWithout(const NodeAddress& failed);
 
     void take(WatchReply reply);
-    void takeConfiguration(const ConfigurationState& state);
+    void takePage(const ConfigurationPage& page);
+    void takeUpdate(const ConfigurationPage& last_page, const std::string& bytes);
     void takeServers(ServerList servers);
     void takeView(StoreView view);
 
@@ -105,7 +108,9 @@
     SteadyTime watched_since_{};
     std::uint64_t watch_serial_ = 0;  // answers to earlier watches move nothing on
 
-    std::int64_t seen_generation_ = 0;  // also of a configuration that could not be read
+    std::int64_t seen_generation_ = 0;  // also of a configuration that could not be used
+    ConfigurationAssembler assembler_;
+    KnownConfiguration update_base_;  // of `configuration_`; none after an update that could not be applied
     std::shared_ptr<const Configuration> configuration_;
     std::shared_ptr<const ServerList> servers_;
     std::shared_ptr<const StoreView> view_;
@@ -334,6 +339,8 @@
     request.servers = servers_ ? servers_->version : ServerListVersion{};
     request.view_epoch = view_ ? view_->epoch : 0;
     request.max_wait_ms = kWatchWait.count();
+    request.config_base = update_base_;
+    request.config_progress = assembler_.progress();
     const auto done = [this, serial, address](std::optional<WatchReply> reply) {
         onWatched(serial, address, std::move(reply));
     };
@@ -361,20 +368,33 @@
 }
 
 void CoreClient::Impl::take(WatchReply reply) {
-    if (reply.config) takeConfiguration(*reply.config);
+    if (reply.config) takePage(*reply.config);
     if (reply.view) takeView(std::move(*reply.view));
     if (reply.servers) takeServers(std::move(*reply.servers));
 }
 
-void CoreClient::Impl::takeConfiguration(const ConfigurationState& state) {
-    if (state.generation <= seen_generation_) return;
-    seen_generation_ = state.generation;
+void CoreClient::Impl::takePage(const ConfigurationPage& page) {
+    if (page.configuration.generation <= seen_generation_) return;
+    const std::optional<std::string> bytes = assembler_.add(page);
+    if (bytes) takeUpdate(page, *bytes);
+}
+
+void CoreClient::Impl::takeUpdate(const ConfigurationPage& last_page, const std::string& bytes) {
+    const std::int64_t generation = last_page.configuration.generation;
+    const bool whole = last_page.base_generation == 0;
     try {
-        configuration_ = std::make_shared<const Configuration>(parseConfiguration(state.body));
+        const std::optional<ConfigurationUpdate> update = decodeUpdate(bytes);
+        if (!update) throw ConfigurationError("update", "it can't be read");
+        configuration_ = std::make_shared<const Configuration>(applyUpdate(configuration_.get(), *update));
     } catch (const ConfigurationError& error) {
-        LOG(ERROR) << "configuration " << state.generation << " is skipped: " << error.what();
+        LOG(ERROR) << "configuration " << generation << (whole ? " is skipped: " : " is asked for whole: ")
+                   << error.what();
+        update_base_ = {};
+        if (whole) seen_generation_ = generation;
         return;
     }
+    seen_generation_ = generation;
+    update_base_ = last_page.configuration;
     if (callbacks_.on_configuration) callbacks_.on_configuration(configuration_);
 }
 
--- a/src/cluster/control/distribution.cpp
+++ b/src/cluster/control/distribution.cpp
@@ -14,29 +14,42 @@
 constexpr unsigned kServersPart = 2;
 constexpr unsigned kViewPart = 4;
 constexpr unsigned kConfirmedParts = kConfigPart | kViewPart;  // told only with a confirmation
+// The rest is for leases, the register and the operator.
+constexpr double kShareOfLink = 0.5;
+constexpr Millis kBurst{100};
+constexpr double kBytesPerMegabit = 1e6 / 8;
 
 }  // namespace
 
-Distribution::Distribution(Scheduler& scheduler, ConfirmationHooks hooks)
-    : scheduler_(scheduler), hooks_(std::move(hooks)) {}
+Distribution::Distribution(Scheduler& scheduler, ConfirmationHooks hooks, double link_mbps)
+    : scheduler_(scheduler),
+      hooks_(std::move(hooks)),
+      link_(link_mbps * kBytesPerMegabit * kShareOfLink, kBurst) {}
 
 unsigned Distribution::newerParts(const WatchRequest& request) const {
     unsigned parts = 0;
-    if (config_ && config_->generation > request.config_generation) parts |= kConfigPart;
+    if (configurationGeneration() > request.config_generation) parts |= kConfigPart;
     if (servers_ && servers_->version > request.servers) parts |= kServersPart;
     if (view_ && view_->epoch > request.view_epoch) parts |= kViewPart;
     return parts;
 }
 
-const std::string& Distribution::encoded(unsigned parts) {
-    std::string& bytes = encoded_[parts];
-    if (!bytes.empty()) return bytes;
+std::optional<ConfigurationPage> Distribution::nextPage(unsigned parts, const WatchRequest& request) {
+    if ((parts & kConfigPart) == 0) return std::nullopt;
+    return configurations_.updateFrom(request.config_base).pageAfter(request.config_progress);
+}
+
+const std::string& Distribution::encoded(unsigned parts, const WatchRequest& request) {
+    std::optional<ConfigurationPage> page = nextPage(parts, request);
+    const AnswerKey key{parts, page ? page->base_generation : 0, page ? page->offset : 0};
+    const auto [found, is_new] = encoded_.try_emplace(key);
+    if (!is_new) return found->second;
     WatchReply answer;
-    if (parts & kConfigPart) answer.config = config_;
+    answer.config = std::move(page);
     if (parts & kServersPart) answer.servers = servers_;
     if (parts & kViewPart) answer.view = view_;
-    bytes = encode(answer);
-    return bytes;
+    found->second = encode(answer);
+    return found->second;
 }
 
 void Distribution::watch(const WatchRequest& request, Responder respond) {
@@ -54,20 +67,55 @@
     return (parts & kConfirmedParts) == 0 || hooks_.is_confirmed_since(watcher.since);
 }
 
-bool Distribution::tell(const Watcher& watcher) {
+bool Distribution::tell(Watcher& watcher) {
     const unsigned newer = newerParts(watcher.request);
     if (newer == 0) return false;
+    if (!watcher.news_since) watcher.news_since = scheduler_.now();
     if (!mayBeTold(watcher, newer)) {
         unconfirmed_ = true;
         return false;
     }
-    watcher.respond(Envelope{0, encoded(newer)});
+    const Millis pause = link_.waitAt(scheduler_.now());
+    if (pause > Millis(0)) {
+        waitForLink(pause);
+        return false;
+    }
+    answer(watcher, newer);
     return true;
 }
 
+void Distribution::answer(const Watcher& watcher, unsigned parts) {
+    const std::string& bytes = encoded(parts, watcher.request);
+    link_.spend(bytes.size());
+    count(parts, watcher.request, bytes.size());
+    const auto waited = std::chrono::floor<Millis>(scheduler_.now() - *watcher.news_since);
+    counters_.longest_wait = std::max(counters_.longest_wait, waited);
+    watcher.respond(Envelope{0, bytes});
+}
+
+void Distribution::count(unsigned parts, const WatchRequest& request, std::size_t bytes) {
+    if ((parts & kConfigPart) == 0) {
+        counters_.other_bytes += bytes;
+        return;
+    }
+    counters_.configuration_bytes += bytes;
+    const EncodedUpdate& update = configurations_.updateFrom(request.config_base);
+    if (update.pageAfter(request.config_progress).offset > 0) return;
+    ++(update.base_generation == 0 ? counters_.whole_configurations : counters_.configuration_differences);
+}
+
+void Distribution::waitForLink(Millis pause) {
+    ++counters_.waits_for_link;
+    if (link_timer_) return;
+    link_timer_ = scheduler_.after(pause, [this] {
+        link_timer_.reset();
+        tellAll();
+    });
+}
+
 void Distribution::tellAll() {
     unconfirmed_ = false;
-    std::erase_if(watchers_, [this](const Watcher& watcher) { return tell(watcher); });
+    std::erase_if(watchers_, [this](Watcher& watcher) { return tell(watcher); });
     if (unconfirmed_) hooks_.confirm();
 }
 
@@ -75,11 +123,8 @@
     if (unconfirmed_) tellAll();
 }
 
-void Distribution::setConfiguration(ConfigurationState state) {
-    if (state.generation <= configurationGeneration()) return;
-    state.taken.clear();
-    config_ = std::move(state);
-    changed();
+void Distribution::setConfiguration(const ConfigurationState& state) {
+    if (configurations_.add(state)) changed();
 }
 
 void Distribution::setServers(ServerList servers) {
@@ -96,7 +141,7 @@
 }
 
 void Distribution::changed() {
-    for (std::string& bytes : encoded_) bytes.clear();
+    encoded_.clear();
     tellAll();
 }
 
@@ -106,7 +151,7 @@
     std::erase_if(watchers_, [&](const Watcher& watcher) {
         // That nothing is newer needs a confirmation too; it comes, or this machine is not fresh any more.
         if (fresh && (watcher.until > now || !hooks_.is_confirmed_since(watcher.since))) return false;
-        watcher.respond(fresh ? Envelope{0, encoded(0)} : Envelope{});
+        watcher.respond(fresh ? Envelope{0, encoded(0, watcher.request)} : Envelope{});
         return true;
     });
 }
--- a/tests/cluster/control_cut_off_test.cpp
+++ b/tests/cluster/control_cut_off_test.cpp
@@ -273,7 +273,7 @@
             const auto answer = decode<WatchReply>(result.reply.body);
             if (result.verdict != Verdict::answered || !answer) return;
             if (!answer->config) return void(++failures_.held);
-            if (answer->config->generation < newest) ++failures_.old;
+            if (answer->config->configuration.generation < newest) ++failures_.old;
         });
     }
 
@@ -377,7 +377,7 @@
     };
     const auto before = ask();
     REQUIRE(before.has_value());
-    CHECK(before->config->generation == 3);
+    CHECK(before->config->configuration.generation == 3);
     const AcceptRequest garbage{kConfigKey, {1u << 30, "other"}, "?", {0, play.coreAddresses()}};
     for (const NodeAddress& core : play.coreAddresses())
         outside.call(core, envelope(MessageKind::register_accept, garbage), Millis(500),
--- a/tests/cluster/control_distribution_test.cpp
+++ b/tests/cluster/control_distribution_test.cpp
@@ -1,7 +1,9 @@
 // Long polls, membership, and the dispatchers' side: CoreClient.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
+#include <xxhash.h>
 
+#include "cluster/common/configuration_update.hpp"
 #include "cluster/control/distribution.hpp"
 #include "cluster/control/membership.hpp"
 #include "tests/cluster/control_world.hpp"
@@ -14,6 +16,13 @@
 ConfigurationState configuration(std::int64_t generation) {
     return {generation, configurationJson(generation), {{generation, 0, 1}}};
 }
+bool holdsSame(const Configuration& left, const Configuration& right) {
+    return left.generation == right.generation && left.routes == right.routes &&
+           left.services == right.services && left.limits == right.limits;
+}
+std::uint64_t digestOf(const std::string& bytes) {
+    return XXH64(bytes.data(), bytes.size(), 0);
+}
 ServerList servers(std::uint64_t term, std::uint64_t count) {
     return {{term, count}, {}};
 }
@@ -26,13 +35,14 @@
 
 class DistributionPlay {
 public:
-    DistributionPlay()
+    explicit DistributionPlay(double link_mbps = 0)
         : world(1),
           scheduler(world),
           distribution(scheduler,
                        {.is_fresh = [this] { return fresh; },
                         .is_confirmed_since = [this](SteadyTime since) { return confirmed_at >= since; },
-                        .confirm = [this] { ++rounds_asked; }}) {}
+                        .confirm = [this] { ++rounds_asked; }},
+                       link_mbps) {}
 
     // A round that began now has succeeded.
     void confirm() {
@@ -126,9 +136,11 @@
     const auto watched = decode<WatchReply>((*answer)->body);
     REQUIRE(watched);
     REQUIRE(watched->config);
-    CHECK(watched->config->generation == 4);
-    CHECK(watched->config->body == configurationJson(4));
-    CHECK(watched->config->taken.empty());
+    CHECK(watched->config->configuration.generation == 4);
+    const auto update = decodeUpdate(watched->config->bytes);
+    REQUIRE(update);
+    CHECK(update->base_generation == 0);
+    CHECK(holdsSame(applyUpdate(nullptr, *update), parseConfiguration(configurationJson(4))));
     CHECK_FALSE(watched->servers);
     CHECK_FALSE(watched->view);
 }
@@ -165,7 +177,7 @@
     play.confirm();
     REQUIRE(answer->has_value());
     const auto watched = decode<WatchReply>((**answer).body);
-    CHECK(watched->config->generation == 4);
+    CHECK(watched->config->configuration.generation == 4);
     CHECK(watched->servers->version == ServerListVersion{2, 1});
     CHECK(watched->view->epoch == 5);
 }
@@ -180,13 +192,13 @@
     const auto later = play.watch(request(4, {}, 0));
     play.distribution.setConfiguration(configuration(5));
     REQUIRE(covered->has_value());
-    CHECK(decode<WatchReply>((**covered).body)->config->generation == 5);
+    CHECK(decode<WatchReply>((**covered).body)->config->configuration.generation == 5);
     CHECK_FALSE(later->has_value());
     CHECK(play.rounds_asked == 1);
     play.distribution.setConfiguration(configuration(6));
     play.confirm();
     REQUIRE(later->has_value());
-    CHECK(decode<WatchReply>((**later).body)->config->generation == 6);
+    CHECK(decode<WatchReply>((**later).body)->config->configuration.generation == 6);
 }
 
 TEST_CASE("servers alone need no confirmation") {
@@ -218,6 +230,64 @@
     CHECK(play.distribution.watchers() == 0);
 }
 
+TEST_CASE("what is handed out leaves half of the link to others, and everybody gets his part") {
+    constexpr double kMegabits = 8;
+    constexpr std::size_t kHalfOfLink = 500;  // bytes a millisecond
+    DistributionPlay play(kMegabits);
+    ServerList list = servers(2, 5);
+    list.servers.resize(200);
+    std::vector<std::shared_ptr<std::optional<Envelope>>> answers;
+    for (int watcher = 0; watcher < 40; ++watcher) answers.push_back(play.watch(request(0, {}, 0)));
+    play.distribution.setServers(list);
+    std::size_t answered = 0;
+    for (int step = 1; step <= 90; ++step) {
+        play.world.run(Millis(10));
+        std::size_t bytes = 0;
+        std::size_t count = 0;
+        for (const auto& answer : answers) {
+            if (answer->has_value()) ++count, bytes += (**answer).body.size();
+        }
+        CHECK(bytes <= kHalfOfLink * (100 + 10 * step) + (*answers.front())->body.size());
+        CHECK(count >= answered);
+        answered = count;
+    }
+    CHECK(answered == answers.size());
+    CHECK(play.distribution.counters().waits_for_link > 0);
+    CHECK(play.distribution.counters().longest_wait > Millis(100));
+}
+
+TEST_CASE("a client takes a difference, and asks for the whole where a difference can't be applied") {
+    ClientPlay play;
+    play.world.run(Millis(100));
+    FakeCore& core = play.watched();
+    const auto answer = [&](const ConfigurationPage& page) {
+        REQUIRE(!core.held.empty());
+        WatchReply watched;
+        watched.config = page;
+        core.held.back()(reply(watched));
+        core.held.clear();
+        play.world.run(Millis(50));
+    };
+    ConfigurationHistory history;
+    history.add({4, configurationJson(4), {}});
+    const KnownConfiguration fourth = history.updateFrom({}).configuration;
+    answer(history.updateFrom({}).pageAfter({}));
+    REQUIRE(!core.watches.empty());
+    CHECK(core.watches.back().config_base == fourth);
+    history.add({5, configurationJson(5, "other"), {}});
+    answer(history.updateFrom(fourth).pageAfter({}));
+    CHECK(play.client->client().configuration()->service("other") != nullptr);
+    CHECK(play.client->client().configuration()->service("desk") == nullptr);
+    CHECK(core.watches.back().config_base == history.updateFrom({}).configuration);
+    history.add({6, configurationJson(6), {}});
+    answer(history.updateFrom(fourth).pageAfter({}));  // rests on what the client has no more
+    CHECK(play.client->client().configuration()->generation == 5);
+    CHECK(core.watches.back().config_base == KnownConfiguration{});
+    CHECK(core.watches.back().config_generation == 5);
+    answer(history.updateFrom({}).pageAfter({}));
+    CHECK(play.client->generations == std::vector<std::int64_t>{4, 5, 6});
+}
+
 TEST_CASE(
     "membership: leases end, a leaving member stays leaving, late renewals of a former process are ignored") {
     World world(1);
@@ -259,7 +329,7 @@
     const auto answer = [&](std::int64_t generation, ServerListVersion version, StoreView sent) {
         REQUIRE(!core.held.empty());
         WatchReply watched;
-        watched.config = configuration(generation);
+        watched.config = configurationPage(generation);
         watched.servers = ServerList{version, {}};
         watched.view = std::move(sent);
         core.held.back()(reply(watched));
@@ -274,7 +344,7 @@
     CHECK(play.client->server_versions == std::vector<ServerListVersion>{{2, 2}, {2, 3}});
     CHECK(play.client->epochs == std::vector<Epoch>{4, 4});
     WatchReply broken;
-    broken.config = ConfigurationState{6, "{", {}};
+    broken.config = ConfigurationPage{0, {6, 1}, digestOf("{"), 1, 0, "{"};
     core.held.back()(reply(broken));
     play.world.run(Millis(50));
     CHECK(play.client->client().configuration()->generation == 5);
@@ -308,7 +378,7 @@
     FakeCore& before = play.watched();
     FakeCore& other = &before == &play.first ? play.second : play.first;
     REQUIRE(other.watches.empty());
-    other.next.config = configuration(7);
+    other.next.config = configurationPage(7);
     SUBCASE("a configuration") {
         other.renewal.config_generation = 7;
     }
@@ -328,7 +398,7 @@
     CHECK(watches > 20);
     CHECK(watches < 120);
     play.second.refuses = false;
-    play.second.next.config = configuration(2);
+    play.second.next.config = configurationPage(2);
     play.world.run(Millis(1200));
     CHECK(play.client->generations == std::vector<std::int64_t>{2});
 }
--- /dev/null
+++ b/tests/cluster/control_narrow_link_test.cpp
@@ -0,0 +1,71 @@
+// Large configurations, hundreds of dispatchers, and core machines with narrow links.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "tests/cluster/control_world.hpp"
+#include "tests/cluster/large_configuration.hpp"
+
+using namespace amberswitch::cluster;
+using namespace amberswitch::cluster::simulation;
+
+namespace {
+
+constexpr double kCoreLink = 86e6 / 8 / 1000;  // bytes a millisecond
+constexpr Millis kLead{14000};                 // from the start of the machines to that of the traffic
+constexpr Millis kInForceWithin{5000};
+
+// Five core machines on narrow links, and dispatchers that start with them.
+class LargePlay {
+public:
+    LargePlay(std::uint64_t seed, std::size_t edges, std::size_t stores) : world(seed, 5) {
+        for (auto& machine : world.core) {
+            world.network.link_bytes_per_ms[machine->ip()] = kCoreLink;
+            machine->settings().limits.link_mbps = 86;
+        }
+        for (std::size_t i = 0; i < edges + stores; ++i) {
+            const bool is_edge = i < edges;
+            const std::string number = std::to_string(i);
+            world.addClient((is_edge ? "edge-" : "store-") + number,
+                            is_edge ? NodeKind::edge : NodeKind::store,
+                            "10.2." + std::to_string(i / 250) + "." + std::to_string(i % 250));
+        }
+    }
+    // Sends a change until it is taken; false where that takes over `within`.
+    bool replace(std::int64_t base, const std::string& body, Millis within) {
+        const SteadyTime give_up_at = world.world.now() + within;
+        for (std::size_t attempt = 0; world.world.now() < give_up_at; ++attempt) {
+            CoreMachine& machine = *world.core[attempt % world.core.size()];
+            if (world.replace(machine, base, body) == 200) return true;
+            world.world.run(Millis(100));
+        }
+        return false;
+    }
+    bool allHave(std::int64_t generation) const {
+        return std::all_of(world.clients.begin(), world.clients.end(), [&](const auto& entry) {
+            const auto configuration = entry.second->client().configuration();
+            return configuration && configuration->generation >= generation;
+        });
+    }
+    bool inForceWithin(std::int64_t generation, Millis span) {
+        return world.world.runUntil([&] { return allHave(generation); }, span);
+    }
+
+    ControlWorld world;
+};
+
+}  // namespace
+
+TEST_CASE("a large configuration is in force everywhere before traffic begins, and a change of it in time") {
+    LargePlay play(1, 235, 60);
+    play.world.startAll();
+    REQUIRE(play.replace(0, largeConfiguration(4, 600), kLead));
+    CHECK(play.inForceWithin(4, kLead));
+    for (std::int64_t version = 5; version < 10; ++version) {
+        CAPTURE(version);
+        REQUIRE(play.replace(version - 1, largeConfiguration(version, 600), Millis(2000)));
+        CHECK(play.inForceWithin(version, kInForceWithin));
+        play.world.world.run(Millis(1400));
+    }
+}
--- a/tests/cluster/control_world.hpp
+++ b/tests/cluster/control_world.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cluster/common/codec.hpp"
+#include "cluster/control/configuration_history.hpp"
 #include "cluster/control/control_node.hpp"
 #include "cluster/control/core_client.hpp"
 #include "cluster/storage/record_store.hpp"
@@ -162,6 +163,13 @@
            R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 }
 
+// The only page of the whole configuration of that generation.
+inline ConfigurationPage configurationPage(std::int64_t generation) {
+    ConfigurationHistory history;
+    history.add({generation, configurationJson(generation), {}});
+    return history.updateFrom({}).pageAfter({});
+}
+
 // One core machine: its disk stays, its process comes and goes.
 class CoreMachine {
 public:
--- a/tests/cluster/settings_test.cpp
+++ b/tests/cluster/settings_test.cpp
@@ -147,6 +147,7 @@
     CHECK(settings.limits.cpu_share == 0.25);
     CHECK(settings.limits.memory_mb == 260);
     CHECK(settings.limits.max_fds == 4100);
+    CHECK(settings.limits.link_mbps == 1000.0);
     CHECK(settings.limits.disk_mb == 0);
     CHECK(settings.data_dir.empty());
     CHECK(settings.tolerance.machines == 1);
@@ -274,6 +275,7 @@
           "limits.memoryMb: must be from 1 to 4294967295, not 0");
     CHECK(faultOf(leastWith("limits: {maxFds: -1}")) ==
           "limits.maxFds: must be from 1 to 4294967295, not -1");
+    CHECK(faultOf(leastWith("limits: {linkMbps: -1}")).starts_with("limits.linkMbps: must be from 0"));
     CHECK(faultOf(leastWith("limits: {diskMb: -1}")) ==
           "limits.diskMb: must be from 0 to 4294967295, not -1");
     CHECK(faultOf(leastWith("limits: {cpuShare: .nan}")).starts_with("limits.cpuShare: must be from "));
--- a/tests/cluster/simulation.hpp
+++ b/tests/cluster/simulation.hpp
@@ -159,6 +159,9 @@
     Millis duplicate_delay{300};
     bool cuts_in_flight = false;                    // a cut also loses what is on its way
     std::map<std::string, std::uint64_t> bytes_to;  // sent to each machine: bodies of requests and answers
+    // What the link of each machine carries in a millisecond, outwards; links that are not named have no
+    // bound.
+    std::map<std::string, double> link_bytes_per_ms;
 
     void cut(const std::string& from_ip, const std::string& to_ip) { cuts_.insert({from_ip, to_ip}); }
     void cutBoth(const std::string& a, const std::string& b) { cut(a, b), cut(b, a); }
@@ -171,6 +174,17 @@
         if (isolated_.contains(from) != isolated_.contains(to)) return false;
         return !cuts_.contains({from, to});
     }
+    // How long the machine's link needs to send so much, behind what waits there already.
+    Millis sendingTime(const std::string& from_ip, std::size_t bytes) {
+        const auto link = link_bytes_per_ms.find(from_ip);
+        if (link == link_bytes_per_ms.end()) return Millis(0);
+        constexpr double kMicrosPerMilli = 1000;
+        SteadyTime& free_at = link_free_at_[from_ip];
+        free_at = std::max(free_at, world_.now()) +
+                  std::chrono::microseconds(
+                      static_cast<std::int64_t>(kMicrosPerMilli * static_cast<double>(bytes) / link->second));
+        return std::chrono::ceil<Millis>(free_at - world_.now());
+    }
     // What arrives there meanwhile is handled when the machine wakes.
     void freeze(const std::string& ip, Millis span) { frozen_until_[ip] = world_.now() + span; }
 
@@ -194,6 +208,7 @@
     std::set<std::pair<std::string, std::string>> cuts_;
     std::set<std::string> isolated_;
     std::map<std::string, SteadyTime> frozen_until_;
+    std::map<std::string, SteadyTime> link_free_at_;
 };
 
 // The transport of one process at one address. Destroying it is the death of the process.
@@ -230,7 +245,7 @@
         ++network_.requests;
         if (!network_.passes(self_.ip, to.ip)) return;
         network_.bytes_to[to.ip] += request.body.size();
-        send(to, request, network_.draw(), finish);
+        send(to, request, network_.draw() + network_.sendingTime(self_.ip, request.body.size()), finish);
         if (network_.duplication == 0 || world_.chance() >= network_.duplication) return;
         const double late = world_.chance() * static_cast<double>(network_.duplicate_delay.count());
         send(to, request, network_.draw() + Millis(static_cast<std::int64_t>(late)),
@@ -266,7 +281,8 @@
         peer->second->handler_(request, [&world, &network, from, to, finish, callee_alive](Envelope reply) {
             if (!*callee_alive || !network.passes(to.ip, from)) return;
             network.bytes_to[from] += reply.body.size();
-            world.at(world.now() + network.draw(), [&network, from, to, finish, reply = std::move(reply)] {
+            const Millis delay = network.draw() + network.sendingTime(to.ip, reply.body.size());
+            world.at(world.now() + delay, [&network, from, to, finish, reply = std::move(reply)] {
                 if (network.cuts_in_flight && !network.connects(to.ip, from)) return;
                 finish({Verdict::answered, reply});
             });
