The register keeps configurations compressed

Seen by callers: a configuration of 10,000 services (over 4 MB of JSON) was never acknowledged by five core machines on links of 86 Mbit/s: each Config.Replace ended as 503, no majority in time.

Cause: the value of the register held the operator's JSON as it was sent. Each round sends it to, or gets it from, every other core machine, which takes longer than the round may (0.4 s); it was also written to disk whole.

Evidence: register_values_test, "core machines store a configuration in less than a tenth of its bytes", before the change: CHECK( stored < body.size() / 10 ) is NOT correct! values: CHECK( 431200 < 43115 )

Change: encodeConfigurationState compresses the body (zlib) and readConfigurationState expands it, so that all others see plain JSON. A body that an older program wrote is JSON and is read as it is. Damaged bytes, a body that is neither, and one that expands to over 64 MB are not readable, never empty. A value of over 1 MB even compressed could not be exchanged and is refused with 413 instead of an unknown outcome. The size of a state does not depend on the attempt, so the refusal is certain.

An older program does not understand the body that this one writes; core machines of both versions can't exchange changes of the configuration. The status page expands the value once for each call.

Result: register_values_test (7 cases), control_unreadable, _window, _operators, _configuration_read and _listener_test pass.

--- a/src/cluster/control/operator_api.cpp
+++ b/src/cluster/control/operator_api.cpp
@@ -24,6 +24,7 @@
 constexpr Millis kReadTimeout{1500};
 constexpr const char* kConfigurationName = "configuration";
 constexpr const char* kViewName = "store view";
+constexpr const char* kTooLarge = "the configuration is too large";
 constexpr std::string_view kReplacePath = "/Config.Replace";
 constexpr std::string_view kReadPath = "/Config.Read";
 constexpr std::string_view kRetireStartPath = "/Retire.Start/";
@@ -48,12 +49,22 @@
             return textAnswer(400, "generation: must be above the one it builds on");
         case ReplaceVerdict::forgotten:
             return textAnswer(503, "too old to tell whether it was taken; the outcome is not known");
+        case ReplaceVerdict::too_large:
+            return textAnswer(413, kTooLarge);
         case ReplaceVerdict::unreadable:
             break;
     }
     return unreadableValue(kConfigurationName);
 }
 
+// The same state always gives the same size, so a state that is refused here was never written before.
+Decision writeIfFits(const ConfigurationState& next, ReplaceVerdict& verdict) {
+    std::string value = encodeConfigurationState(next);
+    if (value.size() <= kMaxConfigurationValueBytes) return Decision::replaceBy(std::move(value));
+    verdict = ReplaceVerdict::too_large;
+    return Decision::keep();
+}
+
 }  // namespace
 
 std::int64_t newestForgotten(const ConfigurationState& state) {
@@ -95,8 +106,7 @@
 }
 
 void OperatorApi::replaceConfiguration(const HttpRequest& request, HttpResponder respond) {
-    if (request.body.size() > kMaxOperatorBodyBytes)
-        return respond(textAnswer(413, "the configuration is too large"));
+    if (request.body.size() > kMaxOperatorBodyBytes) return respond(textAnswer(413, kTooLarge));
     const std::optional<std::int64_t> base = parseVersion(headerValue(request.headers, "Base-Version"));
     if (!base) return respond(textAnswer(400, "Base-Version: must be a whole number, 0 or more"));
     TakenChange change;
@@ -118,7 +128,7 @@
         const ReplaceDecision decision = state ? decideReplace(*state, change, body)
                                                : ReplaceDecision{ReplaceVerdict::unreadable, false, {}};
         *verdict = decision.verdict;
-        return decision.write ? Decision::replaceBy(encode(decision.next)) : Decision::keep();
+        return decision.write ? writeIfFits(decision.next, *verdict) : Decision::keep();
     };
     const auto done = [this, change, verdict, respond = std::move(respond)](const ChangeOutcome& outcome) {
         HttpResponse answer = outcome.known ? answerOf(*verdict) : unknownOutcome();
--- a/src/cluster/control/operator_api.hpp
+++ b/src/cluster/control/operator_api.hpp
@@ -23,6 +23,7 @@
     other_base,          // surely not taken, now or before
     generation_too_low,  // not above its own base: never valid
     forgotten,           // so old that it may be a taken one that is not remembered any more
+    too_large,           // even compressed
     unreadable           // the register's value is
 };
 
--- a/src/cluster/control/register_values.cpp
+++ b/src/cluster/control/register_values.cpp
@@ -2,13 +2,19 @@
 
 #include <glog/logging.h>
 
+#include <string_view>
+#include <utility>
+
 #include "cluster/common/codec.hpp"
+#include "cluster/common/compression.hpp"
 #include "cluster/control/register_messages.hpp"
 
 namespace amberswitch::cluster {
 namespace {
 
 constexpr int kLogIntervalS = 10;
+// Of the body of a configuration; far above what an operator can send.
+constexpr std::size_t kMaxExpandedBytes = 64 * 1024 * 1024;
 
 // Zeroed bytes decode too, to a value that nobody ever writes.
 bool isWritten(const ConfigurationState& state) {
@@ -21,11 +27,33 @@
     return voters.version > 0 && !voters.addresses.empty();
 }
 
+// Whether a body may be what an operator sent: a JSON object, after white space at most.
+bool looksLikeJson(std::string_view body) {
+    const std::size_t start = body.find_first_not_of(" \t\r\n");
+    return start != std::string_view::npos && body[start] == '{';
+}
+
+// Turns the parts that are kept compressed into plain ones. False: they are damaged.
+bool expand(ConfigurationState& state) {
+    if (looksCompressed(state.body)) {
+        std::optional<std::string> body = decompressed(state.body, kMaxExpandedBytes);
+        if (!body) return false;
+        state.body = std::move(*body);
+    }
+    return looksLikeJson(state.body);
+}
+bool expand(const StoreView&) {
+    return true;
+}
+bool expand(const VoterSet&) {
+    return true;
+}
+
 template <class Value>
 std::optional<Value> readValue(const std::string& bytes) {
     if (bytes.empty()) return Value{};
     std::optional<Value> value = decodeWhole<Value>(bytes);
-    if (!value || !isWritten(*value)) return std::nullopt;
+    if (!value || !isWritten(*value) || !expand(*value)) return std::nullopt;
     return value;
 }
 
@@ -41,6 +69,10 @@
 
 }  // namespace
 
+std::string encodeConfigurationState(const ConfigurationState& state) {
+    return encode(ConfigurationState{state.generation, compressed(state.body), state.taken});
+}
+
 std::optional<ConfigurationState> readConfigurationState(const std::string& bytes) {
     return readOrLog<ConfigurationState>(kConfigKey, bytes);
 }
--- a/src/cluster/control/register_values.hpp
+++ b/src/cluster/control/register_values.hpp
@@ -3,6 +3,7 @@
 // an empty value would write the unreadable one away. Whoever gets nothing here must keep the value as it is.
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -10,8 +11,15 @@
 
 namespace amberswitch::cluster {
 
+// The most bytes that a configuration's value may have: what goes to four other machines within one round of
+// the register (0.4 s) on a link of 86 Mbit/s.
+inline constexpr std::size_t kMaxConfigurationValueBytes = 1024 * 1024;
+
+// The value of a configuration, whose body is kept compressed.
+std::string encodeConfigurationState(const ConfigurationState& state);
+
 // Empty bytes are a key that was never written and give an empty value. Nothing: not readable, which is
-// logged.
+// logged. The body of a configuration is plain JSON, also where an older program wrote it uncompressed.
 std::optional<ConfigurationState> readConfigurationState(const std::string& bytes);
 std::optional<StoreView> readStoreView(const std::string& bytes);
 std::optional<VoterSet> readVoterSet(const std::string& bytes);
