Let few dispatchers deliver a receiver's call-backs where dispatchers are many

Cause: the dispatcher that ran a message begins its call-back itself, so every dispatcher holds a connection to every receiver. The limit for each, 64 by the number of dispatchers, was at least 1: 235 connections for 64. Those that were reset tried again and again.

Evidence: 200 simulated dispatchers and a receiver that resets connections beyond 64 (edge_store_test).

Change: planCallbacks tells dispatchers and stores alike who sends. Up to 32 dispatchers (half of the receiver's connections) nothing changes. Beyond, a dispatcher leaves the call-back to the owner of the message. The owner grants it to one of eight senders, the first dispatchers in an order by hash of receiver and name, which is the same at all stores: to the one with the fewest call-backs of this store for the receiver under way, and the nearest of these. Each sender uses four connections: 32 of 64 are planned with, as the rest is for connections of dispatchers that lost power. A sender that leaves or goes silent is replaced by the next in the order.

--- a/src/cluster/edge/callbacks.cpp
+++ b/src/cluster/edge/callbacks.cpp
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr std::size_t kMostOpen = 2000;
-constexpr std::uint32_t kReceiverConnections = 64;  // of one receiver, from all dispatchers
-constexpr std::uint32_t kMostConnections = 8;       // of one receiver, from this one
 constexpr Millis kCallTimeout{3000};
 constexpr Millis kGiveUpAfter{8000};
 constexpr Millis kFirstBackoff{100};
@@ -62,10 +60,15 @@
 
 Callbacks::Callbacks(Scheduler& scheduler, HttpClient& http, EdgeCounters& counters, std::uint64_t seed,
                      Ended ended)
-    : scheduler_(scheduler), http_(http), counters_(counters), random_(seed), ended_(std::move(ended)) {}
+    : scheduler_(scheduler),
+      http_(http),
+      counters_(counters),
+      random_(seed),
+      ended_(std::move(ended)),
+      plan_(planCallbacks(1)) {}
 
 void Callbacks::setEdges(std::uint32_t edges) {
-    edges_ = std::max<std::uint32_t>(1, edges);
+    plan_ = planCallbacks(edges);
 }
 
 bool Callbacks::hasRoom() const {
@@ -100,7 +103,7 @@
 std::size_t Callbacks::allowed(const Receiver& receiver) const {
     // One that refused connections gets a single one until it has answered.
     if (receiver.failures > 0) return 1;
-    return std::clamp<std::uint32_t>(kReceiverConnections / edges_, 1, kMostConnections);
+    return plan_.connections_each;
 }
 
 void Callbacks::pump(NodeAddress address) {
@@ -140,7 +143,7 @@
     HttpCall call;
     call.to = address;
     call.timeout = kCallTimeout;
-    call.max_connections = kMostConnections;
+    call.max_connections = plan_.connections_each;
     call.request.method = "POST";
     call.request.target = parseCallbackUrl(item.work.url)->target;
     call.request.headers = {{"Host", address.text()}, {"Content-Type", "application/json"}};
--- a/src/cluster/edge/callbacks.hpp
+++ b/src/cluster/edge/callbacks.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "cluster/common/callback_plan.hpp"
 #include "cluster/common/http.hpp"
 #include "cluster/common/messages.hpp"
 #include "cluster/common/scheduler.hpp"
@@ -45,6 +46,9 @@
 
     void setEdges(std::uint32_t edges);
     bool hasRoom() const;
+    // Whether the call-back of a run that ended here may begin here. Where not all edges may connect to a
+    // receiver, its owner grants it to one of those that may.
+    bool mayBeginUngranted() const { return hasRoom() && plan_.all_send; }
     void begin(CallbackWork work);
     // This process ends: what is not on its way is handed back as failed, and nothing is tried again.
     void leave();
@@ -81,7 +85,7 @@
     std::mt19937_64 random_;
     Ended ended_;
     std::map<NodeAddress, Receiver> receivers_;
-    std::uint32_t edges_ = 1;
+    CallbackPlan plan_;
     std::size_t open_ = 0;
     bool leaving_ = false;
 };
--- a/src/cluster/edge/deliveries.cpp
+++ b/src/cluster/edge/deliveries.cpp
@@ -158,7 +158,7 @@
     report.stamp = result.stamp;
     report.destination_down = result.destination_down;
     const bool owes_callback = endsMessage(result.outcome) && !grant.content.callback_url.empty();
-    report.callback_started = owes_callback && !leaving_ && callbacks_.hasRoom();
+    report.callback_started = owes_callback && !leaving_ && callbacks_.mayBeginUngranted();
     if (report.callback_started) {
         const Phase phase = result.outcome == RunOutcome::completed ? Phase::completed : Phase::dead_letter;
         callbacks_.begin(callbackOf(grant, phase, result.stamp));
--- a/src/cluster/storage/edges.cpp
+++ b/src/cluster/storage/edges.cpp
@@ -21,8 +21,8 @@
     return XXH64(text.data(), text.size(), seed);
 }
 
-bool holdsGrantFor(const Edge& edge, std::string_view destination) {
-    return std::any_of(edge.grants.begin(), edge.grants.end(), [&](const QueueItem* item) {
+std::ptrdiff_t grantsFor(const Edge& edge, std::string_view destination) {
+    return std::count_if(edge.grants.begin(), edge.grants.end(), [&](const QueueItem* item) {
         return item->grant && item->grant->service == destination;
     });
 }
@@ -112,11 +112,48 @@
     const auto few_end = order.begin() + static_cast<std::ptrdiff_t>(std::min(kFirstFew, order.size()));
     std::partial_sort(order.begin(), few_end, order.end(), std::greater<>());
     const auto unused = std::find_if(order.begin(), few_end, [&](const auto& entry) {
-        return !holdsGrantFor(*entry.second, destination);
+        return grantsFor(*entry.second, destination) == 0;
     });
     return unused == few_end ? order.front().second : unused->second;
 }
 
+std::vector<Edge*> Edges::senderOrder(std::string_view receiver, SteadyTime now) {
+    const std::uint64_t seed = hashOf(receiver, 0);
+    std::vector<std::pair<std::uint64_t, Edge*>> hashed;
+    for (auto& [name, edge] : edges_) {
+        if (edge.leaving || edge.isGone(now)) continue;
+        hashed.emplace_back(hashOf(name, seed), &edge);
+    }
+    std::sort(hashed.begin(), hashed.end());
+    std::vector<Edge*> order;
+    for (const auto& [hash, edge] : hashed) order.push_back(edge);
+    return order;
+}
+
+Edge* Edges::chooseSender(std::string_view receiver, std::size_t senders, SteadyTime now) {
+    const std::vector<Edge*> order = senderOrder(receiver, now);
+    const auto first_end = order.begin() + static_cast<std::ptrdiff_t>(std::min(senders, order.size()));
+    std::vector<Edge*> free;
+    std::copy_if(order.begin(), first_end, std::back_inserter(free),
+                 [now](const Edge* edge) { return mayTake(*edge, now); });
+    if (free.empty()) {
+        const auto next =
+            std::find_if(first_end, order.end(), [now](const Edge* edge) { return mayTake(*edge, now); });
+        return next == order.end() ? nullptr : *next;
+    }
+    // Of equals any: most stores have nothing under way, and must not all take the same one.
+    std::shuffle(free.begin(), free.end(), random_);
+    const auto key = [&](const Edge* edge) {
+        return std::pair(grantsFor(*edge, receiver), topology_.between(own_zone_, edge->zone));
+    };
+    return *std::min_element(free.begin(), free.end(),
+                             [&key](const Edge* left, const Edge* right) { return key(left) < key(right); });
+}
+
+std::size_t Edges::known() const {
+    return edges_.size() - edges_.count(kUnknownEdge);
+}
+
 bool Edges::allSynced(Epoch epoch, std::size_t expected, SteadyTime now) const {
     std::size_t synced = 0;
     for (const auto& [name, edge] : edges_) {
--- a/src/cluster/storage/edges.hpp
+++ b/src/cluster/storage/edges.hpp
@@ -62,6 +62,12 @@
     // of the nearest in an order of its own that has not clearly more to do than the mean. It holds no grant
     // of this store for `destination` already, if one of the first few does not: its connection is taken.
     Edge* chooseFor(std::string_view destination, SteadyTime now);
+    // The same for a call-back where only `senders` edges may connect to its receiver: one of the first in an
+    // order that is the same at all stores, whatever their zones: the one that holds the fewest grants of
+    // this store for the receiver, the nearest of these. Later ones only where none of the first may take it.
+    Edge* chooseSender(std::string_view receiver, std::size_t senders, SteadyTime now);
+    // How many edges there are, with those that have been silent for a short while.
+    std::size_t known() const;
     // Whether all edges that are connected, and at least `expected`, have told what they run in that view.
     bool allSynced(Epoch epoch, std::size_t expected, SteadyTime now) const;
     void forEach(const std::function<void(Edge&)>& visit);
@@ -76,6 +82,8 @@
     // It may be given one more grant.
     static bool mayTake(const Edge& edge, SteadyTime now);
     std::vector<Edge*> nearestFree(SteadyTime now);
+    // The edges that have not gone, in the order in which they become senders of that receiver.
+    std::vector<Edge*> senderOrder(std::string_view receiver, SteadyTime now);
     bool hasNear(SteadyTime now);
 
     std::string own_zone_;
--- a/src/cluster/storage/granter.cpp
+++ b/src/cluster/storage/granter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "cluster/common/callback_plan.hpp"
 #include "cluster/common/codec.hpp"
 #include "cluster/common/invariant.hpp"
 
@@ -86,13 +87,25 @@
     const SteadyTime now = scheduler_.now();
     while (QueueItem* const item = book_.ready.head(service, now)) {
         if (!book_.limiter.mayGrant(service, now)) return;
-        const bool is_endpoint = book_.limiter.isEndpoint(service);
-        Edge* const edge = is_endpoint ? book_.edges.chooseFor(service, now) : book_.edges.choose(now);
+        Edge* const edge = chooseEdge(*item, now);
         if (edge == nullptr) return;
         if (!grantTo(*edge, *item, pushes)) return;
     }
 }
 
+Edge* Granter::chooseEdge(const QueueItem& item, SteadyTime now) {
+    if (item.callback) return chooseForCallback(item.service, now);
+    if (book_.limiter.isEndpoint(item.service)) return book_.edges.chooseFor(item.service, now);
+    return book_.edges.choose(now);
+}
+
+Edge* Granter::chooseForCallback(const std::string& receiver, SteadyTime now) {
+    const auto known = static_cast<std::uint32_t>(book_.edges.known());
+    const CallbackPlan plan = planCallbacks(known);
+    if (plan.all_send) return book_.edges.choose(now);
+    return book_.edges.chooseSender(receiver, plan.senders, now);
+}
+
 bool Granter::grantTo(Edge& edge, QueueItem& item, Pushes& pushes) {
     OwnedPartition* const owned = findOwned(owned_, item.partition);
     auto content = replica_.content(item.partition, item.id);
--- a/src/cluster/storage/granter.hpp
+++ b/src/cluster/storage/granter.hpp
@@ -38,6 +38,9 @@
 
     void pump();
     void drainService(const std::string& service, Pushes& pushes);
+    // Whom to give the next attempt of that item. Null if nobody may take one.
+    Edge* chooseEdge(const QueueItem& item, SteadyTime now);
+    Edge* chooseForCallback(const std::string& receiver, SteadyTime now);
     bool grantTo(Edge& edge, QueueItem& item, Pushes& pushes);
     void send(const std::string& edge, GrantPush push);
     void onPushResult(const std::string& edge, const std::vector<RunningAttempt>& sent,
--- a/tests/cluster/distance_test.cpp
+++ b/tests/cluster/distance_test.cpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "cluster/common/callback_plan.hpp"
 #include "cluster/common/node_locations.hpp"
 #include "cluster/common/topology.hpp"
 #include "cluster/common/traffic_meter.hpp"
@@ -161,6 +162,87 @@
     for (int i = 0; i < 20; ++i) CHECK(edges.choose(kNow)->name == "regional");
 }
 
+namespace {
+
+constexpr int kManyEdges = 60;
+constexpr std::size_t kSenders = 8;
+
+// Of a store in that zone, which knows edges in three zones of two regions.
+Edges manyEdges(const std::string& zone, std::uint64_t seed) {
+    Edges edges(zone, twoRegions(), seed);
+    const std::vector<std::string> zones{"east-a", "east-b", "west-a"};
+    for (int i = 0; i < kManyEdges; ++i) {
+        Edge& edge = edges.heard("edge-" + std::to_string(i), {"10.2.0.1", 1}, kNow);
+        edge.synced_epoch = 1;
+        edge.zone = zones[static_cast<std::size_t>(i) % zones.size()];
+    }
+    return edges;
+}
+
+// Those that the store chooses for as many call-backs that are all under way.
+std::set<std::string> sendersOf(Edges& edges, const std::string& receiver, std::size_t callbacks) {
+    std::vector<QueueItem> items(callbacks);
+    std::set<std::string> senders;
+    for (QueueItem& item : items) {
+        const std::string name = edges.chooseSender(receiver, kSenders, kNow)->name;
+        item.grant = OutstandingGrant{{}, name, receiver, kNow, kNow, std::nullopt, true};
+        edges.attach(name, item);
+        senders.insert(name);
+    }
+    for (QueueItem& item : items) edges.detach(item.grant->edge, item);
+    return senders;
+}
+
+}  // namespace
+
+TEST_CASE("stores of all zones choose the same few senders for a receiver of call-backs") {
+    Edges east = manyEdges("east-a", 1);
+    Edges west = manyEdges("west-a", 2);
+    const std::set<std::string> senders = sendersOf(east, "10.9.0.1:80", 3 * kSenders);
+    CHECK(senders.size() == kSenders);
+    CHECK(sendersOf(west, "10.9.0.1:80", 3 * kSenders) == senders);
+    CHECK(sendersOf(east, "10.9.0.2:80", 3 * kSenders) != senders);
+}
+
+TEST_CASE("a call-back goes to the nearest sender that is as free as the others") {
+    Edges edges = manyEdges("east-a", 1);
+    const std::set<std::string> senders = sendersOf(edges, "10.9.0.1:80", kSenders);
+    const auto distanceOf = [&](const std::string& name) {
+        return twoRegions().between("east-a", edges.find(name)->zone);
+    };
+    Distance least = Distance::other_region;
+    for (const std::string& name : senders) least = std::min(least, distanceOf(name));
+    for (int i = 0; i < 20; ++i) {
+        CHECK(distanceOf(edges.chooseSender("10.9.0.1:80", kSenders, kNow)->name) == least);
+    }
+}
+
+TEST_CASE("senders that have gone are replaced, those that may take nothing are not used") {
+    Edges edges = manyEdges("east-a", 1);
+    const std::set<std::string> before = sendersOf(edges, "10.9.0.1:80", 3 * kSenders);
+    edges.find(*before.begin())->usable = false;
+    std::set<std::string> usable = before;
+    usable.erase(usable.begin());
+    CHECK(sendersOf(edges, "10.9.0.1:80", 3 * kSenders) == usable);
+    edges.find(*before.begin())->leaving = true;
+    const std::set<std::string> after = sendersOf(edges, "10.9.0.1:80", 3 * kSenders);
+    CHECK(after.size() == kSenders);
+    CHECK(std::includes(after.begin(), after.end(), usable.begin(), usable.end()));
+    for (const std::string& name : after) edges.find(name)->usable = false;
+    CHECK_FALSE(after.contains(edges.chooseSender("10.9.0.1:80", kSenders, kNow)->name));
+}
+
+TEST_CASE("at most half of a receiver's connections are planned with where edges are many") {
+    CHECK(planCallbacks(8).all_send);
+    CHECK(planCallbacks(8).connections_each == 8);
+    CHECK(planCallbacks(20).connections_each == 3);
+    for (std::uint32_t edges = 33; edges <= 1000; ++edges) {
+        const CallbackPlan plan = planCallbacks(edges);
+        CHECK_FALSE(plan.all_send);
+        CHECK(plan.senders * plan.connections_each <= 32);
+    }
+}
+
 TEST_CASE("calls are counted by kind and by distance") {
     NodeLocations locations("east-a", twoRegions());
     const NodeAddress near{"10.0.0.1", 7782};
--- a/tests/cluster/edge_callback_test.cpp
+++ b/tests/cluster/edge_callback_test.cpp
@@ -173,6 +173,25 @@
     CHECK(world.stores[0]->results.size() == 60);
 }
 
+TEST_CASE("where not all edges may connect to a receiver, the owner is left to grant call-backs") {
+    EdgeWorld world;
+    world.feed();
+    world.edge->setEdgeShare({200, 200, 0});
+    world.http.play = [](const HttpCall& call) { return toReceiver(call) ? answer(200) : success("s"); };
+    world.push(0, {withCallback(world, "own")});
+    world.world.run(Millis(300));
+    CHECK(world.http.sentTo(kReceiver) == 0);
+    REQUIRE(world.stores[0]->results.size() == 1);
+    CHECK(world.stores[0]->results[0].outcome == RunOutcome::completed);
+    CHECK_FALSE(world.stores[0]->results[0].callback_started);
+    std::vector<Grant> grants;
+    for (int i = 0; i < 60; ++i) grants.push_back(callbackGrant(world, "id-" + std::to_string(i)));
+    world.push(0, grants);
+    world.world.run(Millis(2000));
+    CHECK(world.http.sentTo(kReceiver) == 60);
+    CHECK(world.http.most_open <= 4);
+}
+
 TEST_CASE("leaving: not ready, no new grants, what runs ends and is reported") {
     EdgeWorld world;
     world.feed();
--- a/tests/cluster/edge_store_test.cpp
+++ b/tests/cluster/edge_store_test.cpp
@@ -31,6 +31,17 @@
     return count;
 }
 
+// Messages that have ended and whose call-back took longer than that, or has not come.
+int lateCallbacks(const Play& play, Millis most) {
+    int count = 0;
+    for (const auto& [id, message] : play.seen) {
+        if (!message.wants_callback || !message.ended) continue;
+        const SteadyTime called_back = message.called_back.value_or(SteadyTime::max());
+        count += called_back > *message.ended + most;
+    }
+    return count;
+}
+
 int countStatus(const Play& play, int status) {
     int count = 0;
     for (const auto& [id, message] : play.seen) count += message.status == status;
@@ -176,6 +187,46 @@
     CHECK_MESSAGE(play.faults.empty(), play.faultText());
 }
 
+TEST_CASE("more edges than a receiver of call-backs takes connections: none is reset, none is late") {
+    constexpr std::size_t kReceiverConnections = 64;
+    constexpr int kEdges = 200;
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        INFO("seed " << seed);
+        Play play(seed, kEdges);
+        play.servers.receiver_connections = kReceiverConnections;
+        for (int i = 0; i < 1500; ++i) {
+            play.submit("plain", {}, true);
+            play.world().run(Millis(3));
+        }
+        play.world().run(Millis(10'000));
+        play.check();
+        CHECK(play.accepted() == 1500);
+        CHECK(play.unfinished() == 0);
+        CHECK(play.receiver_resets == 0);
+        CHECK(play.receiver_connections <= kReceiverConnections / 2);
+        CHECK(lateCallbacks(play, Millis(5000)) == 0);
+        CHECK_MESSAGE(play.faults.empty(), play.faultText());
+    }
+}
+
+TEST_CASE("the edges that tell a receiver of call-backs are killed: others do it") {
+    Play play(1, 60);
+    play.servers.receiver_connections = 64;
+    traffic(play, 300);
+    int killed = 0;
+    for (std::size_t index = 0; index < play.edges.size() && killed < 8; ++index) {
+        if (play.edges[index].http->receiverConnections() == 0) continue;
+        play.killEdge(index);
+        ++killed;
+    }
+    REQUIRE(killed > 0);
+    traffic(play, 600);
+    play.world().run(Millis(25'000));
+    play.check();
+    CHECK(play.unfinished() == 0);
+    CHECK_MESSAGE(play.faults.empty(), play.faultText());
+}
+
 TEST_CASE("a ceiling holds over all edges and stores") {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
         Play play(seed, 3);
--- a/tests/cluster/edge_store_world.hpp
+++ b/tests/cluster/edge_store_world.hpp
@@ -2,6 +2,7 @@
 // played, and all that they saw is checked against the rules.
 #pragma once
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -40,7 +41,8 @@
     int runs_after_read_success = 0;
     bool wants_callback = false;
     int callbacks_taken = 0;
-    std::string state;  // as told in the end
+    std::optional<SteadyTime> called_back;  // for the first time
+    std::string state;                      // as told in the end
 };
 
 struct ServerPlay {
@@ -50,6 +52,7 @@
     double full = 0;
     Millis work{30};
     bool receiver_down = false;
+    std::size_t receiver_connections = std::numeric_limits<std::size_t>::max();  // it resets those beyond
 };
 
 class Play;
@@ -58,17 +61,23 @@
 class ProcessHttp : public HttpClient {
 public:
     explicit ProcessHttp(Play& play) : play_(play), alive_(std::make_shared<bool>(true)) {}
-    ~ProcessHttp() override { *alive_ = false; }
+    ~ProcessHttp() override;
     void send(HttpCall call, std::function<void(HttpOutcome)> done) override;
     std::size_t connectionsTo(const NodeAddress&) const override { return 0; }
     void forget(const NodeAddress&) override {}
+    std::size_t receiverConnections() const { return receiver_connections_; }
 
 private:
     HttpOutcome run(const HttpCall& call, Millis span);
     void checkBudget(const std::string& id, Seen& message);
     HttpOutcome callBack(const HttpCall& call);
+    // Takes an idle connection to the receiver or makes one. False: the receiver resets it.
+    bool connectToReceiver();
+    void sendCallback(const HttpCall& call, Millis span, std::function<void(HttpOutcome)> done);
 
     Play& play_;
+    std::size_t receiver_connections_ = 0;  // kept as long as the process lives
+    std::size_t receiver_calls_ = 0;        // under way
     std::shared_ptr<bool> alive_;
 };
 
@@ -107,6 +116,8 @@
     std::vector<std::string> faults;
     std::vector<SteadyTime> limited_arrivals;
     int runs_over_budget = 0;  // of messages whose last answer was read already
+    std::size_t receiver_connections = 0;
+    std::size_t receiver_resets = 0;
 
 private:
     void tellEdge(std::size_t index);
@@ -156,8 +167,8 @@
     process.node = std::make_unique<EdgeNode>(*process.scheduler, *process.transport, *process.http, settings,
                                               ++last_incarnation_);
     process.node->start();
-    process.node->setEdgeShare(
-        {static_cast<std::uint32_t>(edges.size()), static_cast<std::uint32_t>(edges.size()), 0});
+    const auto count = static_cast<std::uint32_t>(edges.size());
+    process.node->setEdgeShare({count, count, static_cast<std::uint32_t>(index)});
     tellEdge(index);
 }
 
@@ -231,12 +242,18 @@
     });
 }
 
+inline ProcessHttp::~ProcessHttp() {
+    play_.receiver_connections -= receiver_connections_;
+    *alive_ = false;
+}
+
 inline void ProcessHttp::send(HttpCall call, std::function<void(HttpOutcome)> done) {
     World& world = play_.world();
     const auto span =
         Millis(1 + static_cast<std::int64_t>(world.chance() * 2 * double(play_.servers.work.count())));
     const bool callback = headerValue(call.request.headers, "Request-Id").empty();
-    const HttpOutcome outcome = callback ? callBack(call) : run(call, span);
+    if (callback) return sendCallback(call, span, std::move(done));
+    const HttpOutcome outcome = run(call, span);
     world.at(world.now() + span, [alive = alive_, outcome, done = std::move(done)] {
         if (*alive) done(outcome);
     });
@@ -300,6 +317,30 @@
     return outcome;
 }
 
+inline bool ProcessHttp::connectToReceiver() {
+    if (receiver_calls_ < receiver_connections_) return true;
+    if (play_.receiver_connections >= play_.servers.receiver_connections) {
+        ++play_.receiver_resets;
+        return false;
+    }
+    ++receiver_connections_;
+    ++play_.receiver_connections;
+    return true;
+}
+
+inline void ProcessHttp::sendCallback(const HttpCall& call, Millis span,
+                                      std::function<void(HttpOutcome)> done) {
+    const bool connected = connectToReceiver();
+    const HttpOutcome outcome = connected ? callBack(call) : HttpOutcome{};
+    if (connected) ++receiver_calls_;
+    World& world = play_.world();
+    world.at(world.now() + span, [this, alive = alive_, connected, outcome, done = std::move(done)] {
+        if (!*alive) return;
+        if (connected) --receiver_calls_;
+        done(outcome);
+    });
+}
+
 inline HttpOutcome ProcessHttp::callBack(const HttpCall& call) {
     HttpOutcome outcome;
     if (play_.servers.receiver_down) {
@@ -311,6 +352,7 @@
     const std::size_t begin = body.find(R"("uid":")") + 7;
     Seen& message = play_.seen.at(body.substr(begin, body.find('"', begin) - begin));
     ++message.callbacks_taken;
+    if (!message.called_back) message.called_back = play_.world().now();
     const std::string stamp_key = R"("stamp":")";
     const std::size_t stamp = body.find(stamp_key);
     if (stamp != std::string::npos) {
