Tests of 1,000 and 10,000 services on links of 86 Mbit/s, and of their value on disk

What callers have to see: a configuration of any size that is taken is acknowledged within 8 s, in force within 5 s, and read back as it was sent. Nothing showed that for more than 600 services.

--- a/apps/ambercluster/roles.cpp
+++ b/apps/ambercluster/roles.cpp
@@ -21,6 +21,7 @@
 #include "cluster/control/control_node.hpp"
 #include "cluster/control/core_client.hpp"
 #include "cluster/control/operator_api.hpp"
+#include "cluster/control/register_ring.hpp"
 #include "cluster/edge/edge_node.hpp"
 #include "cluster/storage/open_ring.hpp"
 #include "cluster/storage/store_node.hpp"
@@ -29,8 +30,6 @@
 namespace {
 
 constexpr std::uint64_t kMegabyte = 1024 * 1024;
-constexpr std::uint64_t kRegisterRingBytes = 24 * kMegabyte;
-constexpr std::uint32_t kRegisterSegmentBytes = 4 * kMegabyte;
 constexpr std::uint32_t kMessageSegmentBytes = 8 * kMegabyte;
 constexpr double kRingShareOfDisk = 0.85;
 constexpr Millis kSeedsCheck{5000};
--- a/tests/cluster/control_narrow_link_test.cpp
+++ b/tests/cluster/control_narrow_link_test.cpp
@@ -16,6 +16,7 @@
 constexpr double kCoreLink = 86e6 / 8 / 1000;  // bytes a millisecond
 constexpr Millis kLead{14000};                 // from the start of the machines to that of the traffic
 constexpr Millis kInForceWithin{5000};
+constexpr Millis kTakenWithin{8000};
 
 // Five core machines on narrow links, and dispatchers that start with them.
 class LargePlay {
@@ -70,3 +71,19 @@
         play.world.world.run(Millis(1400));
     }
 }
+
+TEST_CASE("1,000 and 10,000 services are taken in time, read back as they were sent, and in force in time") {
+    for (const std::size_t services : {1'000, 10'000}) {
+        CAPTURE(services);
+        LargePlay play(2, 30, 10);
+        play.world.startAll();
+        play.world.world.run(Millis(4000));
+        for (std::int64_t version = 1; version <= 2; ++version) {
+            CAPTURE(version);
+            const std::string body = largeConfiguration(version, services);
+            REQUIRE(play.replace(version - 1, body, kTakenWithin));
+            CHECK(play.inForceWithin(version, kInForceWithin));
+            for (auto& machine : play.world.core) CHECK((play.world.read(*machine).body == body));
+        }
+    }
+}
--- a/tests/cluster/ring_space_test.cpp
+++ b/tests/cluster/ring_space_test.cpp
@@ -6,6 +6,8 @@
 #include <random>
 #include <string>
 
+#include "cluster/control/register_ring.hpp"
+#include "cluster/control/register_values.hpp"
 #include "cluster/storage/ring_store.hpp"
 #include "tests/cluster/ring_harness.hpp"
 
@@ -142,6 +144,29 @@
     CHECK(harness.store().read("a") == std::string(largest, 'v'));
 }
 
+TEST_CASE("The ring of a register takes change after change of its largest value") {
+    constexpr int kChanges = 60;  // more than twice round the ring
+    RingOptions options;
+    options.capacity_bytes = kRegisterRingBytes;
+    options.segment_bytes = kRegisterSegmentBytes;
+    RingHarness harness(23, options);
+    Records expected{{"register/voters", std::string(300, 'v')}};
+    REQUIRE(harness.store().put("register/voters", expected["register/voters"]));
+    for (int i = 0; i < kChanges; ++i) {
+        CAPTURE(i);
+        expected["register/promised/config"] = keyOf(i);
+        expected["register/accepted/config"] =
+            std::string(kMaxConfigurationValueBytes, static_cast<char>('a' + i % 26));
+        for (const char* key : {"register/promised/config", "register/accepted/config"}) {
+            REQUIRE(harness.store().put(key, expected[key]));
+            REQUIRE(harness.syncAndWait());
+        }
+    }
+    CHECK((harness.content() == expected));
+    harness.losePower();
+    CHECK((harness.content() == expected));
+}
+
 TEST_CASE("A stalled disk doesn't fill the memory") {
     RingOptions options = smallRing();
     options.capacity_bytes = 64 * 4096;
