control_listener_test: a loopback address of its own for each core machine

Seen: the test failed once of five runs, beside other tests, as its core machine did not answer in 10 s. Suspected cause, not seen in a log: two core machines on 127.0.0.1 share the port of the figures and draw neighbouring ports, and a start waits where a port is taken. Change: each process has an address of its own in 127.0.0.0/8.

--- a/tests/cluster/control_listener_test.cpp
+++ b/tests/cluster/control_listener_test.cpp
@@ -18,7 +18,6 @@
 #include "tests/cluster/loop_peers.hpp"
 
 using namespace amberswitch::cluster;
-using amberswitch::cluster::testing::closedAddress;
 using amberswitch::cluster::testing::largeConfiguration;
 using amberswitch::cluster::testing::runUntil;
 
@@ -30,6 +29,13 @@
 constexpr int kTaken = 200;
 constexpr int kTooLarge = 413;
 
+// A loopback address that no other process uses, so that its ports are free.
+std::string ownLoopbackIp() {
+    const auto id = static_cast<unsigned>(getpid());
+    return "127." + std::to_string(1 + (id >> 16U) % 250) + "." + std::to_string(id >> 8U & 255U) + "." +
+           std::to_string(id & 255U);
+}
+
 // The only core machine of a system that starts for the first time.
 class CoreProcess {
 public:
@@ -59,17 +65,17 @@
 private:
     std::string settingsPath() const { return folder_ + "/settings.yaml"; }
     void writeSettings() const {
-        const int first_port = closedAddress().port;
         const std::string control = control_.ip + ":" + std::to_string(control_.port);
         std::ofstream(settingsPath())
-            << "nodeName: core-1\nip: 127.0.0.1\nzone: z\nbootstrap: true\ncountsForQuorum: true\n"
+            << "nodeName: core-1\nip: " << control_.ip
+            << "\nzone: z\nbootstrap: true\ncountsForQuorum: true\n"
             << "bindAddrs: {control: '" << control << "'}\nseeds: ['" << control << "']\n"
-            << "portRange: [" << first_port << ", " << first_port + 15 << "]\n"
+            << "portRange: [7780, 7795]\n"
             << "limits: {diskMb: 128}\ndataDir: " << folder_ << "/data\n";
     }
 
     std::string folder_;
-    NodeAddress control_ = closedAddress();
+    NodeAddress control_{ownLoopbackIp(), 8064};
     pid_t process_ = -1;
 };
 
