Reserve the order of senders; say when dispatchers and stores agree on it

Change: the vector is reserved; the comment of callback_plan.hpp says that both sides count what they know.

--- a/src/cluster/common/callback_plan.hpp
+++ b/src/cluster/common/callback_plan.hpp
@@ -1,5 +1,6 @@
 // How the dispatchers together keep within the connections that a receiver of call-backs takes. Dispatchers
-// and stores compute it alike from the number of dispatchers; no messages are needed. Pure logic.
+// and stores compute it from the number of dispatchers that they know, so they agree once that has settled;
+// no messages are needed. Pure logic.
 #pragma once
 
 #include <cstdint>
--- a/src/cluster/storage/edges.cpp
+++ b/src/cluster/storage/edges.cpp
@@ -126,6 +126,7 @@
     }
     std::sort(hashed.begin(), hashed.end());
     std::vector<Edge*> order;
+    order.reserve(hashed.size());
     for (const auto& [hash, edge] : hashed) order.push_back(edge);
     return order;
 }
