--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,17 +1,8 @@
-// CONFIG: a configuration raises limits.maxBodyBytes; connections that were open before keep the old limit.
+// ORDER: a configuration adds a longer route in front of an ordered one while its messages are under way.
 #include "../common/world.hpp"
 
 using namespace review;
 
-namespace {
-
-std::string messageOf(const std::string& id, std::size_t bytes) {
-    return "POST /book/x HTTP/1.1\r\nHost: rides.example\r\nDeadline-Ms: 500\r\nRequest-Id: " + id + "\r\nContent-Length: " +
-           std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'b');
-}
-
-}  // namespace
-
 int main() {
     Plan plan;
     World world("review/3/record.txt", plan);
@@ -19,71 +10,106 @@
     std::vector<std::unique_ptr<Server>> servers;
     const char* zones[] = {"hall-trakia", "hall-maritsa", "hall-tepe"};
     for (int i = 0; i < 3; ++i) {
-        Instance instance{"booking-desk", "i-" + std::to_string(i), world.ip(4, i), zones[i], 8080, 12, "ready"};
+        Instance instance{"fleet-board", "i-" + std::to_string(i), world.ip(4, i), zones[i], 8080, 4, "ready"};
         world.list(instance);
         servers.push_back(std::make_unique<Server>(world, runs, instance, [](const std::string&, std::size_t, const Message&) {
-            return Server::Reply{50, 200, false};
+            return Server::Reply{200, 200, false};
         }));
     }
     world.startAll();
-    const auto configuration = [](int generation, int max_body) {
-        return R"({"generation":)" + std::to_string(generation) +
-               R"(,"routes":[{"name":"r-rides","hostname":"rides.example","pathPrefix":"/book/","type":"deferred",)"
-               R"("timeoutMs":1200,"targetLatencyMs":80,"priority":2,"backend":"booking-desk","maxRetries":3,"ordered":false,)"
-               R"("retentionS":90.0,"callbackUrl":false,"scheduleTargetMs":800}],"services":[{"name":"booking-desk","healthCheck":)"
-               R"("/healthz","maxConnections":110,"protocol":"h1","tls":false,"ratePerS":0.0,"idempotent":false,"pull":false,)"
-               R"("static":null}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":)" +
-               std::to_string(max_body) + R"(,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+    const std::string head = R"({"generation":)";
+    const auto route = [](const std::string& name, const std::string& prefix, const std::string& backend, bool ordered) {
+        return R"({"name":")" + name + R"(","hostname":"board.example","pathPrefix":")" + prefix +
+               R"(","type":"deferred","timeoutMs":600,"targetLatencyMs":80,"priority":1,"backend":")" + backend +
+               R"(","maxRetries":3,"ordered":)" + (ordered ? "true" : "false") +
+               R"(,"retentionS":90.0,"callbackUrl":false,"scheduleTargetMs":800})";
     };
-    // Without the disruption the limit is the same from the start.
-    const int before = withTrouble() ? 65536 : 262144;
-    if (world.configure(0, configuration(1, before)) != 200 || !world.waitReady()) return 2;
-    sleepMs(1000);
+    const std::string tail =
+        R"(],"services":[{"name":"fleet-board","healthCheck":"/healthz","maxConnections":110,"protocol":"h1","tls":false,)"
+        R"("ratePerS":0.0,"idempotent":true,"pull":false,"static":null}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,)"
+        R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+    const std::string board = route("r-board", "/board/", "fleet-board", true);
+    const std::string cabs = route("r-cabs", "/board/cabs/", "fleet-board", true);
+    const std::string other = route("r-other", "/other/", "fleet-board", true);
+    if (world.configure(0, head + "1" + R"(,"routes":[)" + board + tail) != 200 || !world.waitReady()) return 2;
+    sleepMs(1500);
 
-    // Twelve clients, each with a connection that it keeps; a small message a second.
-    const std::vector<Node*> edges = world.all("edge");
-    std::atomic<double> acknowledged{0};
-    std::atomic<int> refused{0}, taken{0}, cut{0}, fresh_taken{0};
+    // Traffic: 48 messages a second about 12 cabs, all on one host and path, for 20 s.
+    struct Sent {
+        std::string key;
+        double sent = 0, accepted = 0;
+        int status = 0;
+    };
     const double start = nowMs();
+    std::mutex mutex;
+    std::map<std::string, Sent> messages;
+    std::atomic<int> number{0};
+    const std::vector<Node*> edges = world.all("edge");
     std::vector<std::thread> clients;
     for (int c = 0; c < 12; ++c) {
         clients.emplace_back([&, c] {
-            Node* const edge = edges[static_cast<std::size_t>(c) % edges.size()];
-            const int fd = connectTo(edge->ip(), kFrontPort, 1000);
-            Reader reader(fd);
-            Message answer;
-            for (int i = 0; i < 12; ++i) {
-                sleepUntilMs(start + 1000.0 * i + 20.0 * c);
-                const std::string id = "s" + std::to_string(c) + "n" + std::to_string(i);
-                const bool got = sendAll(fd, messageOf(id, 500)) && reader.next(answer, 1500);
-                world.record.line("client %d at %s, kept connection: %s of 500 bytes -> %d", c, edge->name().c_str(), id.c_str(),
-                                  got ? answer.status : 0);
+            std::mt19937_64 random(static_cast<unsigned>(c));
+            std::exponential_distribution<double> pause(4.0 / 1000.0);
+            double next = nowMs();
+            while (true) {
+                next += pause(random);
+                if (next > start + 20'000) return;
+                sleepUntilMs(next);
+                const std::string id = "u" + std::to_string(number++);
+                const std::string key = "cab" + std::to_string(c);
+                Sent message{key, nowMs(), 0, 0};
+                const Answer answer = ask(edges[random() % edges.size()]->ip(), kFrontPort, "POST", "/board/cabs/status",
+                                          "Host: board.example\r\nDeadline-Ms: 500\r\nRequest-Id: " + id + "\r\nOrder-Key: " + key + "\r\n",
+                                          "{\"free\":true}", 1500);
+                message.accepted = nowMs();
+                message.status = answer.status();
+                world.record.line("client: %s key=%s sent %.1f -> %d", id.c_str(), key.c_str(), message.sent, message.status);
+                const std::lock_guard lock(mutex);
+                messages[id] = message;
             }
-            // Over configApplyMs (3 s) after the acknowledgement: a message that the newest version allows.
-            const std::string id = "l" + std::to_string(c);
-            const double sent = nowMs();
-            const bool got = sendAll(fd, messageOf(id, 100'000)) && reader.next(answer, 1500);
-            world.record.line("client %d at %s, kept connection: %s of 100000 bytes, sent %.1f s after the acknowledgement -> %d", c,
-                              edge->name().c_str(), id.c_str(), (sent - acknowledged) / 1000, got ? answer.status : 0);
-            ++(!got ? cut : answer.status == 413 ? refused : taken);
-            ::close(fd);
-            const Answer other = ask(edge->ip(), kFrontPort, "POST", "/book/x",
-                                     "Host: rides.example\r\nDeadline-Ms: 500\r\nRequest-Id: f" + std::to_string(c) + "\r\n",
-                                     std::string(100'000, 'b'), 1500);
-            world.record.line("client %d at %s, new connection: f%d of 100000 bytes -> %d", c, edge->name().c_str(), c, other.status());
-            fresh_taken += other.status() == 202;
         });
     }
-    sleepUntilMs(start + 4'000);
-    // The disruption: version 2 allows bodies of 262144 bytes.
-    if (world.configure(1, configuration(2, 262144)) != 200) return 2;
-    acknowledged = nowMs();
+    // The disruption: at 10 s a new version adds a route. Without it, the new route lies beside the traffic.
+    sleepUntilMs(start + 10'000);
+    const int status = world.configure(1, head + "2" + R"(,"routes":[)" + board + "," + (withTrouble() ? cabs : other) + tail);
     for (std::thread& client : clients) client.join();
-    world.record.line("on kept connections: %d refused with 413, %d taken, %d cut; on new ones %d of 12 taken", refused.load(),
-                      taken.load(), cut.load(), fresh_taken.load());
-    std::printf("on kept connections: %d refused with 413, %d taken, %d cut; on new ones %d of 12 taken\n", refused.load(),
-                taken.load(), cut.load(), fresh_taken.load());
+    sleepUntilMs(start + 26'000);
+    if (status != 200) return 2;
+
+    // The first begin of a message, and its end by the rule: the first success (there is no 422, and no 500).
+    struct Seen {
+        double began = 0, ended = 0;
+        std::string server;
+    };
+    std::map<std::string, Seen> seen;
+    for (const auto& [id, all] : runs.copy()) {
+        Seen& each = seen[id];
+        for (const Run& run : all) {
+            if (each.began == 0) each.began = run.began, each.server = run.server;
+            if (run.status == 200 && (each.ended == 0 || run.answered < each.ended)) each.ended = run.answered;
+        }
+    }
+    int accepted = 0, broken = 0, never = 0;
+    for (const auto& [id, message] : messages) {
+        if (message.status != 202) continue;
+        ++accepted;
+        if (seen[id].ended == 0) ++never;
+    }
+    for (const auto& [id, message] : messages) {
+        if (message.status != 202 || seen[id].began == 0) continue;
+        for (const auto& [earlier_id, earlier] : messages) {
+            if (earlier.status != 202 || earlier.key != message.key || earlier.accepted >= message.sent) continue;
+            const Seen& first = seen[earlier_id];
+            if (first.ended != 0 && first.ended <= seen[id].began) continue;
+            ++broken;
+            world.record.line("ORDER: %s of %s (sent %.1f) began at %.1f; %s, accepted at %.1f, began at %.1f and ended at %.1f", id.c_str(),
+                              message.key.c_str(), message.sent, seen[id].began, earlier_id.c_str(), earlier.accepted, first.began,
+                              first.ended);
+        }
+    }
+    world.record.line("accepted %d, accepted and not ended %d, pairs out of order %d", accepted, never, broken);
+    std::printf("accepted %d, not ended %d, pairs out of order %d\n", accepted, never, broken);
     std::fflush(stdout);
     world.end();
-    std::_Exit(refused > 0 ? 1 : 0);
+    std::_Exit(broken > 0 ? 1 : 0);
 }
