--- a/review/common/world.hpp
+++ b/review/common/world.hpp
@@ -214,7 +214,8 @@
 public:
     using Serve = std::function<bool(int fd, const Message& request)>;
     using Closed = std::function<void(int fd)>;
-    Listener(const std::string& ip, int port, Serve serve, Closed closed = {}) : serve_(std::move(serve)), closed_(std::move(closed)) {
+    Listener(const std::string& ip, int port, Serve serve, Closed closed = {}, int idle_ms = 60'000)
+        : serve_(std::move(serve)), closed_(std::move(closed)), idle_ms_(idle_ms) {
         fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const int on = 1;
         setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
@@ -236,7 +237,7 @@
             std::thread([this, fd] {
                 Reader reader(fd);
                 Message request;
-                while (reader.next(request, 60'000) && serve_(fd, request)) {}
+                while (reader.next(request, idle_ms_) && serve_(fd, request)) {}
                 if (closed_) closed_(fd);
                 ::close(fd);
             }).detach();
@@ -244,6 +245,7 @@
     }
     Serve serve_;
     Closed closed_;
+    int idle_ms_;
     int fd_ = -1;
 };
 
@@ -488,6 +490,7 @@
 // A sound application server: works for `work_ms`, then answers as `answer` says (200 with a stamp by default).
 class Server {
 public:
+    static constexpr int kKeepAliveS = 5;  // idle connections are closed after it
     struct Reply {
         double work_ms = 30;
         int status = 200;
@@ -498,14 +501,14 @@
         : world_(world), runs_(runs), instance_(std::move(instance)), decide_(std::move(decide)) {
         listener_ = std::make_unique<Listener>(instance_.ip, instance_.port,
                                                [this](int fd, const Message& request) { return serve(fd, request); },
-                                               [this](int fd) { forget(fd); });
+                                               [this](int fd) { forget(fd); }, kKeepAliveS * 1000);
     }
 
 private:
     bool serve(int fd, const Message& request) {
         noteRead(fd);
         const std::string id = request.field("request-id");
-        const std::string echo = "Request-Id: " + id + "\r\nKeep-Alive: timeout=5\r\n";
+        const std::string echo = "Request-Id: " + id + "\r\nKeep-Alive: timeout=" + std::to_string(kKeepAliveS) + "\r\n";
         if (request.method == "GET")
             return sendAll(fd, response(200, "Instance-Id: " + instance_.uid + "\r\n" + echo));
         const std::string expected = request.field("expect-instance");
