Place an order key by the key alone, so that no change of routes moves it

Cause: both the partition of a key (edge, PartitionMap::partitionOfKey) and its order queue (store, PartitionQueue::orderQueueName) were named by host and path prefix of the route at the accept. A route with a longer prefix, or another host, gave the same key another owner with an empty queue, while earlier messages still waited or ran at the first one. The rule speaks of the Order-Key alone.

Change: partitionOfOrderKey(key, partitions) is the one place that says where a key lives, and an order queue is named by its key. Records keep their format; order_scope is empty in new ones. The recorded predecessor of a record of an older version counts only for messages of its own scope, as it was written.

--- a/src/cluster/common/client_messages.hpp
+++ b/src/cluster/common/client_messages.hpp
@@ -19,18 +19,23 @@
 // The client's request as it arrived; it is delivered unchanged. Immutable once accepted (see Grant).
 struct MessageContent {
     MessageId id;
-    std::string order_scope;  // Route::orderScope() when the message was accepted
-    std::string service;      // backend of the route when the message was accepted
+    // Host and path prefix of the route at the accept, as older versions wrote it, which placed a key by
+    // both. Empty since then.
+    std::string order_scope;
+    std::string service;  // backend of the route when the message was accepted
     std::string method;
     std::string host;
     std::string target;  // path and query
     std::string content_type;
-    std::string order_key;  // empty: unordered
-    bool ordered = false;
+    std::string order_key;  // empty: none
+    bool ordered = false;   // has an order key, and the route was `ordered` when the message was accepted
     std::string callback_url;
     std::int64_t delay_ms = 0;
     std::int64_t config_generation = 0;  // generation that the accepting edge used
     std::string body;
+
+    bool hasOrderKey() const { return !order_key.empty(); }
+
     template <class Archive>
     void serialize(Archive& archive) {
         archive(id, order_scope, service, method, host, target, content_type, order_key, ordered,
--- a/src/cluster/common/configuration.hpp
+++ b/src/cluster/common/configuration.hpp
@@ -39,10 +39,6 @@
     bool callback = false;
 
     bool operator==(const Route&) const = default;
-
-    // The scope of an order key. It does not depend on the route's name, so renaming a route keeps the order
-    // of its messages.
-    std::string orderScope() const { return hostname + path_prefix; }
 };
 
 struct Service {
--- a/src/cluster/edge/client_request_handler.cpp
+++ b/src/cluster/edge/client_request_handler.cpp
@@ -40,14 +40,13 @@
                                            const Configuration& configuration) {
     MessageContent content;
     content.id = headerValue(request.headers, "Request-Id");
-    content.order_scope = route.orderScope();
     content.service = route.service;
     content.method = request.method;
     content.host = headerValue(request.headers, "Host");
     content.target = request.target;
     content.content_type = headerValue(request.headers, "Content-Type");
     content.order_key = headerValue(request.headers, "Order-Key");
-    content.ordered = route.ordered && !content.order_key.empty();
+    content.ordered = route.ordered && content.hasOrderKey();
     content.config_generation = configuration.generation;
     if (content.id.empty() || !formatMessageRef(kMaxPartition, content.id)) return std::nullopt;
     if (const std::string_view delay = headerValue(request.headers, "Delay-Ms"); !delay.empty()) {
--- a/src/cluster/edge/message_submitter.cpp
+++ b/src/cluster/edge/message_submitter.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cluster/common/codec.hpp"
+#include "cluster/common/order_key.hpp"
 #include "cluster/edge/message_ref.hpp"
 
 namespace amberswitch::cluster {
@@ -86,8 +87,7 @@
         if (partition) submission.partition = *partition;
         return partition.has_value();
     }
-    submission.partition =
-        partitions_.partitionOfKey(submission.content.order_scope, submission.content.order_key);
+    submission.partition = partitionOfOrderKey(submission.content.order_key, partitions_.partitionCount());
     const StoreMember* const owner = partitions_.owner(submission.partition);
     if (!owner || partitions_.isSuspected(owner->member.address)) return false;
     return submission.epoch == 0 || owner->member.address != submission.owner;
@@ -131,8 +131,8 @@
     partitions_.suspect(submission.owner);
     submission.may_be_stored = true;
     // If the connection broke, the owner has probably died, and its copy of the message is out of reach until
-    // the partition has a new owner. An unordered message goes to another owner; for an ordered one this
-    // could break the order.
+    // the partition has a new owner. An unordered message goes to another owner; an ordered one belongs
+    // to the partition of its key.
     const bool connection_lost = scheduler_.now() < submission.reply_deadline;
     if (connection_lost && !submission.content.ordered) return tryNextOwner(id);
     giveUp(id);
--- a/src/cluster/edge/partition_map.cpp
+++ b/src/cluster/edge/partition_map.cpp
@@ -1,7 +1,5 @@
 #include "cluster/edge/partition_map.hpp"
 
-#include <xxhash.h>
-
 #include <utility>
 
 namespace amberswitch::cluster {
@@ -29,13 +27,6 @@
     return alive;
 }
 
-PartitionId PartitionMap::partitionOfKey(std::string_view order_scope, std::string_view order_key) const {
-    std::string bytes(order_scope);
-    bytes += '\0';
-    bytes += order_key;
-    return static_cast<PartitionId>(XXH64(bytes.data(), bytes.size(), 0) % partitionCount());
-}
-
 std::optional<PartitionId> PartitionMap::pickPartition(std::mt19937_64& random,
                                                        const std::set<NodeAddress>& tried) const {
     std::optional<PartitionId> best;
--- a/src/cluster/edge/partition_map.hpp
+++ b/src/cluster/edge/partition_map.hpp
@@ -7,7 +7,6 @@
 #include <random>
 #include <set>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "cluster/common/messages.hpp"
@@ -34,8 +33,6 @@
         return topology_.distanceBetween(zone_, store.member.zone);
     }
 
-    // Returns the partition of all messages with this order key on this route. Requires partitionCount() > 0.
-    PartitionId partitionOfKey(std::string_view order_scope, std::string_view order_key) const;
     // Returns a random partition among those with the nearest owners that are neither suspected nor in
     // `tried`, or nullopt if there is none.
     std::optional<PartitionId> pickPartition(std::mt19937_64& random,
--- a/src/cluster/storage/message_acceptor.cpp
+++ b/src/cluster/storage/message_acceptor.cpp
@@ -45,7 +45,6 @@
 
 void MessageAcceptor::recordPredecessor(const OwnedPartition& owned, MessageRecord& record) {
     QueueItem key_item;
-    key_item.order_scope = record.content.order_scope;
     key_item.order_key = record.content.order_key;
     key_item.position.epoch = record.epoch;
     const OrderPosition last = owned.queue.lastOfOlderEpochs(key_item);
--- a/src/cluster/storage/partition_queue.cpp
+++ b/src/cluster/storage/partition_queue.cpp
@@ -4,6 +4,16 @@
 
 namespace amberswitch::cluster::storage {
 
+namespace {
+
+// Whether the recorded predecessor of `newer` takes messages like `older` into account. Older versions, whose
+// records have an order scope, recorded the predecessor within one scope.
+bool recordedPredecessorCovers(const QueueItem& newer, const QueueItem& older) {
+    return newer.order_scope.empty() || newer.order_scope == older.order_scope;
+}
+
+}  // namespace
+
 PartitionQueue::~PartitionQueue() {
     for (auto& [id, item] : items_) {
         if (item->state == ItemState::ready) ready_.remove(*item);
@@ -23,7 +33,7 @@
 }
 
 void PartitionQueue::joinOrderQueue(QueueItem& item) {
-    OrderQueue& order_queue = order_queues_[orderQueueName(item)];
+    OrderQueue& order_queue = order_queues_[item.order_key];
     QueueItem* const first = order_queue.empty() ? nullptr : order_queue.begin()->second;
     order_queue[item.position] = &item;
     const bool overtaken = first != nullptr && order_queue.begin()->second == &item;
@@ -41,7 +51,7 @@
 }
 
 OrderPosition PartitionQueue::lastOfOlderEpochs(const QueueItem& item) const {
-    const auto order_queue = order_queues_.find(orderQueueName(item));
+    const auto order_queue = order_queues_.find(item.order_key);
     if (order_queue == order_queues_.end()) return {};
     const auto own_epoch = order_queue->second.lower_bound({item.position.epoch, 0});
     return own_epoch == order_queue->second.begin() ? OrderPosition{} : std::prev(own_epoch)->first;
@@ -49,11 +59,12 @@
 
 bool PartitionQueue::isUnknownToNewerEpoch(const QueueItem& item) const {
     if (!item.ordered()) return false;
-    const auto order_queue = order_queues_.find(orderQueueName(item));
+    const auto order_queue = order_queues_.find(item.order_key);
     if (order_queue == order_queues_.end()) return false;
     return std::any_of(order_queue->second.begin(), order_queue->second.end(), [&item](const auto& entry) {
         const QueueItem& other = *entry.second;
-        return other.position.epoch > item.position.epoch && item.position > other.predecessor;
+        return recordedPredecessorCovers(other, item) && other.position.epoch > item.position.epoch &&
+               item.position > other.predecessor;
     });
 }
 
@@ -70,7 +81,7 @@
 
 bool PartitionQueue::isFirstInOrder(const QueueItem& item) const {
     if (!item.ordered()) return true;
-    const auto order_queue = order_queues_.find(orderQueueName(item));
+    const auto order_queue = order_queues_.find(item.order_key);
     return order_queue != order_queues_.end() && order_queue->second.begin()->second == &item;
 }
 
@@ -116,7 +127,7 @@
 
 void PartitionQueue::leaveOrderQueue(QueueItem& item) {
     if (!item.ordered()) return;
-    const auto order_queue = order_queues_.find(orderQueueName(item));
+    const auto order_queue = order_queues_.find(item.order_key);
     if (order_queue == order_queues_.end()) return;
     const bool was_first = isFirstInOrder(item);
     order_queue->second.erase(item.position);
--- a/src/cluster/storage/partition_queue.hpp
+++ b/src/cluster/storage/partition_queue.hpp
@@ -1,6 +1,6 @@
 // The unfinished messages of one owned partition: which of them may be granted, and when. Holds state only;
-// limits, edges and disks are handled elsewhere. Ordered messages form one order queue per order scope and
-// order key, of which only the first message may be granted.
+// limits, edges and disks are handled elsewhere. Ordered messages form one order queue per order key, of
+// which only the first message may be granted.
 #pragma once
 
 #include <functional>
@@ -70,10 +70,6 @@
 
 private:
     using OrderQueue = std::map<OrderPosition, QueueItem*>;
-    static std::string orderQueueName(const QueueItem& item) {
-        return item.order_scope + '\n' + item.order_key;
-    }
-
     bool isFirstInOrder(const QueueItem& item) const;
     void joinOrderQueue(QueueItem& item);
     void detach(QueueItem& item);           // from the container that its state implies; drops its grant
@@ -83,7 +79,7 @@
     ReadyQueues& ready_;
     bool recovered_released_ = false;
     std::unordered_map<MessageId, std::unique_ptr<QueueItem>> items_;
-    std::map<std::string, OrderQueue> order_queues_;
+    std::unordered_map<std::string, OrderQueue> order_queues_;  // by order key
     std::set<std::pair<SteadyTime, QueueItem*>> waiting_;
     std::set<std::pair<SteadyTime, QueueItem*>> deadlines_;
 };
--- a/src/cluster/storage/queue_item.hpp
+++ b/src/cluster/storage/queue_item.hpp
@@ -50,12 +50,12 @@
 struct QueueItem {
     PartitionId partition = 0;
     MessageId id;
-    std::string order_scope;  // Route::orderScope() at the accept; identifies the order queue, with order_key
+    std::string order_scope;  // of a record of an older version; empty otherwise
     // Route and service by the newest configuration. The service is the key of the limits; for call-backs it
     // identifies the receiver.
     std::string route;
     std::string service;
-    std::string order_key;  // empty: unordered
+    std::string order_key;  // identifies the order queue; empty: unordered
     OrderPosition position;
     OrderPosition predecessor;  // last message of older epochs in its order queue at the accept
     Millis timeout{0};          // of one delivery, if the configuration sets none
--- a/tests/cluster/edge_delivery_test.cpp
+++ b/tests/cluster/edge_delivery_test.cpp
@@ -382,7 +382,6 @@
     // A grant made under a newer configuration than this edge has is delivered.
     Grant newer = world.grant("id-2");
     newer.content.config_generation = 3;
-    newer.content.order_scope = "host.example/brand-new/";
     world.push(0, {newer});
     CHECK(world.http.sent.size() == 1);
 }
--- a/tests/cluster/edge_store_world.hpp
+++ b/tests/cluster/edge_store_world.hpp
@@ -21,6 +21,8 @@
 // What the clients and servers observed of one message.
 struct ObservedMessage {
     std::string route;
+    std::string host;
+    std::string target;
     std::string order_key;
     std::string ref;
     int status = 0;  // of the response to the client; 0 before it
@@ -56,6 +58,16 @@
     std::size_t max_receiver_connections = std::numeric_limits<std::size_t>::max();  // further ones are reset
 };
 
+// A request of a client. Its path is /ROUTE/REST.
+struct ClientSubmission {
+    std::string route;
+    std::string order_key = {};
+    bool callback = false;
+    std::int64_t delay_ms = 0;
+    std::string rest = "x";
+    std::string host = "host.example";
+};
+
 class EdgeStoreFixture;
 
 // The HTTP client of one edge process. Once the process is dead, no call finishes.
@@ -88,6 +100,7 @@
     std::unique_ptr<MemoryTransport> transport;
     std::unique_ptr<EdgeProcessHttp> http;
     std::unique_ptr<EdgeNode> node;
+    std::int64_t generation = 0;  // of the newest configuration that it has been given
 };
 
 class EdgeStoreFixture {
@@ -101,8 +114,15 @@
     void killEdge(std::size_t index);
     // Publishes a view of the running machines to all nodes.
     void changeView();
+    // Distributes a configuration: every node applies it within `spread`, at a moment of its own. Messages
+    // that no route takes any more have ended.
+    void configure(std::shared_ptr<Configuration> next, Millis spread = Millis(80));
+    void submit(const ClientSubmission& submission);
     void submit(const std::string& route, const std::string& order_key = {}, bool callback = false,
-                std::int64_t delay_ms = 0);
+                std::int64_t delay_ms = 0) {
+        submit(ClientSubmission{
+            .route = route, .order_key = order_key, .callback = callback, .delay_ms = delay_ms});
+    }
     // Queries the state of every accepted message.
     void queryStates();
     void check();
@@ -123,6 +143,7 @@
 
 private:
     void configureEdge(std::size_t index);
+    void endUnroutedMessages();
 
     Incarnation last_incarnation_ = 1000;
     int last_id_ = 0;
@@ -201,6 +222,7 @@
         }
     }
     EdgeNode& node = *edges[index].node;
+    edges[index].generation = stores.configuration->generation;
     node.onView(stores.view);
     node.onConfiguration(stores.configuration);
     node.onServers(list);
@@ -216,24 +238,57 @@
     }
 }
 
-inline void EdgeStoreFixture::submit(const std::string& route, const std::string& order_key, bool callback,
-                                     std::int64_t delay_ms) {
+inline void EdgeStoreFixture::endUnroutedMessages() {
+    for (auto& [id, message] : messages) {
+        const bool is_routed = stores.configuration->match(message.host, message.target) != nullptr;
+        if (!message.ended && !is_routed) message.ended = world().now();
+    }
+}
+
+inline void EdgeStoreFixture::configure(std::shared_ptr<Configuration> next, Millis spread) {
+    next->buildIndexes();
+    stores.configuration = next;
+    endUnroutedMessages();
+    const auto later = [this, spread](std::function<void()> apply) {
+        const double share = world().chance();
+        world().at(world().now() + Millis(static_cast<std::int64_t>(share * double(spread.count()))),
+                   std::move(apply));
+    };
+    for (auto& machine : stores.machines) {
+        later([raw = machine.get(), next] {
+            if (raw->process) raw->process->node->onConfiguration(next);
+        });
+    }
+    for (std::size_t i = 0; i < edges.size(); ++i) {
+        later([this, i, next] {
+            std::int64_t& newest = edges[i].generation;
+            if (!edges[i].node || newest >= next->generation) return;
+            newest = next->generation;
+            edges[i].node->onConfiguration(next);
+        });
+    }
+}
+
+inline void EdgeStoreFixture::submit(const ClientSubmission& submission) {
     const auto index = static_cast<std::size_t>(world().chance() * static_cast<double>(edges.size()));
     if (!edges[index].node) return;
     const std::string id = "m" + std::to_string(++last_id_);
     ObservedMessage& message = messages[id];
-    message.route = route;
-    message.order_key = order_key;
+    message.route = submission.route;
+    message.host = submission.host;
+    message.target = "/" + submission.route + "/" + submission.rest;
+    message.order_key = submission.order_key;
     message.sent = world().now();
-    message.wants_callback = callback;
-    message.delay_ms = delay_ms;
+    endUnroutedMessages();  // this one: an edge may still accept it by an older configuration
+    message.wants_callback = submission.callback;
+    message.delay_ms = submission.delay_ms;
     HttpRequest request;
     request.method = "POST";
-    request.target = "/" + route + "/x";
-    request.headers = {{"Host", "host.example"}, {"Request-Id", id}, {"Deadline-Ms", "500"}};
-    if (!order_key.empty()) request.headers.push_back({"Order-Key", order_key});
-    if (callback) request.headers.push_back({"Callback-Url", "http://10.9.0.7:80/done"});
-    if (delay_ms > 0) request.headers.push_back({"Delay-Ms", std::to_string(delay_ms)});
+    request.target = message.target;
+    request.headers = {{"Host", message.host}, {"Request-Id", id}, {"Deadline-Ms", "500"}};
+    if (!message.order_key.empty()) request.headers.push_back({"Order-Key", message.order_key});
+    if (message.wants_callback) request.headers.push_back({"Callback-Url", "http://10.9.0.7:80/done"});
+    if (message.delay_ms > 0) request.headers.push_back({"Delay-Ms", std::to_string(message.delay_ms)});
     request.body = "body of " + id;
     edges[index].node->handleClientRequest(request, [this, id](const HttpResponse& response) {
         ObservedMessage& answered = messages[id];
--- a/tests/cluster/edge_world.hpp
+++ b/tests/cluster/edge_world.hpp
@@ -328,7 +328,6 @@
     Grant grant(const std::string& id, PartitionId partition = 0, std::uint64_t attempt = 1) const {
         Grant made;
         made.content.id = id;
-        made.content.order_scope = "host.example/plain/";
         made.content.service = "desk";
         made.content.method = "POST";
         made.content.host = "host.example";
@@ -344,7 +343,6 @@
     // Returns a grant of a message on the route to the rate-limited endpoint.
     Grant cappedGrant(const std::string& id) const {
         Grant made = grant(id);
-        made.content.order_scope = "host.example/capped/";
         made.content.service = "partner";
         made.content.target = "/capped/x";
         return made;
--- a/tests/cluster/store_queue_test.cpp
+++ b/tests/cluster/store_queue_test.cpp
@@ -15,7 +15,6 @@
                Epoch epoch = 1) {
     QueueItem made;
     made.id = id;
-    made.order_scope = "route";
     made.service = "service";
     made.order_key = order_key;
     made.position.epoch = epoch;
--- a/tests/cluster/store_world.hpp
+++ b/tests/cluster/store_world.hpp
@@ -11,6 +11,7 @@
 
 #include "cluster/common/codec.hpp"
 #include "cluster/common/edge_heartbeat.hpp"
+#include "cluster/common/order_key.hpp"
 #include "cluster/storage/store_node.hpp"
 #include "tests/cluster/store_world_disk.hpp"
 
@@ -341,7 +342,6 @@
     MessageContent content(const std::string& route, const std::string& order_key = {}) {
         MessageContent made;
         made.id = "m" + std::to_string(++last_message);
-        made.order_scope = configuration->route(route)->orderScope();
         made.service = configuration->route(route)->service;
         made.method = "POST";
         made.target = configuration->route(route)->path_prefix + "x";
--- a/tests/cluster/store_world_edge.hpp
+++ b/tests/cluster/store_world_edge.hpp
@@ -74,10 +74,9 @@
 
 inline void FakeEdge::submit(MessageContent content, std::uint32_t max_failures, bool always_fails,
                              bool always_rejected) {
-    const std::size_t hash = std::hash<std::string>()(content.order_key);
     const auto partitions = static_cast<PartitionId>(stores_.options.partitions);
     const PartitionId partition = content.ordered
-                                      ? static_cast<PartitionId>(hash % partitions)
+                                      ? partitionOfOrderKey(content.order_key, partitions)
                                       : static_cast<PartitionId>(stores_.world.chance() * partitions);
     Ledger::Message& message = stores_.ledger.messages[content.id];
     message.content = content;
