Order a key's messages also where its route only becomes ordered

Seen (simulated): messages accepted on a route that was not `ordered` went to any partition, whatever their Order-Key. When the route became `ordered`, later messages of the key, held in order at its owner, overtook the earlier ones that waited elsewhere for their delay or a server.

Change: every message with an Order-Key lives in the key's partition and queue. Whether it has to wait for earlier ones follows from the route of the owner's newest configuration, as its service does; an order that was promised at the accept is kept. A message of an unordered route waits for nobody, and later ordered ones of its key wait for it.

Evidence: cluster.order_key_test, "a route that becomes ordered keeps the order behind the messages accepted before", failed on the code before and passes now; cluster.store_queue_test has the two cases of the queue, and cluster.changed_route_test that an edge asks only the key's owner.

--- a/src/cluster/edge/message_submitter.cpp
+++ b/src/cluster/edge/message_submitter.cpp
@@ -73,7 +73,7 @@
     Submission& submission = submissions_.at(id);
     if (submission.tries >= kMaxTries || scheduler_.now() >= submission.reply_deadline) return giveUp(id);
     if (!choosePartition(submission)) {
-        const bool all_owners_tried = !submission.content.ordered && submission.tries > 0;
+        const bool all_owners_tried = !submission.content.hasOrderKey() && submission.tries > 0;
         return all_owners_tried ? giveUp(id) : waitForOwner(id, submission);
     }
     callOwner(id, submission, *partitions_.owner(submission.partition));
@@ -82,7 +82,7 @@
 // Returns false if the current view has no owner to ask.
 bool MessageSubmitter::choosePartition(Submission& submission) {
     if (partitions_.partitionCount() == 0) return false;
-    if (!submission.content.ordered) {
+    if (!submission.content.hasOrderKey()) {
         const auto partition = partitions_.pickPartition(random_, submission.tried);
         if (partition) submission.partition = *partition;
         return partition.has_value();
@@ -131,10 +131,10 @@
     partitions_.suspect(submission.owner);
     submission.may_be_stored = true;
     // If the connection broke, the owner has probably died, and its copy of the message is out of reach until
-    // the partition has a new owner. An unordered message goes to another owner; an ordered one belongs
-    // to the partition of its key.
+    // the partition has a new owner. A message without an order key goes to another owner; one with a key
+    // belongs to the partition of its key.
     const bool connection_lost = scheduler_.now() < submission.reply_deadline;
-    if (connection_lost && !submission.content.ordered) return tryNextOwner(id);
+    if (connection_lost && !submission.content.hasOrderKey()) return tryNextOwner(id);
     giveUp(id);
 }
 
@@ -153,7 +153,7 @@
 
 void MessageSubmitter::retry(SubmissionId id, Submission& submission) {
     // An earlier attempt may have stored the message; after that only a confirmation by the owner counts.
-    if (submission.content.ordered && submission.may_be_stored) return giveUp(id);
+    if (submission.content.hasOrderKey() && submission.may_be_stored) return giveUp(id);
     tryNextOwner(id);
 }
 
--- a/src/cluster/storage/message_acceptor.cpp
+++ b/src/cluster/storage/message_acceptor.cpp
@@ -113,7 +113,7 @@
     record->max_failures = request.max_failures;
     record->callback_done = request.content.callback_url.empty();
     record->content = std::move(request.content);
-    if (record->content.ordered) recordPredecessor(owned, *record);
+    if (record->content.hasOrderKey()) recordPredecessor(owned, *record);
     if (!replica_.store(*record, true)) return false;
     const MessageName name{owned.id, record->content.id};
     QueueItem item = items_.make(owned.id, record->content, *replica_.find(owned.id, name.second));
--- a/src/cluster/storage/partition_queue.cpp
+++ b/src/cluster/storage/partition_queue.cpp
@@ -7,9 +7,11 @@
 namespace {
 
 // Whether the recorded predecessor of `newer` takes messages like `older` into account. Older versions, whose
-// records have an order scope, recorded the predecessor within one scope.
+// records have an order scope, recorded the predecessor among the ordered messages of one scope.
 bool recordedPredecessorCovers(const QueueItem& newer, const QueueItem& older) {
-    return newer.order_scope.empty() || newer.order_scope == older.order_scope;
+    if (newer.order_scope.empty()) return true;
+    const bool both_ordered = newer.ordered_at_accept && older.ordered_at_accept;
+    return both_ordered && newer.order_scope == older.order_scope;
 }
 
 }  // namespace
@@ -26,7 +28,7 @@
     found->second = std::make_unique<QueueItem>(std::move(new_item));
     QueueItem& item = *found->second;
     item.state = ItemState::storing;
-    if (item.ordered()) joinOrderQueue(item);
+    if (item.isInOrderQueue()) joinOrderQueue(item);
     deadlines_.emplace(item.deadline, &item);
     if (item.recovered) setPendingState(item);
     return item;
@@ -37,12 +39,15 @@
     QueueItem* const first = order_queue.empty() ? nullptr : order_queue.begin()->second;
     order_queue[item.position] = &item;
     const bool overtaken = first != nullptr && order_queue.begin()->second == &item;
-    if (!overtaken) return;
-    const bool is_blockable = first->state == ItemState::waiting || first->state == ItemState::ready ||
-                              first->state == ItemState::held;
+    if (overtaken && first->ordered) block(*first);
+}
+
+void PartitionQueue::block(QueueItem& item) {
+    const bool is_blockable =
+        item.state == ItemState::waiting || item.state == ItemState::ready || item.state == ItemState::held;
     if (!is_blockable) return;
-    detach(*first);
-    first->state = ItemState::blocked;
+    detach(item);
+    item.state = ItemState::blocked;
 }
 
 QueueItem* PartitionQueue::find(const MessageId& id) {
@@ -58,7 +63,7 @@
 }
 
 bool PartitionQueue::isUnknownToNewerEpoch(const QueueItem& item) const {
-    if (!item.ordered()) return false;
+    if (!item.isInOrderQueue()) return false;
     const auto order_queue = order_queues_.find(item.order_key);
     if (order_queue == order_queues_.end()) return false;
     return std::any_of(order_queue->second.begin(), order_queue->second.end(), [&item](const auto& entry) {
@@ -79,12 +84,15 @@
     }
 }
 
-bool PartitionQueue::isFirstInOrder(const QueueItem& item) const {
-    if (!item.ordered()) return true;
+bool PartitionQueue::isFirstInOrderQueue(const QueueItem& item) const {
     const auto order_queue = order_queues_.find(item.order_key);
     return order_queue != order_queues_.end() && order_queue->second.begin()->second == &item;
 }
 
+bool PartitionQueue::mustWait(const QueueItem& item) const {
+    return item.isInOrderQueue() && item.ordered && !isFirstInOrderQueue(item);
+}
+
 void PartitionQueue::detach(QueueItem& item) {
     if (item.state == ItemState::ready) ready_.remove(item);
     if (item.state == ItemState::waiting) waiting_.erase({item.due, &item});
@@ -92,7 +100,7 @@
 }
 
 void PartitionQueue::setPendingState(QueueItem& item) {
-    if (!isFirstInOrder(item)) {
+    if (mustWait(item)) {
         item.state = ItemState::blocked;
         return;
     }
@@ -126,10 +134,10 @@
 }
 
 void PartitionQueue::leaveOrderQueue(QueueItem& item) {
-    if (!item.ordered()) return;
+    if (!item.isInOrderQueue()) return;
     const auto order_queue = order_queues_.find(item.order_key);
     if (order_queue == order_queues_.end()) return;
-    const bool was_first = isFirstInOrder(item);
+    const bool was_first = isFirstInOrderQueue(item);
     order_queue->second.erase(item.position);
     if (order_queue->second.empty()) {
         order_queues_.erase(order_queue);
@@ -164,7 +172,7 @@
 
 bool PartitionQueue::isGrantable(const QueueItem& item, SteadyTime now) const {
     const bool is_available = item.state == ItemState::waiting || item.state == ItemState::ready;
-    return is_available && item.due <= now && isFirstInOrder(item);
+    return is_available && item.due <= now && !mustWait(item);
 }
 
 void PartitionQueue::update(QueueItem& item, const std::function<void(QueueItem&)>& change) {
@@ -172,6 +180,11 @@
     if (ready) ready_.remove(item);
     change(item);
     if (ready) ready_.add(item);
+    if (mustWait(item)) {
+        block(item);
+    } else if (item.state == ItemState::blocked) {
+        setPendingState(item);
+    }
 }
 
 std::optional<SteadyTime> PartitionQueue::nextDue() const {
--- a/src/cluster/storage/partition_queue.hpp
+++ b/src/cluster/storage/partition_queue.hpp
@@ -1,6 +1,6 @@
 // The unfinished messages of one owned partition: which of them may be granted, and when. Holds state only;
-// limits, edges and disks are handled elsewhere. Ordered messages form one order queue per order key, of
-// which only the first message may be granted.
+// limits, edges and disks are handled elsewhere. The messages of an order key form one order queue, in which
+// an ordered message may be granted only once it is the first.
 #pragma once
 
 #include <functional>
@@ -39,7 +39,7 @@
     // in the same order queue. Such a message was never acknowledged, and its accept position would be the
     // wrong place.
     bool isUnknownToNewerEpoch(const QueueItem& item) const;
-    // Marks the message as held by enough disks: it may run when it is due and first in its order queue.
+    // Marks the message as held by enough disks: it may run when it is due and its order queue allows it.
     void markStored(QueueItem& item);
     // Lets recovered messages be granted, once the running attempts of the edges are known.
     void releaseRecovered();
@@ -49,15 +49,15 @@
     void grant(QueueItem& item, OutstandingGrant grant);
     // Removes the grant; the message may be granted again from `due` on.
     void retry(QueueItem& item, SteadyTime due);
-    // Ends the message, so that the next one in its order queue may run. If no call-back is owed, the message
-    // is removed; otherwise `change` turns it into its call-back, which waits from then on.
+    // Ends the message, so that the next ordered one in its order queue may run. If no call-back is owed, the
+    // message is removed; otherwise `change` turns it into its call-back, which waits from then on.
     void end(QueueItem& item, const std::function<void(QueueItem&)>& change);
     // Removes the message without leaving a call-back.
     void remove(QueueItem& item);
-    // Whether the message may be granted now: first in its order queue, due, and not granted.
+    // Whether the message may be granted now: due, not granted, and allowed by its order queue.
     bool isGrantable(const QueueItem& item, SteadyTime now) const;
-    // Applies `change` to the fields that follow from the configuration: route, service, start target and
-    // priority. Keeps the ready queues consistent.
+    // Applies `change` to the fields that follow from the configuration: route, service, start target,
+    // priority and whether the message is ordered. Keeps the ready queues and the state consistent.
     void update(QueueItem& item, const std::function<void(QueueItem&)>& change);
 
     // The earliest due time of the waiting messages.
@@ -70,7 +70,11 @@
 
 private:
     using OrderQueue = std::map<OrderPosition, QueueItem*>;
-    bool isFirstInOrder(const QueueItem& item) const;
+    bool isFirstInOrderQueue(const QueueItem& item) const;
+    // Whether the message is ordered and an earlier one of its order key has not ended.
+    bool mustWait(const QueueItem& item) const;
+    // Blocks the message unless it is granted or not stored yet.
+    void block(QueueItem& item);
     void joinOrderQueue(QueueItem& item);
     void detach(QueueItem& item);           // from the container that its state implies; drops its grant
     void setPendingState(QueueItem& item);  // sets the state to waiting, blocked or held
--- a/src/cluster/storage/queue_item.hpp
+++ b/src/cluster/storage/queue_item.hpp
@@ -55,7 +55,11 @@
     // identifies the receiver.
     std::string route;
     std::string service;
-    std::string order_key;  // identifies the order queue; empty: unordered
+    std::string order_key;           // identifies the order queue; empty: none
+    bool ordered_at_accept = false;  // its route was `ordered` then; an order once promised is kept
+    // Begins only after all earlier messages of its order key have ended: its route is `ordered`, or was at
+    // the accept. Any message with an order key makes later ordered ones wait.
+    bool ordered = false;
     OrderPosition position;
     OrderPosition predecessor;  // last message of older epochs in its order queue at the accept
     Millis timeout{0};          // of one delivery, if the configuration sets none
@@ -75,7 +79,7 @@
     std::optional<OutstandingGrant> grant;
     std::set<std::string> holders;  // other stores that have the content
 
-    bool ordered() const { return !order_key.empty() && !callback; }
+    bool isInOrderQueue() const { return !order_key.empty() && !callback; }
 };
 
 }  // namespace amberswitch::cluster::storage
--- a/src/cluster/storage/queue_item_factory.cpp
+++ b/src/cluster/storage/queue_item_factory.cpp
@@ -30,7 +30,9 @@
     const Route* const route = routingOf(content).route;
     if (route != nullptr) item.route = route->name;
     item.service = content.service;
-    if (content.ordered) item.order_key = content.order_key;
+    item.order_key = content.order_key;
+    item.ordered_at_accept = content.ordered;
+    item.ordered = isOrdered(item, route);
     item.position = {message.epoch, message.sequence};
     item.predecessor = {message.after_epoch, message.after_sequence};
     item.timeout = kDefaultTimeout;
@@ -81,10 +83,16 @@
     return {route, route == nullptr};
 }
 
+bool QueueItemFactory::isOrdered(const QueueItem& item, const Route* route) {
+    const bool route_is_ordered = route != nullptr && route->ordered;
+    return !item.order_key.empty() && (item.ordered_at_accept || route_is_ordered);
+}
+
 void QueueItemFactory::applyRoute(QueueItem& item, const Route& route) const {
     item.route = route.name;
     item.service = route.service;
     item.priority = route.priority;
+    item.ordered = isOrdered(item, &route);
     item.start_target = item.first_due + scheduleTargetOf(route.name);
 }
 
--- a/src/cluster/storage/queue_item_factory.hpp
+++ b/src/cluster/storage/queue_item_factory.hpp
@@ -48,6 +48,9 @@
     std::int64_t generationFor(const MessageContent& content) const;
 
 private:
+    // `route`: by the current configuration; null if there is none.
+    static bool isOrdered(const QueueItem& item, const Route* route);
+
     const StoreClock& clock_;
     const Millis status_retention_;
     const Configuration* configuration_ = nullptr;
--- a/tests/cluster/changed_route_test.cpp
+++ b/tests/cluster/changed_route_test.cpp
@@ -228,6 +228,45 @@
     CHECK(before.content.order_scope == after.content.order_scope);
 }
 
+// Guards against a key that moves to another owner, or a message that goes to a second one, with its route.
+TEST_CASE("an edge asks only the owner of an order key, also under a longer, moved or unordered route") {
+    edge_test::EdgeWorld world;
+    world.provideAll();
+    std::set<PartitionId> partitions;
+    int last_id = 0;
+    const auto send = [&](const std::string& host) {
+        const std::string id = "id-" + std::to_string(++last_id);
+        HttpRequest request = world.request("/ordered/long/x", id, {{"Order-Key", "key"}});
+        request.headers[0].value = host;
+        CHECK(world.statusOf(request) == 202);
+        for (const auto& store : world.stores) {
+            for (const AcceptMessageRequest& accept : store->accepts) partitions.insert(accept.partition);
+        }
+    };
+    const auto configure = [&](const std::shared_ptr<Configuration>& changed) {
+        changed->buildIndexes();
+        world.edge->onConfiguration(changed);
+        return changed;
+    };
+    send("host.example");
+    auto longer = next(*edge_test::configuration());
+    Route added = routeOf(*longer, "ordered");
+    added.name = "longer";
+    added.path_prefix = "/ordered/long/";
+    longer->routes.push_back(added);
+    configure(longer);
+    send("host.example");
+    auto moved = next(*longer);
+    routeOf(*moved, "longer").hostname = "other.example";
+    configure(moved);
+    send("other.example");
+    auto unordered = next(*moved);
+    routeOf(*unordered, "longer").ordered = false;
+    configure(unordered);
+    for (int i = 0; i < 8; ++i) send("other.example");
+    CHECK(partitions.size() == 1);
+}
+
 TEST_CASE("a new owner runs queued messages at the new service of their route") {
     ChangingStores stores(5);
     MessageContent content = stores.play.content("plain");
--- a/tests/cluster/order_key_test.cpp
+++ b/tests/cluster/order_key_test.cpp
@@ -29,6 +29,7 @@
             message.rest = draw(4) == 0 ? "x" : "cabs/x";
             if (hosts.size() > 1) message.host = hosts[draw(hosts.size())];
             if (delays && draw(5) == 0) message.delay_ms = 300;
+            message.is_ordered = is_ordered;
             fixture.submit(message);
             fixture.world().run(Millis(static_cast<std::int64_t>(draw(2 * pause.count()))));
         }
@@ -53,6 +54,7 @@
     EdgeStoreFixture fixture;
     std::vector<std::string> hosts{"host.example"};
     bool delays = false;
+    bool is_ordered = true;  // whether the routes are `ordered` at all edges
 };
 
 Route& routeOf(std::vector<Route>& routes, const std::string& name) {
@@ -154,6 +156,30 @@
     }
 }
 
+// Guards against messages that overtake the ones of their key that were accepted before the route was
+// `ordered`.
+TEST_CASE("a route that becomes ordered keeps the order behind the messages accepted before") {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        OrderedTraffic traffic(seed);
+        traffic.delays = true;
+        const auto setOrdered = [&traffic](bool ordered) {
+            if (!ordered) traffic.is_ordered = false;
+            traffic.change([ordered](auto& routes) { routeOf(routes, "lines").ordered = ordered; });
+            traffic.send(20);
+            traffic.fixture.world().run(Millis(100));
+            traffic.is_ordered = ordered;
+        };
+        for (int round = 0; round < 3; ++round) {
+            setOrdered(false);
+            traffic.send(60);
+            setOrdered(true);
+            traffic.send(60);
+        }
+        traffic.finish();
+    }
+}
+
 // Guards against a new owner, or a restarted one, that places or orders a key in another way.
 TEST_CASE("the order holds when an owner is replaced at the moment of a change") {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- a/tests/cluster/store_queue_test.cpp
+++ b/tests/cluster/store_queue_test.cpp
@@ -17,6 +17,7 @@
     made.id = id;
     made.service = "service";
     made.order_key = order_key;
+    made.ordered = made.ordered_at_accept = !order_key.empty();
     made.position.epoch = epoch;
     made.position.sequence = sequence;
     made.first_due = kNow;
@@ -65,6 +66,42 @@
     CHECK(fixture.head() == "a2");
 }
 
+// Guards against messages that overtake earlier ones of their key which were accepted on an unordered route.
+TEST_CASE("an unordered message of a key does not wait, and later ordered ones wait for it") {
+    QueueFixture fixture;
+    for (const char* id : {"a1", "a2"}) {
+        QueueItem unordered = item(id, id[1] - '0', "a");
+        unordered.ordered = unordered.ordered_at_accept = false;
+        fixture.addStored(unordered);
+    }
+    fixture.addStored(item("a3", 3, "a"));
+    CHECK(fixture.grantHead().id == "a1");
+    CHECK(fixture.grantHead().id == "a2");
+    CHECK(fixture.head().empty());
+    fixture.end("a2");
+    CHECK(fixture.head().empty());
+    fixture.end("a1");
+    CHECK(fixture.head() == "a3");
+}
+
+TEST_CASE("a message whose route becomes ordered waits from then on, until the route is not any more") {
+    QueueFixture fixture;
+    fixture.addStored(item("a1", 1, "a"));
+    QueueItem unordered = item("a2", 2, "a");
+    unordered.ordered = unordered.ordered_at_accept = false;
+    QueueItem& second = fixture.addStored(unordered);
+    CHECK(fixture.grantHead().id == "a1");
+    CHECK(fixture.head() == "a2");
+    fixture.queue.update(second, [](QueueItem& changed) { changed.ordered = true; });
+    CHECK(fixture.head().empty());
+    CHECK_FALSE(fixture.queue.isGrantable(second, kNow));
+    fixture.queue.update(second, [](QueueItem& changed) { changed.ordered = false; });
+    CHECK(fixture.head() == "a2");
+    fixture.queue.update(second, [](QueueItem& changed) { changed.ordered = true; });
+    fixture.end("a1");
+    CHECK(fixture.head() == "a2");
+}
+
 TEST_CASE("a message that is not on enough disks blocks the later ones of its order key") {
     QueueFixture fixture;
     QueueItem& first = fixture.queue.add(item("a1", 1, "a"));
