Keep a key's order behind messages that older versions placed by route

Seen (simulated): after a start of this version on the disks of an older one, a message of a key ran in the key's partition while earlier ones, stored by their route in another partition, still waited for their delay or a server.

Cause: where a key lives is stored with each record. Records stay in the partition in which they were accepted, so the owner of the key's own partition does not know of them.

Change: each store asks the others which keys have unfinished messages outside their own partition (misplaced_keys) until every partition is known to have none, which is final. Meanwhile ordered messages of such keys wait, and all ordered ones until each owner has answered once. A store that has settled this tells the next one that starts, and the first start of all settles it at once. A store refuses a new message whose key belongs to another partition, as an edge of an older version sends it: the edge answers 503, and nothing is out of order. Metrics: misplaced_keys, misplaced_keys_settled, accepts_misplaced_key.

No record and no earlier message changes its format.

--- a/src/cluster/common/messages.cpp
+++ b/src/cluster/common/messages.cpp
@@ -42,6 +42,8 @@
             return "peering_progress";
         case MessageKind::read_configuration:
             return "read_configuration";
+        case MessageKind::misplaced_keys:
+            return "misplaced_keys";
     }
     return "other";
 }
--- a/src/cluster/common/messages.hpp
+++ b/src/cluster/common/messages.hpp
@@ -38,6 +38,8 @@
     peering_progress,
     // edge -> core
     read_configuration,
+    // store <-> store
+    misplaced_keys,
 };
 
 // The name used in metrics; "other" for a value that is not an enumerator.
--- a/src/cluster/common/replication_messages.hpp
+++ b/src/cluster/common/replication_messages.hpp
@@ -132,6 +132,30 @@
         archive(done);
     }
 };
+// A store asks another one which order keys have messages outside their own partition.
+struct MisplacedKeysRequest {
+    std::string store;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(store);
+    }
+};
+struct MisplacedKeysOfPartition {
+    PartitionId partition = 0;
+    std::vector<std::string> keys;  // of unfinished messages
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(partition, keys);
+    }
+};
+struct MisplacedKeysReply {
+    bool settled = false;                              // no store has any, and none ever will
+    std::vector<MisplacedKeysOfPartition> partitions;  // that the store owns; empty if settled
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(settled, partitions);
+    }
+};
 struct Acknowledgement {
     bool done = true;
     template <class Archive>
--- a/src/cluster/storage/message_acceptor.cpp
+++ b/src/cluster/storage/message_acceptor.cpp
@@ -100,10 +100,18 @@
     return static_cast<double>(usage.live_bytes) <= kMaxDiskUse * static_cast<double>(usage.capacity_bytes);
 }
 
+bool MessageAcceptor::isMisplaced(const OwnedPartition& owned, const MessageContent& content) const {
+    return content.hasOrderKey() && !placement_.isPartitionOfKey(owned.id, content.order_key);
+}
+
 bool MessageAcceptor::acceptNew(OwnedPartition& owned, AcceptMessageRequest& request, Answer answer) {
     const bool enough_stores =
         placement_.otherCopyStoreCount() >= placement_.tolerated() && placement_.canSpread();
     if (!enough_stores || !hasDiskSpace()) return false;
+    if (isMisplaced(owned, request.content)) {
+        ++misplaced_count_;
+        return false;
+    }
     const auto record = std::make_shared<MessageRecord>();
     record->partition = owned.id;
     record->epoch = owned.epoch;
--- a/src/cluster/storage/message_acceptor.hpp
+++ b/src/cluster/storage/message_acceptor.hpp
@@ -46,6 +46,8 @@
     bool inProgress(PartitionId partition, const MessageId& id) const;
     // Number of accepts that have not been answered.
     std::size_t inProgress() const { return jobs_.size(); }
+    // Number of accepts refused because their order key belongs to another partition.
+    std::uint64_t misplacedCount() const { return misplaced_count_; }
 
 private:
     using MessageName = std::pair<PartitionId, MessageId>;
@@ -65,6 +67,8 @@
     };
 
     bool hasDiskSpace() const;
+    // Whether the message has an order key of another partition: an edge of an older version placed it.
+    bool isMisplaced(const OwnedPartition& owned, const MessageContent& content) const;
     // Whether the local copy and the copies at these stores survive the tolerated losses of stores and zones.
     bool hasEnoughCopies(const std::set<std::string>& holders) const;
     // False: the message is refused, since stores or disk space are lacking; `answer` has not been called.
@@ -100,6 +104,7 @@
     OutcomeHandler& outcomes_;
     Granter& granter_;
     bool stopped_ = false;
+    std::uint64_t misplaced_count_ = 0;
     std::function<void(PartitionId)> on_fenced_;  // called when the partition has a newer owner
     std::map<MessageName, Job> jobs_;
     std::map<MessageName, bool> under_replicated_;  // lack copies; true: Job::is_new
--- /dev/null
+++ b/src/cluster/storage/misplaced_key_survey.hpp
@@ -0,0 +1,40 @@
+// Asks the other stores which order keys have messages outside their own partition, until no store has any. A
+// store of an older version does not answer, so ordered messages wait while it owns a partition.
+#pragma once
+
+#include <functional>
+#include <set>
+#include <string>
+
+#include "cluster/common/scheduler.hpp"
+#include "cluster/common/transport.hpp"
+#include "cluster/storage/misplaced_keys.hpp"
+#include "cluster/storage/owned_partition.hpp"
+
+namespace amberswitch::cluster::storage {
+
+class MisplacedKeySurvey {
+public:
+    // `on_change` runs after each change of `keys` that may let messages run.
+    MisplacedKeySurvey(Transport& transport, const Placement& placement, const OwnedPartitions& owned,
+                       MisplacedKeys& keys, std::function<void()> on_change);
+
+    // Looks at the own partitions and asks the other stores, unless all is settled. Call about every 100 ms.
+    void tick();
+    // What this store knows of the partitions that it owns.
+    MisplacedKeysReply answer();
+
+private:
+    void reportOwn();
+    void ask(const StoreMember& store);
+    void onReply(const MisplacedKeysReply& reply);
+
+    Transport& transport_;
+    const Placement& placement_;
+    const OwnedPartitions& owned_;
+    MisplacedKeys& keys_;
+    std::function<void()> on_change_;
+    std::set<std::string> asked_;  // stores that have not answered yet
+};
+
+}  // namespace amberswitch::cluster::storage
--- a/src/cluster/storage/owned_partition.hpp
+++ b/src/cluster/storage/owned_partition.hpp
@@ -9,7 +9,8 @@
 namespace amberswitch::cluster::storage {
 
 struct OwnedPartition {
-    OwnedPartition(PartitionId partition, ReadyQueues& ready) : id(partition), queue(ready) {}
+    OwnedPartition(PartitionId partition, ReadyQueues& ready, const MisplacedKeys& misplaced)
+        : id(partition), queue(ready, &misplaced) {}
 
     PartitionId id;
     Epoch epoch = 0;
--- a/src/cluster/storage/partition_queue.cpp
+++ b/src/cluster/storage/partition_queue.cpp
@@ -78,12 +78,29 @@
 }
 
 void PartitionQueue::releaseRecovered() {
-    if (std::exchange(recovered_released_, true)) return;
+    if (!std::exchange(recovered_released_, true)) releaseHeld();
+}
+
+void PartitionQueue::releaseHeld() {
     for (auto& [id, item] : items_) {
         if (item->state == ItemState::held) setPendingState(*item);
     }
 }
 
+std::set<std::string> PartitionQueue::misplacedKeys() const {
+    std::set<std::string> keys;
+    if (misplaced_ == nullptr) return keys;
+    for (const auto& [id, item] : items_) {
+        if (misplaced_->isMisplaced(*item)) keys.insert(item->order_key);
+    }
+    return keys;
+}
+
+bool PartitionQueue::isHeld(const QueueItem& item) const {
+    const bool is_unclear = item.recovered && !recovered_released_;
+    return is_unclear || (misplaced_ != nullptr && misplaced_->holdsBack(item));
+}
+
 bool PartitionQueue::isFirstInOrderQueue(const QueueItem& item) const {
     const auto order_queue = order_queues_.find(item.order_key);
     return order_queue != order_queues_.end() && order_queue->second.begin()->second == &item;
@@ -104,7 +121,7 @@
         item.state = ItemState::blocked;
         return;
     }
-    if (item.recovered && !recovered_released_) {
+    if (isHeld(item)) {
         item.state = ItemState::held;
         return;
     }
--- a/src/cluster/storage/partition_queue.hpp
+++ b/src/cluster/storage/partition_queue.hpp
@@ -13,16 +13,19 @@
 #include <utility>
 #include <vector>
 
+#include "cluster/storage/misplaced_keys.hpp"
 #include "cluster/storage/queue_item.hpp"
 #include "cluster/storage/ready_queues.hpp"
 
 namespace amberswitch::cluster::storage {
 
 // Owns its items; references stay valid until the item is removed. Ready items are also listed in `ready`,
-// which must outlive the queue.
+// which must outlive the queue, as `misplaced` must.
 class PartitionQueue {
 public:
-    explicit PartitionQueue(ReadyQueues& ready) : ready_(ready) {}
+    // `misplaced`: says which messages wait for others of their key in another partition; null: none does.
+    explicit PartitionQueue(ReadyQueues& ready, const MisplacedKeys* misplaced = nullptr)
+        : ready_(ready), misplaced_(misplaced) {}
     ~PartitionQueue();
     PartitionQueue(const PartitionQueue&) = delete;
     PartitionQueue& operator=(const PartitionQueue&) = delete;
@@ -43,6 +46,10 @@
     void markStored(QueueItem& item);
     // Lets recovered messages be granted, once the running attempts of the edges are known.
     void releaseRecovered();
+    // Lets messages be granted that no longer wait for others of their key in another partition.
+    void releaseHeld();
+    // Order keys of unfinished messages that belong to another partition.
+    std::set<std::string> misplacedKeys() const;
     // Moves all messages that are due to the ready queues of their services.
     void collectReady(SteadyTime now);
     // Marks the message as granted; it must be waiting, ready or held.
@@ -70,6 +77,8 @@
 
 private:
     using OrderQueue = std::map<OrderPosition, QueueItem*>;
+    // Whether the message may not be granted yet for a reason outside its order queue.
+    bool isHeld(const QueueItem& item) const;
     bool isFirstInOrderQueue(const QueueItem& item) const;
     // Whether the message is ordered and an earlier one of its order key has not ended.
     bool mustWait(const QueueItem& item) const;
@@ -81,6 +90,7 @@
     void leaveOrderQueue(QueueItem& item);
 
     ReadyQueues& ready_;
+    const MisplacedKeys* misplaced_;
     bool recovered_released_ = false;
     std::unordered_map<MessageId, std::unique_ptr<QueueItem>> items_;
     std::unordered_map<std::string, OrderQueue> order_queues_;  // by order key
--- a/src/cluster/storage/placement.hpp
+++ b/src/cluster/storage/placement.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "cluster/common/messages.hpp"
+#include "cluster/common/order_key.hpp"
 #include "cluster/common/topology.hpp"
 #include "cluster/storage/spread_rule.hpp"
 
@@ -30,6 +31,12 @@
     void update(std::shared_ptr<const StoreView> view) { view_ = std::move(view); }
     const StoreView* view() const { return view_.get(); }
     const std::string& self() const { return self_; }
+    // 0 before the first view.
+    std::size_t partitionCount() const { return view_ ? view_->partitions.size() : 0; }
+    // Whether messages with this order key belong to the partition. Requires a view.
+    bool isPartitionOfKey(PartitionId partition, const std::string& order_key) const {
+        return partition == partitionOfOrderKey(order_key, partitionCount());
+    }
     Epoch epoch() const { return view_ ? view_->epoch : 0; }
     // The number of stores that may be lost at once (f). As many stores besides the owner hold each message.
     std::uint32_t tolerated() const { return view_ ? view_->tolerated : 0; }
--- a/src/cluster/storage/queue_item.hpp
+++ b/src/cluster/storage/queue_item.hpp
@@ -41,7 +41,7 @@
 enum class ItemState : std::uint8_t {
     storing,  // not yet on enough disks
     blocked,  // an earlier message of its order key has not ended
-    held,     // recovered; the running attempts of the edges are not yet known
+    held,  // recovered, and the running attempts of the edges are not yet known; or behind misplaced messages
     waiting,  // until its due time
     ready,    // in the ready queue of its service
     granted,
--- a/src/cluster/storage/store_node.cpp
+++ b/src/cluster/storage/store_node.cpp
@@ -71,13 +71,19 @@
       replica_(disk, clock_, settings.bootstrap && disk.wasEmpty(), settings.bounds.status_retention),
       replicator_(scheduler, transport, placement_, replica_, clock_),
       grants_(settings.zone, settings.topology, incarnation),
+      misplaced_keys_(placement_),
       items_(clock_, settings.bounds.status_retention),
       outcomes_(owned_, grants_, replica_, replicator_, items_, clock_, incarnation),
       granter_(scheduler, transport, owned_, grants_, outcomes_, replica_, items_, settings.name),
       edge_watch_(transport, owned_, grants_, outcomes_, granter_, clock_, settings.name),
       acceptor_(disk, replica_, replicator_, placement_, clock_, owned_, items_, outcomes_, granter_,
                 [this](PartitionId partition) { onFenced(partition); }),
-      peering_(scheduler, transport, replica_, replicator_, placement_, clock_, peeringHooks()) {}
+      peering_(scheduler, transport, replica_, replicator_, placement_, clock_, peeringHooks()),
+      misplaced_key_survey_(transport, placement_, owned_, misplaced_keys_,
+                            [this] { onMisplacedKeysChanged(); }) {
+    const bool first_start = settings.bootstrap && disk.wasEmpty();
+    if (first_start) misplaced_keys_.settle();
+}
 
 storage::PeeringDriver::Hooks StoreNode::Impl::peeringHooks() {
     storage::PeeringDriver::Hooks hooks;
@@ -148,6 +154,7 @@
     replica_.stageDeferredWrites();
     peering_.tick();
     acceptor_.tick();
+    misplaced_key_survey_.tick();
     edge_watch_.tick();
     for (auto& [partition, owned] : owned_) {
         if (owned->active) outcomes_.endExpired(*owned);
@@ -195,6 +202,7 @@
         }
     }
     updateLimiterShares();
+    misplaced_key_survey_.tick();
     LOG(INFO) << "store " << settings_.name << ": applied view " << view_->epoch << ", owns " << owned_.size()
               << " partitions";
 }
@@ -232,7 +240,7 @@
                             view.epoch == previous_epoch + 1;
     if (owned != nullptr && !continuous) relinquish(partition);
     if (!continuous) {
-        auto fresh = std::make_unique<OwnedPartition>(partition, grants_.ready);
+        auto fresh = std::make_unique<OwnedPartition>(partition, grants_.ready, misplaced_keys_);
         owned = owned_.emplace(partition, std::move(fresh)).first->second.get();
         const PartitionOwner& assignment = view.partitions[partition];
         const bool previous_runs = !assignment.previous_stopped && assignment.previous >= 0 &&
@@ -335,6 +343,11 @@
     return ids;
 }
 
+void StoreNode::Impl::onMisplacedKeysChanged() {
+    for (auto& [partition, owned] : owned_) owned->queue.releaseHeld();
+    granter_.schedule();
+}
+
 void StoreNode::Impl::addKnownHolders(QueueItem& item) {
     for (const std::string& store : peering_.holders(item.partition, item.id)) item.holders.insert(store);
 }
--- a/src/cluster/storage/store_node_impl.hpp
+++ b/src/cluster/storage/store_node_impl.hpp
@@ -7,6 +7,7 @@
 
 #include "cluster/storage/edge_watch.hpp"
 #include "cluster/storage/message_acceptor.hpp"
+#include "cluster/storage/misplaced_key_survey.hpp"
 #include "cluster/storage/peering_driver.hpp"
 #include "cluster/storage/store_node.hpp"
 
@@ -55,6 +56,8 @@
     // Sorts messages newest first: whether an older message is a stray is decided from the newer messages of
     // its line.
     std::vector<MessageId> sortedNewestFirst(PartitionId partition, std::vector<MessageId> ids);
+    // Messages may no longer wait for others of their key in another partition.
+    void onMisplacedKeysChanged();
     void addKnownHolders(storage::QueueItem& item);
     void updateLimiterShares();
     void finishLeaving();
@@ -78,6 +81,7 @@
     void onReplicate(ReplicateBatch batch, const Responder& respond);
     void onPull(PullRequest request, const Responder& respond);
     void onPeeringDone(PeeringDone done, const Responder& respond);
+    void onMisplacedKeys(MisplacedKeysRequest request, const Responder& respond);
     void onPeeringProgress(PeeringProgressRequest request, const Responder& respond);
     StateReply stateOf(const StateQuery& query);
     void fetchBody(const StateQuery& query, StateReply reply, std::vector<std::string> stores,
@@ -96,6 +100,7 @@
     storage::Replica replica_;
     storage::Replicator replicator_;
     storage::GrantTable grants_;  // before owned_, whose queues refer to it
+    storage::MisplacedKeys misplaced_keys_;
     storage::OwnedPartitions owned_;
     storage::QueueItemFactory items_;
     storage::OutcomeHandler outcomes_;
@@ -103,6 +108,7 @@
     storage::EdgeWatch edge_watch_;
     storage::MessageAcceptor acceptor_;
     storage::PeeringDriver peering_;
+    storage::MisplacedKeySurvey misplaced_key_survey_;
 
     std::shared_ptr<const StoreView> view_;
     std::shared_ptr<const Configuration> configuration_;
--- a/src/cluster/storage/store_node_requests.cpp
+++ b/src/cluster/storage/store_node_requests.cpp
@@ -51,6 +51,8 @@
             return dispatch<PeeringDone>(request, respond, &Impl::onPeeringDone);
         case MessageKind::peering_progress:
             return dispatch<PeeringProgressRequest>(request, respond, &Impl::onPeeringProgress);
+        case MessageKind::misplaced_keys:
+            return dispatch<MisplacedKeysRequest>(request, respond, &Impl::onMisplacedKeys);
         default:
             LOG_EVERY_N(WARNING, 1000) << "unexpected request of kind " << request.kind << " to a store";
     }
@@ -228,6 +230,10 @@
     replica_.sync([respond](bool synced) { respond(reply(Acknowledgement{synced})); });
 }
 
+void StoreNode::Impl::onMisplacedKeys(MisplacedKeysRequest /*request*/, const Responder& respond) {
+    respond(reply(misplaced_key_survey_.answer()));
+}
+
 void StoreNode::Impl::onPeeringProgress(PeeringProgressRequest request, const Responder& respond) {
     PeeringProgressReply answer;
     answer.done = view_ != nullptr && view_->epoch == request.epoch && disk_.healthy();
--- a/src/cluster/storage/store_node_status.cpp
+++ b/src/cluster/storage/store_node_status.cpp
@@ -72,6 +72,9 @@
     text.add("messages_kept", replica_.size());
     text.add("grants_out", grants_.edges.outstandingGrants());
     text.add("disk_live_bytes", usage.live_bytes);
+    text.add("accepts_misplaced_key", acceptor_.misplacedCount());
+    text.add("misplaced_keys", misplaced_keys_.size());
+    text.add("misplaced_keys_settled", misplaced_keys_.isSettled() ? 1 : 0);
     text.add("configuration", configuration_ ? static_cast<std::uint64_t>(configuration_->generation) : 0);
     return text.take() + grants_.counters.text();
 }
--- a/tests/cluster/store_world.hpp
+++ b/tests/cluster/store_world.hpp
@@ -90,8 +90,9 @@
 public:
     FakeEdge(StoreWorld& stores, int index);
     void onView(std::shared_ptr<const StoreView> view);
+    // `partition`: where an edge of an older version would store it; nothing: where it belongs.
     void submit(MessageContent content, std::uint32_t max_failures, bool always_fails = false,
-                bool always_rejected = false);
+                bool always_rejected = false, std::optional<PartitionId> partition = {});
     std::optional<StateReply> query(MessageKind kind, PartitionId partition, const MessageId& id);
     void kill();
     void restart();
@@ -114,6 +115,7 @@
     };
     using AttemptName = std::tuple<MessageId, Epoch, std::uint64_t>;
     std::optional<NodeAddress> ownerOf(PartitionId partition) const;
+    PartitionId partitionFor(const MessageContent& content) const;
     void later(Millis delay, std::function<void()> work) {
         process_->timers.push_back(process_->scheduler->after(delay, std::move(work)));
     }
--- a/tests/cluster/store_world_edge.hpp
+++ b/tests/cluster/store_world_edge.hpp
@@ -72,12 +72,15 @@
                               [](CallResult) {});
 }
 
-inline void FakeEdge::submit(MessageContent content, std::uint32_t max_failures, bool always_fails,
-                             bool always_rejected) {
+inline PartitionId FakeEdge::partitionFor(const MessageContent& content) const {
     const auto partitions = static_cast<PartitionId>(stores_.options.partitions);
-    const PartitionId partition = content.hasOrderKey()
-                                      ? partitionOfOrderKey(content.order_key, partitions)
-                                      : static_cast<PartitionId>(stores_.world.chance() * partitions);
+    if (content.hasOrderKey()) return partitionOfOrderKey(content.order_key, partitions);
+    return static_cast<PartitionId>(stores_.world.chance() * partitions);
+}
+
+inline void FakeEdge::submit(MessageContent content, std::uint32_t max_failures, bool always_fails,
+                             bool always_rejected, std::optional<PartitionId> chosen) {
+    const PartitionId partition = chosen ? *chosen : partitionFor(content);
     Ledger::Message& message = stores_.ledger.messages[content.id];
     message.content = content;
     message.partition = partition;
