Draw changes of an ordered key's route in the simulated plays and the soak

The stores' history plays and the soak of real processes changed services and hosts of routes, but never gave a key's messages another route. Both now draw, by seed, a longer route in front of the ordered one that comes and goes, with another name and service (in the plays also not `ordered`), and half of the ordered messages fall under it.

--- a/tests/history/message_play.hpp
+++ b/tests/history/message_play.hpp
@@ -17,6 +17,8 @@
 inline constexpr Millis kMessageContact{4000};  // `contactMs`
 inline constexpr Millis kMessageCatchUp{4500};  // `catchUpS`
 inline constexpr Millis kLongestTrouble{5000};
+inline constexpr Millis kInForceEverywhere{3000};  // `configApplyMs`
+inline constexpr const char* kLongerPrefix = "/lines/longer/";
 
 class MessagePlay {
 public:
@@ -30,6 +32,7 @@
         submit();
         planFault();
         planEdgeFault();
+        planChange();
         play_.world.run(kMessagesFor);
         stopped_ = true;
         play_.world.run(kLongestTrouble + Millis(3000));
@@ -84,12 +87,54 @@
         const double kind = play_.world.chance();
         const int line = static_cast<int>(play_.world.chance() * 6);
         MessageContent content =
-            kind < 0.5 ? play_.content("lines", "k" + std::to_string(line)) : play_.content("plain");
+            kind < 0.5 ? orderedContent("k" + std::to_string(line)) : play_.content("plain");
         if (kind > 0.8) content.delay_ms = between(Millis(0), Millis(3000)).count();
         if (kind > 0.9) content.callback_url = "http://10.9.0.7:80/done";
         edge.submit(content, 3, play_.world.chance() < 0.03, play_.world.chance() < 0.03);
     }
 
+    MessageContent orderedContent(const std::string& key) {
+        MessageContent content = play_.content("lines", key);
+        if (play_.world.chance() < 0.5) content.target = std::string(kLongerPrefix) + "x";
+        const Route& route = *play_.configuration->match(content.host, content.target);
+        content.service = route.service;
+        content.ordered = route.ordered;
+        return content;
+    }
+
+    // --- Routes: a longer one comes, changes and goes; stores learn of each change at moments of their own
+    // ---
+    void planChange() {
+        after(between(Millis(50), Millis(2000)), [this] {
+            if (stopped_) return;
+            change();
+            planChange();
+        });
+    }
+    void change() {
+        auto next = std::make_shared<Configuration>(*play_.configuration);
+        ++next->generation;
+        const auto erased = std::erase_if(
+            next->routes, [](const Route& route) { return route.path_prefix == kLongerPrefix; });
+        const bool adds = erased == 0 || play_.world.chance() < 0.3;
+        if (adds) next->routes.push_back(drawLongerRoute(*next->route("lines")));
+        next->buildIndexes();
+        note(adds ? "a longer route" : "no longer route");
+        play_.configuration = next;
+        for (auto& machine : play_.machines) {
+            after(between(Millis(0), kInForceEverywhere), [raw = machine.get(), next] {
+                if (raw->process) raw->process->node->onConfiguration(next);
+            });
+        }
+    }
+    Route drawLongerRoute(Route route) {
+        route.name = play_.world.chance() < 0.5 ? "longer" : "further";
+        route.path_prefix = kLongerPrefix;
+        route.service = play_.world.chance() < 0.5 ? "board" : "servers";
+        route.ordered = play_.world.chance() < 0.7;
+        return route;
+    }
+
     // --- Stores: one is in trouble at a time, and the next one only after it has caught up ---
     void planFault() {
         after(between(Millis(100), Millis(1500)), [this] {
--- a/tests/soak/soak_operator.hpp
+++ b/tests/soak/soak_operator.hpp
@@ -1,5 +1,7 @@
 // The operator of a soak: changes the configuration in series, each change sent until it is acknowledged. The
-// route of plain messages leads to one service or the other, and a further route comes and goes on two hosts.
+// route of plain messages leads to one service or the other, a further route comes and goes on two hosts, and
+// a longer route takes a part of the ordered messages and leaves it again, under two names and to two
+// services.
 #pragma once
 
 #include <functional>
@@ -20,6 +22,9 @@
     std::string plain_service;  // where the route of plain messages leads
     bool has_extra_route = false;
     std::string extra_host;
+    bool has_longer_route = false;  // in front of the ordered one
+    std::string longer_name;
+    std::string longer_service;
     SteadyTime sent;
     std::optional<SteadyTime> acknowledged;
 };
@@ -38,6 +43,9 @@
         next.plain_service = was_plain ? "plain" : "ordered";
         next.has_extra_route = random_() % 2 == 0;
         next.extra_host = random_() % 2 == 0 ? "soak" : "other";
+        next.has_longer_route = random_() % 2 == 0;
+        next.longer_name = random_() % 2 == 0 ? "near" : "far";
+        next.longer_service = random_() % 2 == 0 ? "plain" : "ordered";
         next.sent = loop_.now();
         post();
     }
@@ -86,13 +94,19 @@
         call_ = std::make_unique<RawCall>(loop_, core_(),
                                           httpRequest("POST", "/Config.Replace", headers, bodyOf(change)));
     }
-    static std::string routeJson(const std::string& name, const std::string& host, const std::string& service,
-                                 std::int64_t timeout_ms, bool ordered) {
-        return R"({"name":"r-)" + name + R"(","hostname":")" + host + R"(","pathPrefix":"/)" + name +
-               R"(/","type":"deferred","timeoutMs":)" + std::to_string(timeout_ms) +
-               R"(,"targetLatencyMs":200,"priority":1,"backend":")" + service +
-               R"(","maxRetries":4,"ordered":)" + (ordered ? "true" : "false") +
-               R"(,"retentionS":90.0,"callbackUrl":)" + (ordered ? "false" : "true") +
+    struct RouteText {
+        std::string name;
+        std::string host;
+        std::string prefix;
+        std::string service;
+        bool ordered = false;
+    };
+    static std::string routeJson(const RouteText& route, std::int64_t timeout_ms) {
+        return R"({"name":"r-)" + route.name + R"(","hostname":")" + route.host + R"(","pathPrefix":")" +
+               route.prefix + R"(","type":"deferred","timeoutMs":)" + std::to_string(timeout_ms) +
+               R"(,"targetLatencyMs":200,"priority":1,"backend":")" + route.service +
+               R"(","maxRetries":4,"ordered":)" + (route.ordered ? "true" : "false") +
+               R"(,"retentionS":90.0,"callbackUrl":)" + (route.ordered ? "false" : "true") +
                R"(,"scheduleTargetMs":1000})";
     }
     static std::string bodyOf(const SentConfiguration& change) {
@@ -102,11 +116,16 @@
                    R"(","healthCheck":"/healthz","maxConnections":96,"protocol":"h1",)" +
                    R"("tls":false,"ratePerS":0.0,"idempotent":false,"pull":false,"static":null})";
         };
-        std::string routes = routeJson("plain", "soak", change.plain_service, timeout_ms, false) + "," +
-                             routeJson("ordered", "soak", "ordered", timeout_ms, true);
+        std::vector<RouteText> routes{{"plain", "soak", "/plain/", change.plain_service, false},
+                                      {"ordered", "soak", "/ordered/", "ordered", true}};
         if (change.has_extra_route)
-            routes += "," + routeJson("extra", change.extra_host, change.plain_service, timeout_ms, false);
-        return R"({"generation":)" + std::to_string(change.generation) + R"(,"routes":[)" + routes +
+            routes.push_back({"extra", change.extra_host, "/extra/", change.plain_service, false});
+        if (change.has_longer_route)
+            routes.push_back({change.longer_name, "soak", "/ordered/part/", change.longer_service, true});
+        std::string routes_json;
+        for (const RouteText& route : routes)
+            routes_json += (routes_json.empty() ? "" : ",") + routeJson(route, timeout_ms);
+        return R"({"generation":)" + std::to_string(change.generation) + R"(,"routes":[)" + routes_json +
                R"(],"services":[)" + service("plain") + "," + service("ordered") +
                R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,)" +
                R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -146,7 +146,8 @@
             if (message.delayed) headers += "Delay-Ms: " + std::to_string(random_() % 5000) + "\r\n";
         }
         message.sent = loop.now();
-        const std::string target = ordered ? "/ordered/x" : "/plain/x";
+        const bool in_part = ordered && random_() % 2 == 0;  // that a longer route may take
+        const std::string target = in_part ? "/ordered/part/x" : ordered ? "/ordered/x" : "/plain/x";
         open_.push_back({&message, std::make_unique<RawCall>(
                                        loop, NodeAddress{any("edge").ip(), kFrontPort},
                                        httpRequest("POST", target, headers, std::string(300, 'b')))});
