Build the edge's measurement again, and drop a field that accepts no longer carry

cluster_edge_bench still called the constructor of the dispatcher without a topology and its share as a number; it compiles, links and runs again. cluster_store_bench no longer fills order_scope, which new messages leave empty.

--- a/bench/cluster_edge_bench.cpp
+++ b/bench/cluster_edge_bench.cpp
@@ -79,12 +79,12 @@
 public:
     Target()
         : http_(loop_),
-          dispatcher_(loop_, http_, counters_, "edge-0", "hall-trakia", [](const Grant&) { return true; },
-                      {}) {
+          dispatcher_(loop_, http_, counters_, "edge-0", "hall-trakia", Topology{},
+                      [](const Grant&) { return true; }, {}) {
         Service service;
         service.name = "booking-desk";
         service.max_connections = 96;
-        dispatcher_.setService(service, Millis(800), 8);
+        dispatcher_.setService(service, Millis(800), EdgeShare{.edges = 8, .region_edges = 8});
     }
     void take(const std::string& bytes) {
         auto reply = decode<WatchReply>(bytes);
--- a/bench/cluster_store_bench.cpp
+++ b/bench/cluster_store_bench.cpp
@@ -63,7 +63,6 @@
         request.edge_address = transport_.address();
         request.epoch = 1;
         request.content.id = "9c41d07be2a3" + std::to_string(next_++);
-        request.content.order_scope = "host/plain/";
         request.content.service = "servers";
         request.content.method = "POST";
         request.content.host = "a.example";
