Run what is held back also when another store's question settles the misplaced keys

In the commit before, a store that was asked for its keys first looked at its own partitions. Where that was the last missing report, the keys were settled without a word to the queues, and as nothing is looked at once all is settled, ordered messages accepted in the tenth of a second before stayed held back.

Change: a question changes nothing; only the store's own looks and the answers to them do, and each of these lets queues go on. The soak names the messages that have not ended.

--- a/src/cluster/storage/misplaced_key_survey.cpp
+++ b/src/cluster/storage/misplaced_key_survey.cpp
@@ -58,9 +58,8 @@
     on_change_();
 }
 
-MisplacedKeysReply MisplacedKeySurvey::answer() {
+MisplacedKeysReply MisplacedKeySurvey::answer() const {
     MisplacedKeysReply reply;
-    if (!keys_.isSettled()) reportOwn();
     reply.settled = keys_.isSettled();
     if (reply.settled) return reply;
     for (const auto& [partition, owned] : owned_) {
--- a/src/cluster/storage/misplaced_key_survey.hpp
+++ b/src/cluster/storage/misplaced_key_survey.hpp
@@ -15,14 +15,15 @@
 
 class MisplacedKeySurvey {
 public:
-    // `on_change` runs after each change of `keys` that may let messages run.
+    // `on_change` runs after each change of `keys` that may let messages run; only tick() and the answers of
+    // other stores change them.
     MisplacedKeySurvey(Transport& transport, const Placement& placement, const OwnedPartitions& owned,
                        MisplacedKeys& keys, std::function<void()> on_change);
 
     // Looks at the own partitions and asks the other stores, unless all is settled. Call about every 100 ms.
     void tick();
     // What this store knows of the partitions that it owns.
-    MisplacedKeysReply answer();
+    MisplacedKeysReply answer() const;
 
 private:
     void reportOwn();
--- a/tests/cluster/misplaced_key_test.cpp
+++ b/tests/cluster/misplaced_key_test.cpp
@@ -172,3 +172,58 @@
     stores.play.world.run(Millis(200));
     CHECK(stores.message(id).runs == 1);
 }
+
+// Guards against messages that stay held back once nothing is misplaced any more.
+TEST_CASE("what waits or arrives when all stores have lost power runs after their start") {
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        CAPTURE(seed);
+        UpgradedStores stores(seed);
+        StoreWorld& play = stores.play;
+        for (auto& edge : play.edges) edge->down_services.insert("board");
+        for (int i = 0; i < 30; ++i) stores.submit("key" + std::to_string(i % 12));
+        play.world.run(Millis(1000));
+        for (auto& machine : play.machines) play.cutPower(*machine);
+        play.world.run(Millis(300));
+        for (auto& machine : play.machines) play.start(*machine);
+        play.changeView();
+        for (auto& edge : play.edges) edge->down_services.clear();
+        for (int i = 0; i < 600; ++i) {  // also while the stores learn that nothing is misplaced
+            stores.submit("key" + std::to_string(i % 200));
+            play.world.run(Millis(5));
+        }
+        play.world.run(Millis(15'000));
+        CHECK(play.accepted() > 300);
+        CHECK(play.unfinished() == 0);
+        CHECK(stores.metricsHave("misplaced_keys_settled 1"));
+        CHECK_MESSAGE(play.ledger.faults.empty(), play.faultText());
+    }
+}
+
+// Guards against messages that stay held back when a store learns by a question of another one, between two
+// looks of its own, that nothing is misplaced.
+TEST_CASE("messages accepted by the last owner to become active run") {
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        CAPTURE(seed);
+        UpgradedStores stores(seed);
+        StoreWorld& play = stores.play;
+        StoreMachine& last = *play.machines[2];
+        for (auto& machine : play.machines) play.stop(*machine);
+        for (auto& machine : play.machines) {
+            play.start(*machine);
+            play.world.run(Millis(40));  // so that the stores look at different moments
+        }
+        play.changeView();
+        play.hidden.insert(last.name);  // the view reaches it only later
+        play.world.run(Millis(1000 + 7 * static_cast<std::int64_t>(seed)));
+        play.hidden.clear();
+        play.deliverView(last);
+        for (int i = 0; i < 200; ++i) {
+            const std::string key = "key" + std::to_string(i);
+            if (&play.ownerOf(stores.partitionOf(key)) == &last) stores.submit(key);
+            play.world.run(Millis(3));
+        }
+        play.world.run(Millis(5000));
+        CHECK(play.accepted() > 10);
+        CHECK(play.unfinished() == 0);
+    }
+}
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -89,8 +89,9 @@
     }
 
     void check() {
-        CHECK(runUntil(
-            world_.loop, [this] { return world_.askForEnds(); }, kLongestEnd));
+        const bool all_ended = runUntil(
+            world_.loop, [this] { return world_.askForEnds(); }, kLongestEnd);
+        CHECK_MESSAGE(all_ended, unfinishedText());
         runUntil(
             world_.loop, [this] { return allCalledBack(); }, kCallbackLimit);
         std::size_t accepted = 0;
@@ -203,6 +204,17 @@
             });
     }
 
+    // The accepted messages whose end no dispatcher has told, with their keys and the number of their runs.
+    std::string unfinishedText() {
+        std::string text;
+        for (const SentMessage& message : world_.messages) {
+            if (!message.accepted || message.phase == "completed" || message.phase == "dead_letter") continue;
+            text += message.id + " key '" + message.order_key + "' at " + message.reference + " is '" +
+                    message.phase + "', " + std::to_string(world_.runs[message.id].size()) + " runs\n";
+        }
+        return text;
+    }
+
     // A success that a dispatcher tells of was one, and so was each that a call-back names.
     void checkEnd(const SentMessage& message) {
         INFO("message " << message.id << " is '" << message.phase << "'");
