Take a call's own answer also when it comes behind another one as its time is up

Cause: an answer to another call is dropped, and the next one on the connection is read a turn of the loop later. A time-out of the call that is due in that turn ended it in between; a process that was held up is where both meet.

Change: where the unread bytes hold the id of the call, its time-out waits once for 20 ms.

--- a/src/cluster/common/evhttp_client.cpp
+++ b/src/cluster/common/evhttp_client.cpp
@@ -30,6 +30,8 @@
 constexpr ev_ssize_t kMaxHeaderBytes = 64 * 1024;
 constexpr ev_ssize_t kMaxBodyBytes = 64 * 1024 * 1024;
 constexpr int kFirstFinalStatus = 200;
+// A response behind one to another call is read a turn of the loop later.
+constexpr Millis kUnreadResponseGrace{20};
 constexpr std::size_t kMaxCarriedIds = 16;        // Request-Ids remembered per connection
 constexpr std::size_t kMaxDroppedResponses = 16;  // per call; a server that sends more is faulty
 constexpr int kLogIntervalSeconds = 10;
@@ -232,6 +234,11 @@
 
 void EvhttpClient::handleTimeout(Connection& connection) {
     if (!connection.connected) return failExchange(connection);
+    if (isOwnResponseUnread(connection) && !std::exchange(connection.exchange->timed_out, true)) {
+        connection.timer =
+            loop_.after(kUnreadResponseGrace, [this, &connection] { handleTimeout(connection); });
+        return;
+    }
     checkOwnResponseNotDropped(connection);
     retire(connection);
     finishExchange(connection, HttpOutcome{CallStatus::unknown, false, true, {}});
@@ -312,10 +319,13 @@
 }
 
 void EvhttpClient::checkOwnResponseNotDropped(const Connection& connection) {
+    checkInvariant(Invariant::own_answer_is_taken, !isOwnResponseUnread(connection),
+                   "call " + connection.exchange->request_id + " to " + connection.to.text());
+}
+
+bool EvhttpClient::isOwnResponseUnread(const Connection& connection) {
     const std::string& id = connection.exchange->request_id;
-    if (id.empty()) return;
-    checkInvariant(Invariant::own_answer_is_taken, !unreadInputContains(connection.handle.get(), id),
-                   "call " + id + " to " + connection.to.text());
+    return !id.empty() && unreadInputContains(connection.handle.get(), id);
 }
 
 void EvhttpClient::failExchange(Connection& connection) {
--- a/src/cluster/common/evhttp_client.hpp
+++ b/src/cluster/common/evhttp_client.hpp
@@ -75,6 +75,7 @@
         evhttp_cmd_type method = EVHTTP_REQ_GET;
         std::size_t dropped_responses = 0;
         SteadyTime deadline;
+        bool timed_out = false;  // its own response was received by then and is still being read
     };
     struct Connection {
         EvhttpClient& client;
@@ -111,6 +112,8 @@
     void discardResponse(Connection& connection, const HttpResponse& answer);
     // Checks that no response to a call that ends as unknown is among the received bytes.
     static void checkOwnResponseNotDropped(const Connection& connection);
+    // Whether the received bytes that are not parsed yet contain the id of the open call.
+    static bool isOwnResponseUnread(const Connection& connection);
     void recordDiscarded(const Connection& connection, const HttpResponse& answer);
     void handleConnected(Connection& connection);
     void handleTimeout(Connection& connection);
--- a/tests/cluster/http_once_test.cpp
+++ b/tests/cluster/http_once_test.cpp
@@ -189,6 +189,28 @@
     checkClosed(fixture, 0);
 }
 
+// Guards against a call that ends as unknown, and runs again, although its own response has been received.
+TEST_CASE("a response that comes behind another call's in the turn of the time-out is accepted") {
+    HttpClientFixture fixture;
+    fixture.completeExchange(0, 1);
+    HttpOutcomeRecorder outcome;
+    HttpCall call = fixture.getWithId("mine");
+    call.timeout = kShortTimeout;
+    const SteadyTime time_out = fixture.loop.now() + kShortTimeout;
+    fixture.client.send(call, outcome.callback());
+    REQUIRE(fixture.waitForRequestsOn(0, 2));
+    fixture.serverConnection(0).send(kResponseWithoutId + kOwnResponse);
+    REQUIRE(runUntil(fixture.loop, [&] { return fixture.serverConnection(0).sentAll(); }));
+    while (fixture.loop.now() <= time_out) {  // the loop is held up while bytes and time-out come
+    }
+    REQUIRE(fixture.waitForOutcome(outcome));
+    CHECK(outcome.completions == 1);
+    CHECK(outcome.result.verdict == CallStatus::answered);
+    CHECK(outcome.result.response.body == "done");
+    CHECK(requestsReceived(fixture) == 1);
+    checkClosed(fixture, 0);
+}
+
 TEST_CASE("a truncated response after one to another call leaves the call unknown") {
     HttpClientFixture fixture;
     HttpOutcomeRecorder outcome;
