Look at a key's queue only where a change of the configuration changes `ordered`

A change of the configuration walks all that waits, as before. Since keys were placed by the key alone it also looked up the order queue of each message. That is needed only where the change makes a message ordered or not.

--- a/src/cluster/storage/partition_queue.cpp
+++ b/src/cluster/storage/partition_queue.cpp
@@ -194,9 +194,11 @@
 
 void PartitionQueue::update(QueueItem& item, const std::function<void(QueueItem&)>& change) {
     const bool ready = item.state == ItemState::ready;
+    const bool was_ordered = item.ordered;
     if (ready) ready_.remove(item);
     change(item);
     if (ready) ready_.add(item);
+    if (item.ordered == was_ordered) return;
     if (mustWait(item)) {
         block(item);
     } else if (item.state == ItemState::blocked) {
