--- a/review/standins-2/regress.cpp
+++ b/review/standins-2/regress.cpp
@@ -1,4 +1,4 @@
-// Case 4: while one core machine stands still, routes are added. Does an edge that has already run a message
+// while one core machine stands still, routes are added. Does an edge that has already run a message
 // by the new version answer requests by the older one?
 #include "world.hpp"
 
