--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for name in regress limits; do
+for name in twice regress limits; do
     g++ -O1 -std=c++20 -Wall -Wextra -o "target/review-2/$name" "review/standins-2/$name.cpp" -pthread
 done
