Correct the stand-ins of the second review and play its cases again

Servers kept no queue and no limit on idle connections, clients sent again after a 404, edges got 32 direct messages, connections were told apart by port, records did not name each run.

--- a/review/standins-2/limits.cpp
+++ b/review/standins-2/limits.cpp
@@ -59,10 +59,11 @@
     const char* const wanted = std::getenv("TROUBLE");
     const bool trouble = wanted == nullptr || std::string(wanted) != "0";
     nowMs();
-    World world(20 + static_cast<int>(getpid() % 200), kEdges, arguments[2]);
+    World world(freeNet(), kEdges, arguments[2]);
     Server server(Address{world.ip(4, 0), world.ports.server}, [&](const Message& request, int) {
         static std::atomic<long> stamps{0};
         if (request.start.rfind("GET ", 0) == 0) return httpAnswer(200, "Instance-Id: i-desk0\r\n", "");
+        record.line("i-desk0 runs %s", request.header("request-id").c_str());
         return httpAnswer(200,
                           "Request-Id: " + request.header("request-id") + "\r\nResponse-Stamp: st" +
                               std::to_string(++stamps) + "\r\n",
@@ -104,8 +105,7 @@
     while (nowMs() < acknowledged + kAfterMs) {
         for (Kept& each : kept) {
             const int status = post(each, "k" + std::to_string(++number), 1000);
-            if (status != 202)
-                record.line("k%d on a kept connection to %s: %d", number, each.edge->name.c_str(), status);
+            record.line("k%d on a kept connection to %s: %d", number, each.edge->name.c_str(), status);
         }
         sleepMs(1000);
     }
--- a/review/standins-2/regress.cpp
+++ b/review/standins-2/regress.cpp
@@ -15,8 +15,11 @@
 constexpr double kBetweenMs = 6640;
 constexpr int kKeys = 24;
 constexpr int kMessagesOfKey = 3;
-constexpr double kProbeEveryMs = 25;
-constexpr double kProbeForMs = 800;
+// Each dispatcher gets a few messages directly; the first one later than the slack after the first runs.
+constexpr double kFirstDirectMs = 290;
+constexpr double kBetweenDirectMs = 50;
+constexpr int kDirect = 5;
+constexpr double kFirstSendMs = 20;  // after the acknowledgement
 
 std::string routeJson(const std::string& name, const std::string& prefix, bool ordered) {
     return "{\"name\":\"" + name + "\",\"hostname\":\"boye61.example\",\"pathPrefix\":\"" + prefix +
@@ -34,7 +37,7 @@
     return "{\"generation\":" + std::to_string(generation) + ",\"routes\":[" + routes +
            "],\"services\":[{\"name\":\"fleet\",\"healthCheck\":\"/"
            "healthz\",\"maxConnections\":110,\"protocol\":\"h1\","
-           "\"tls\":false,\"ratePerS\":0.0,\"idempotent\":true,\"pull\":false,\"static\":null}],"
+           "\"tls\":false,\"ratePerS\":0.0,\"idempotent\":false,\"pull\":false,\"static\":null}],"
            "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,"
            "\"idleTimeoutMs\":15000}}";
 }
@@ -56,12 +59,12 @@
     const bool trouble = wanted == nullptr || std::string(wanted) != "0";
     nowMs();
 
-    World world(20 + static_cast<int>(getpid() % 200), kEdges, folder);
+    World world(freeNet(), kEdges, folder);
     Effects effects;
     std::atomic<long> stamps{0};
     std::vector<std::unique_ptr<Server>> servers;
     std::mutex owners_mutex;
-    std::map<int, std::string> owners;  // edge by remote port
+    std::map<long, std::string> owners;  // edge by connection
     for (int i = 0; i < kServers; ++i) {
         const std::string uid = "i-fleet" + std::to_string(i);
         servers.push_back(std::make_unique<Server>(
@@ -75,13 +78,13 @@
                 std::string edge;
                 {
                     const std::lock_guard<std::mutex> lock(owners_mutex);
-                    edge = owners[port];
+                    edge = owners[request.connection];
                 }
                 if (edge.empty()) {
                     const Node* const node = world.ownerOfPort(port);
                     edge = node == nullptr ? "" : node->name;
                     const std::lock_guard<std::mutex> lock(owners_mutex);
-                    owners[port] = edge;
+                    owners[request.connection] = edge;
                 }
                 const std::size_t path = request.start.find('/') + 1;
                 const std::string route = request.start.substr(path, request.start.find('/', path) - path);
@@ -89,6 +92,8 @@
                     const std::lock_guard<std::mutex> lock(effects.mutex);
                     const bool is_new =
                         !edge.empty() && effects.first.emplace(edge + " " + route, begun).second;
+                    record.line("%s runs %s of %s for %s", uid.c_str(), id.c_str(), route.c_str(),
+                                edge.c_str());
                     if (is_new)
                         record.line("server %s saw the first run of %s by %s", uid.c_str(), route.c_str(),
                                     edge.c_str());
@@ -159,31 +164,24 @@
                     Node* const edge = usable[static_cast<std::size_t>(key) % usable.size()];
                     const std::string id =
                         "m" + std::to_string(play) + "-" + std::to_string(key) + "-" + std::to_string(n);
-                    sleepMs(n * 2);
-                    for (int attempt = 0; attempt < 5; ++attempt) {
-                        const std::string tried = id + "-" + std::to_string(attempt);
-                        const int status =
-                            ask({edge->ip, world.ports.front}, "POST", "/" + route + "/x",
-                                "Host: boye61.example\r\nDeadline-Ms: 500\r\nRequest-Id: " + tried +
-                                    "\r\nOrder-Key: k" + std::to_string(play) + "-" + std::to_string(key) +
-                                    "\r\n",
-                                "status", 1000)
-                                .status();
-                        record.line("%s to %s on %s: %d", tried.c_str(), edge->name.c_str(), route.c_str(),
-                                    status);
-                        if (status == 202) return;
-                        sleepMs(20);
-                    }
+                    sleepMs(acknowledged + kFirstSendMs + n * 2 - nowMs());
+                    const int status = ask({edge->ip, world.ports.front}, "POST", "/" + route + "/x",
+                                           "Host: boye61.example\r\nDeadline-Ms: 500\r\nRequest-Id: " + id +
+                                               "\r\nOrder-Key: k" + std::to_string(play) + "-" +
+                                               std::to_string(key) + "\r\n",
+                                           "status", 1000)
+                                           .status();
+                    record.line("%s to %s on %s: %d", id.c_str(), edge->name.c_str(), route.c_str(), status);
                 });
             }
         }
         // Each dispatcher receives a few messages directly on the route that was just added.
         for (Node* edge : edges) {
             clients.emplace_back([&, edge] {
-                int number = 0;
-                while (nowMs() < acknowledged + kProbeForMs) {
+                for (int number = 1; number <= kDirect; ++number) {
+                    sleepMs(acknowledged + kFirstDirectMs + (number - 1) * kBetweenDirectMs - nowMs());
                     const std::string id =
-                        "d" + std::to_string(play) + "-" + edge->name + "-" + std::to_string(++number);
+                        "d" + std::to_string(play) + "-" + edge->name + "-" + std::to_string(number);
                     const double sent = nowMs();
                     const int status = ask({edge->ip, world.ports.front}, "POST", "/" + route + "/direct",
                                            "Host: boye61.example\r\nDeadline-Ms: 500\r\nRequest-Id: " + id +
@@ -205,8 +203,6 @@
                             "run of that route",
                             edge->name.c_str(), route.c_str(), sent - seen);
                     }
-                    if (status == 202) return;
-                    sleepMs(kProbeEveryMs);
                 }
             });
         }
--- a/review/standins-2/twice.cpp
+++ b/review/standins-2/twice.cpp
@@ -1,5 +1,6 @@
 // Store processes are killed one after the other while delayed messages are accepted. Long after the last
 // kill the messages fall due: does one of them run again after its success?
+#include <condition_variable>
 #include <set>
 
 #include "world.hpp"
@@ -11,6 +12,7 @@
 constexpr int kEdges = 4;
 constexpr int kServers = 3;
 constexpr int kSlots = 4;
+constexpr int kQueue = 16;  // messages that a server lets wait for a slot
 constexpr double kWorkMs = 30;
 constexpr int kKills = 7;
 constexpr double kBetweenMs =
@@ -38,12 +40,14 @@
 
 struct Runs {
     std::mutex mutex;
-    std::map<std::string, double> success;     // by message: when its first success was answered
-    std::map<int, std::string> last_answered;  // by remote port
+    std::map<std::string, double> success;      // by message: when its first success was answered
+    std::map<long, std::string> last_answered;  // by connection
     std::set<std::string>
         read;  // messages whose sender has sent its next request on the same connection since
     std::map<std::string, int> accepted;
     int working[kServers] = {};
+    int waiting[kServers] = {};
+    std::condition_variable slot_free;
     long runs = 0;
     int broken = 0;
 };
@@ -57,7 +61,7 @@
     const char* const wanted = std::getenv("TROUBLE");
     const bool trouble = wanted == nullptr || std::string(wanted) != "0";
     nowMs();
-    World world(20 + static_cast<int>(getpid() % 200), kEdges, folder);
+    World world(freeNet(), kEdges, folder);
     Runs runs;
     std::atomic<long> stamps{0};
     std::atomic<double> calm_from{1e18};
@@ -65,7 +69,7 @@
     for (int i = 0; i < kServers; ++i) {
         const std::string uid = "i-desk" + std::to_string(i);
         servers.push_back(std::make_unique<Server>(
-            Address{world.ip(4, i), world.ports.server}, [&, i, uid](const Message& request, int port) {
+            Address{world.ip(4, i), world.ports.server}, [&, i, uid](const Message& request, int) {
                 const std::string id = request.header("request-id");
                 const std::string named = "Request-Id: " + id + "\r\n";
                 if (request.start.rfind("GET ", 0) == 0)
@@ -73,15 +77,19 @@
                 if (!request.header("expect-instance").empty() && request.header("expect-instance") != uid)
                     return httpAnswer(421, named + "Not-Executed: 1\r\n", "");
                 {
-                    const std::lock_guard<std::mutex> lock(runs.mutex);
+                    std::unique_lock<std::mutex> lock(runs.mutex);
                     // The sender has read its last answer on this connection, as one request is in progress
                     // on each.
-                    const auto last = runs.last_answered.find(i * 65536 + port);
+                    const auto last = runs.last_answered.find(request.connection);
                     if (last != runs.last_answered.end()) runs.read.insert(last->second);
-                    if (runs.working[i] >= kSlots) return httpAnswer(503, named + "Not-Executed: 1\r\n", "");
+                    if (runs.waiting[i] >= kQueue) return httpAnswer(503, named + "Not-Executed: 1\r\n", "");
+                    ++runs.waiting[i];
+                    runs.slot_free.wait(lock, [&] { return runs.working[i] < kSlots; });
+                    --runs.waiting[i];
                     ++runs.working[i];
                     ++runs.runs;
                     const double begun = nowMs();
+                    record.line("%s runs %s", uid.c_str(), id.c_str());
                     const auto before = runs.success.find(id);
                     if (before != runs.success.end()) {
                         const bool counts =
@@ -95,8 +103,9 @@
                 sleepMs(kWorkMs);
                 const std::lock_guard<std::mutex> lock(runs.mutex);
                 --runs.working[i];
+                runs.slot_free.notify_all();
                 runs.success.emplace(id, nowMs());
-                runs.last_answered[i * 65536 + port] = id;
+                runs.last_answered[request.connection] = id;
                 return httpAnswer(200,
                                   named + "Response-Stamp: st" + std::to_string(++stamps) +
                                       "\r\nKeep-Alive: timeout=30\r\n",
--- a/review/standins-2/world.hpp
+++ b/review/standins-2/world.hpp
@@ -99,6 +99,7 @@
     std::string start;                           // the request line or the status line
     std::map<std::string, std::string> headers;  // names in lower case
     std::string body;
+    long connection = 0;  // of a request: the number of its connection
     int status() const { return start.size() > 12 ? std::atoi(start.c_str() + 9) : 0; }
     std::string header(const std::string& name) const {
         const auto found = headers.find(name);
@@ -199,10 +200,15 @@
             if (connection < 0) continue;
             const int one = 1;
             setsockopt(connection, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-            std::thread([this, connection, port = ntohs(from.sin_port)] {
+            // Idle connections are closed after the time that Keep-Alive tells.
+            const timeval idle{30, 0};
+            setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &idle, sizeof idle);
+            static std::atomic<long> connections{0};
+            std::thread([this, connection, number = ++connections, port = ntohs(from.sin_port)] {
                 std::string buffer;
                 Message request;
                 while (readMessage(connection, buffer, request)) {
+                    request.connection = number;
                     const std::string answer = handler_(request, port);
                     if (answer.empty() || !sendAll(connection, answer)) break;
                 }
@@ -224,6 +230,27 @@
     int front = 0, readiness = 0, control = 0, first = 0, server = 0;
 };
 
+// The second number of the addresses of a deployment whose ports are all free.
+inline int freeNet() {
+    for (int i = 0; i < 200; ++i) {
+        const int net = 20 + (static_cast<int>(getpid()) + i) % 200;
+        bool free = true;
+        for (const int role : {1, 2, 3, 4, 9}) {
+            for (int number = 1; number <= 6; ++number) {
+                for (const int port : {8063, 8064, 8065, 8069, 8080, 7780, 7781, 7782, 9464}) {
+                    const std::string ip = "127." + std::to_string(net) + "." + std::to_string(role) + "." +
+                                           std::to_string(number);
+                    const int tried = listenOn({ip, port});
+                    free = free && tried >= 0;
+                    if (tried >= 0) close(tried);
+                }
+            }
+        }
+        if (free) return net;
+    }
+    return 20;
+}
+
 // One process of the service.
 class Node {
 public:
